--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+PACKAGES = packages/damaskvalve-core packages/damaskvalve-state \
+  packages/damaskvalve-agent packages/damaskvalve testing/damaskvalve-standins
+CODE = packages testing bench
+
+.PHONY: setup demo test lint bench capacity thrift
+
+setup: $(VENV)/installed
+
+$(VENV)/installed: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock wheel
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation \
+	  --no-deps $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+demo: setup
+	$(BIN)/python -m damaskvalve_standins.demo
+
+test: setup
+	$(BIN)/python -m damaskvalve_standins.run_tests
+
+lint: setup
+	$(BIN)/black --check --quiet $(CODE)
+	$(BIN)/isort --check --quiet $(CODE)
+	$(BIN)/flake8 $(CODE)
+	$(BIN)/mypy $(addprefix packages/,damaskvalve-core/damaskvalve_core \
+	  damaskvalve-state/damaskvalve_state damaskvalve-agent/damaskvalve_agent \
+	  damaskvalve/damaskvalve) testing/damaskvalve-standins/damaskvalve_standins
+
+bench: setup
+	$(BIN)/python bench/run.py
+
+capacity: setup
+	$(BIN)/python bench/capacity.py
+
+thrift:
+	thrift --gen py:slots -out packages/damaskvalve-core idl/damaskvalve.thrift
+	rm -f packages/damaskvalve-core/__init__.py
--- /dev/null
+++ b/idl/damaskvalve.thrift
@@ -0,0 +1,336 @@
+// Messages between damaskvalve processes, and the records of the replicated log.
+// Regenerate with `make thrift`; the generated code is committed.
+namespace py damaskvalve_core._gen
+
+// ---- agreement between control hosts ----
+
+struct Member {
+  1: string member_id
+  2: string address
+  3: string data_centre
+}
+
+enum EntryKind { NOOP = 0, COMMAND = 1, MEMBERS = 2 }
+
+struct LogEntry {
+  1: i64 index
+  2: i64 term
+  3: EntryKind kind
+  4: binary command
+  5: list<Member> members
+}
+
+struct VoteRequest {
+  1: i64 term
+  2: string candidate_id
+  3: i64 last_index
+  4: i64 last_term
+  5: bool pre_vote
+}
+
+struct VoteReply {
+  1: i64 term
+  2: string voter_id
+  3: bool granted
+  4: bool pre_vote
+}
+
+struct AppendRequest {
+  1: i64 term
+  2: string leader_id
+  3: string leader_address
+  4: i64 previous_index
+  5: i64 previous_term
+  6: list<LogEntry> entries
+  7: i64 commit_index
+  8: double sent_at_s
+}
+
+struct AppendReply {
+  1: i64 term
+  2: string member_id
+  3: bool success
+  4: i64 match_index
+  5: double sent_at_s
+}
+
+struct SnapshotRequest {
+  1: i64 term
+  2: string leader_id
+  3: string leader_address
+  4: i64 last_index
+  5: i64 last_term
+  6: list<Member> members
+  7: binary data
+  8: double sent_at_s
+}
+
+struct FoundRequest { 1: list<Member> members }
+struct FoundReply { 1: bool founded }
+
+struct HelloRequest { 1: Member member  2: bool empty }
+struct HelloReply { 1: Member member  2: bool empty  3: string leader_address }
+
+// ---- records of the journal and the snapshot file ----
+
+struct HardState { 1: i64 term  2: string voted_for }
+
+struct JournalRecord {
+  1: optional LogEntry entry
+  2: optional HardState hard_state
+  3: optional i64 truncate_from_index
+}
+
+struct Row { 1: string table  2: string key  3: optional string value  4: i64 revision }
+
+struct OperationRecord { 1: string operation_id  2: i64 revision  3: string actor }
+
+struct ClaimRecord {
+  1: string claim_id
+  2: string state
+  3: string body_digest
+  4: string holder
+  5: i64 index
+  6: optional StoredAnswer answer
+}
+
+struct StoredAnswer {
+  1: i32 status
+  2: string content_type
+  3: binary body
+  4: string ran
+}
+
+struct JobRecord {
+  1: string job_id
+  2: string workspace
+  3: string path
+  4: binary body
+  5: i64 index
+  6: optional StoredAnswer answer
+}
+
+struct CreditRecord { 1: string workspace  2: double level_tokens  3: double outstanding_tokens }
+struct FenceRecord { 1: string backend_server  2: i64 number  3: string holder }
+struct SuspectRecord { 1: string fingerprint  2: i32 crashes  3: bool quarantined }
+struct AuditRecord { 1: i64 revision  2: string actor  3: string operation_id  4: string summary  5: double at_s }
+
+struct StateSnapshot {
+  1: i64 revision
+  2: list<Row> rows
+  3: list<OperationRecord> operations
+  4: list<ClaimRecord> claims
+  5: list<JobRecord> jobs
+  6: list<CreditRecord> credits
+  7: list<FenceRecord> fences
+  8: list<SuspectRecord> suspects
+  9: list<AuditRecord> audit
+  10: list<Row> recent
+  11: list<string> crash_reports
+  12: i64 suspects_version
+  13: i64 recent_floor
+}
+
+struct SnapshotFile {
+  1: i64 last_index
+  2: i64 last_term
+  3: list<Member> members
+  4: binary data
+}
+
+// ---- commands of the replicated state ----
+
+struct ChangeConfiguration {
+  1: string operation_id
+  2: i64 expected_revision
+  3: string actor
+  4: list<Row> rows
+  5: double at_s
+}
+
+struct ClaimOnce { 1: string claim_id  2: string body_digest  3: string holder }
+struct AnswerOnce { 1: string claim_id  2: string holder  3: StoredAnswer answer }
+struct ReleaseOnce { 1: string claim_id  2: string holder }
+struct ResolveOnce { 1: string claim_id  2: bool ran  3: string actor }
+struct SubmitJob { 1: string job_id  2: string workspace  3: string path  4: binary body  5: i32 max_jobs }
+struct FinishJob { 1: string job_id  2: StoredAnswer answer }
+struct DropJob { 1: string job_id }
+struct ReserveCredit { 1: list<CreditRecord> credits }
+struct GrantFence { 1: string backend_server  2: string holder }
+struct ReportCrash { 1: string fingerprint  2: string report_id  3: bool isolated }
+struct ClearSuspect { 1: string fingerprint }
+struct ExpireClaims { 1: i64 through_index }
+
+struct Command {
+  1: optional ChangeConfiguration change
+  2: optional ClaimOnce claim
+  3: optional AnswerOnce answer
+  4: optional ReleaseOnce release
+  5: optional ResolveOnce resolve
+  6: optional SubmitJob submit
+  7: optional FinishJob finish
+  8: optional DropJob drop
+  9: optional ReserveCredit reserve
+  10: optional GrantFence fence
+  11: optional ReportCrash crash
+  12: optional ClearSuspect clear
+  13: optional ExpireClaims expire
+}
+
+struct CommandResult {
+  1: bool accepted
+  2: string reason
+  3: i64 revision
+  4: string actor
+  5: optional ClaimRecord claim
+  6: optional JobRecord job
+  7: optional FenceRecord fence
+  8: optional SuspectRecord suspect
+  9: string previous_holder
+}
+
+// ---- calls to a control host ----
+
+struct ProposeRequest { 1: Command command }
+struct ProposeReply { 1: bool done  2: string leader_address  3: optional CommandResult result  4: string reason }
+
+struct ConfirmRequest { 1: string member_id }
+struct ConfirmReply { 1: bool confirmed  2: i64 commit_index  3: string leader_address }
+
+struct BackendReport {
+  1: string backend_server
+  2: string agent_address
+  3: string data_centre
+  4: string kind
+  5: string serves
+  6: string incarnation
+  7: i64 sequence
+  8: bool leaving
+  9: i32 queued
+  10: i32 running
+  11: i32 max_running
+  12: list<string> resident
+  13: i32 slots
+  14: map<string, double> served
+  15: map<string, double> counters
+}
+
+struct ReportReply { 1: i64 fence_number  2: string fence_holder  3: bool fence_confirmed  4: double fence_age_s  5: map<string, double> served }
+
+struct PollRequest {
+  1: string subscriber
+  2: string data_centre
+  3: i64 revision
+  4: i64 backends_version
+  5: i64 suspects_version
+  6: double wait_s
+  7: string control_id
+}
+
+struct PollReply {
+  1: bool fresh
+  2: double age_s
+  3: i64 revision
+  4: bool full
+  5: list<Row> rows
+  6: list<string> evicted_adapters
+  7: i64 backends_version
+  8: optional list<BackendReport> backends
+  9: i64 suspects_version
+  10: optional list<SuspectRecord> suspects
+  11: string leader_address
+  12: string control_id
+  13: list<string> removed_backends
+}
+
+struct LookupRequest { 1: string table  2: list<string> keys }
+struct LookupReply { 1: bool fresh  2: double age_s  3: i64 revision  4: list<Row> rows }
+
+struct CreditReport { 1: i64 grant_id  2: double spent_tokens  3: double returned_tokens }
+struct CreditRefund { 1: double tokens  2: double charge_age_s }
+struct CreditAsk {
+  1: string workspace
+  2: double wanted_tokens
+  3: list<CreditReport> reports
+  4: list<CreditRefund> refunds
+}
+struct CreditRequest { 1: string entry_id  2: i64 sequence  3: list<CreditAsk> asks }
+struct CreditGrant { 1: string workspace  2: i64 grant_id  3: double tokens  4: double retry_after_s }
+struct CreditReply { 1: bool done  2: string leader_address  3: list<CreditGrant> grants  4: double lifetime_s }
+
+struct PermitRequest { 1: string agent_id  2: string adapter  3: i32 urgency  4: double wait_s  5: string finished_permit_id }
+struct PermitReply { 1: bool granted  2: string leader_address  3: string permit_id  4: double retry_after_s  5: double valid_s }
+
+struct LeaseJobRequest { 1: string entry_id  2: i32 max_jobs }
+struct LeaseJobReply { 1: string leader_address  2: list<JobRecord> jobs }
+
+struct ReadRequest { 1: string what  2: string key }
+struct ReadReply {
+  1: bool fresh
+  2: i64 revision
+  3: list<Row> rows
+  4: list<ClaimRecord> claims
+  5: list<JobRecord> jobs
+  6: list<SuspectRecord> suspects
+  7: list<AuditRecord> audit
+  8: list<Member> members
+  9: list<SubscriberRecord> subscribers
+  10: string leader_address
+  11: i64 commit_index
+  12: i64 last_index
+  13: i64 term
+}
+
+struct SubscriberRecord { 1: string subscriber  2: string data_centre  3: i64 revision  4: double age_s }
+
+// ---- work handed to an agent ----
+
+struct Header { 1: string name  2: string value }
+
+struct WorkRequest {
+  1: string request_id
+  2: string workspace
+  3: double share
+  4: string kind
+  5: string model
+  6: string adapter
+  7: string version
+  8: bool once
+  9: bool deferred
+  10: string method
+  11: string target
+  12: list<Header> headers
+  13: binary body
+  14: bool streamed
+  15: double cost_units
+  16: double deadline_s
+  17: string fingerprint
+  18: bool isolated
+}
+
+struct WorkStarted { 1: string request_id  2: double queued_s  3: double load_s }
+struct WorkChunk { 1: string request_id  2: string text  3: i32 tokens }
+struct WorkProgress { 1: string request_id }
+struct WorkEnd {
+  1: string request_id
+  2: i32 status
+  3: string adapter
+  4: string version
+  5: string content_type
+  6: binary body
+  7: i32 prompt_tokens
+  8: i32 completion_tokens
+  9: string finish_reason
+}
+struct WorkRefused {
+  1: string request_id
+  2: string code
+  3: string message
+  4: string ran
+  5: double retry_after_s
+  6: bool backend_crashed
+  7: i32 delivered_tokens
+}
+
+struct Problem { 1: string code  2: string message }
+struct Ack { 1: i64 number }
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -0,0 +1,152 @@
+"""Puts one agent together and runs it until it is told to stop."""
+
+import contextlib
+import signal
+import threading
+import time
+import uuid
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any
+
+import logbook
+
+from damaskvalve_agent._backend_client import BackendClient
+from damaskvalve_agent._control import ControlClient
+from damaskvalve_agent._engine_room import TICK_S, EngineRoom, Room, random_jitter
+from damaskvalve_agent._fair_queue import FairQueue
+from damaskvalve_agent._fence import Fence
+from damaskvalve_agent._registration import HEALTH_S, REPORT_S, Registration, repeat
+from damaskvalve_agent._scheduler import Scheduler, SchedulerLimits
+from damaskvalve_agent._service import Counters, WorkService
+from damaskvalve_agent._settings import AgentSettings
+from damaskvalve_agent._slots import Slots
+from damaskvalve_core import HybridClock, Recorder, dialing, listening, open_time_line
+
+DRAIN_LIMIT_S = 120.0
+GOODBYE_S = 1.0
+
+_log = logbook.Logger("agent")
+
+
+def _make_scheduler(settings: AgentSettings) -> Scheduler:
+    backend = settings.backend
+    return Scheduler(
+        FairQueue(settings.max_waiting, settings.max_debt_units),
+        Slots(backend.slots) if backend.kind == "engine" else None,
+        SchedulerLimits(backend.max_running, settings.max_loads),
+        random_jitter(),
+    )
+
+
+@contextlib.contextmanager
+def _running_room(
+    settings: AgentSettings,
+    backend: BackendClient,
+    control: ControlClient,
+    fence: Fence,
+    incarnation: str,
+    record: Recorder,
+) -> Iterator[Room]:
+    scheduler = _make_scheduler(settings)
+    actor = EngineRoom.start(scheduler, backend, control, fence, incarnation, record)
+    owner: Any = actor._actor_weakref()
+    try:
+        yield Room(actor, owner)
+    finally:
+        actor.stop()
+
+
+@contextlib.contextmanager
+def _background(steps: dict[float, list[Callable[[], None]]]) -> Iterator[None]:
+    stop = threading.Event()
+    threads = [
+        threading.Thread(target=repeat, args=(stop, period_s, step), daemon=True)
+        for period_s, group in steps.items()
+        for step in group
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        stop.set()
+
+
+def _drain(
+    service: WorkService, counters: Counters, reports: Sequence[Callable[[], None]]
+) -> None:
+    """Announce leaving, then let every request end."""
+    service.leaving = True
+    for report in reports:
+        report()
+    give_up_s = time.monotonic() + DRAIN_LIMIT_S
+    announced_s = time.monotonic()
+    while time.monotonic() < give_up_s:
+        if counters.active() == 0 and time.monotonic() - announced_s > GOODBYE_S:
+            return
+        time.sleep(TICK_S)
+    _log.error("stopping with {} requests unfinished", counters.active())
+
+
+def run_agent(settings: AgentSettings) -> None:
+    """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda number, frame: stop.set())
+    signal.signal(signal.SIGINT, lambda number, frame: stop.set())
+    incarnation = f"{settings.name}-{uuid.uuid4().hex[:12]}"
+    fence = Fence(incarnation)
+    counters = Counters()
+    backend = BackendClient(
+        settings.backend.address,
+        settings.backend.max_running,
+        settings.backend.request_timeout_s,
+    )
+    with contextlib.ExitStack() as stack:
+        clock = HybridClock(time.time)
+        record = stack.enter_context(
+            open_time_line(settings.data_folder, settings.name, clock)
+        )
+        stack.callback(backend.close)
+        dialer = stack.enter_context(dialing(settings.identity))
+        control = ControlClient(settings.control_hosts, dialer)
+        room = stack.enter_context(
+            _running_room(settings, backend, control, fence, incarnation, record)
+        )
+        service = WorkService(settings.backend, room, backend, fence, counters, record)
+        address = stack.enter_context(
+            listening(settings.listen, settings.identity, service.handle)
+        )
+        registration = Registration(
+            settings,
+            incarnation,
+            address,
+            room,
+            backend,
+            control,
+            fence,
+            service,
+            counters,
+        )
+        reports = [_report_step(registration, host) for host in settings.control_hosts]
+        stack.enter_context(
+            _background(
+                {
+                    REPORT_S: [*reports, registration.ensure_fence],
+                    HEALTH_S: [registration.check_health],
+                    TICK_S: [room.tick],
+                }
+            )
+        )
+        _log.info("agent {} listens on {}", settings.name, address)
+        record("agent-start", backend_server=settings.name, incarnation=incarnation)
+        stop.wait()
+        _log.info("leaving")
+        record("agent-leaving", backend_server=settings.name)
+        _drain(service, counters, reports)
+
+
+def _report_step(registration: Registration, host: str) -> Callable[[], None]:
+    def step() -> None:
+        registration.report_to(host)
+
+    return step
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_backend_client.py
@@ -0,0 +1,310 @@
+"""The only code that speaks to the backend server.
+
+Every order and every request carries the fencing number. Answers are checked:
+the request id and the adapter must come back, and a stream must reach its end
+marker.
+"""
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import urllib3
+
+from damaskvalve_core import DamaskvalveError
+from damaskvalve_core.messages import WorkRequest
+
+FENCE_HEADER = "X-Fencing-Number"
+REQUEST_ID_HEADER = "X-Request-Id"
+ADAPTER_HEADER = "X-Adapter"
+CONNECT_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 30.0
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+_READ_BYTES = 64 * 1024
+_END_MARKER = "[DONE]"
+
+
+class BackendError(DamaskvalveError):
+    """The backend server failed; says whether the request can have run."""
+
+    def __init__(self, message: str, *, sent: bool, crashed: bool = False) -> None:
+        super().__init__(message)
+        self.sent = sent
+        self.crashed = crashed
+
+
+class UnknownAdapterError(BackendError):
+    """The engine does not hold the adapter: it has restarted."""
+
+
+class FencedError(BackendError):
+    """The backend server has seen a newer fencing number."""
+
+
+class Piece:
+    """Text that the engine produced, with its number of tokens."""
+
+    __slots__ = ("text", "tokens")
+
+    def __init__(self, text: str, tokens: int) -> None:
+        self.text = text
+        self.tokens = tokens
+
+
+class Finish:
+    """The checked end of an answer."""
+
+    __slots__ = (
+        "status",
+        "content_type",
+        "body",
+        "prompt_tokens",
+        "completion_tokens",
+        "finish_reason",
+    )
+
+    def __init__(
+        self,
+        status: int,
+        content_type: str = "",
+        body: bytes = b"",
+        prompt_tokens: int = 0,
+        completion_tokens: int = 0,
+        finish_reason: str = "",
+    ) -> None:
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+        self.prompt_tokens = prompt_tokens
+        self.completion_tokens = completion_tokens
+        self.finish_reason = finish_reason
+
+
+def adapter_name(adapter: str, version: str) -> str:
+    """Return the name under which the engine knows an adapter version."""
+    return f"{adapter}@{version}" if adapter else ""
+
+
+class BackendClient:
+    """HTTP to one backend server over kept connections."""
+
+    def __init__(self, address: str, max_connections: int, timeout_s: float) -> None:
+        host, _, port = address.rpartition(":")
+        self._timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=max_connections, block=False, retries=False
+        )
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        self._pool.close()
+
+    def start_id(self) -> str:
+        """Return the id that changes when the backend server restarts."""
+        response = self._request("GET", "/health", None, {}, timeout_s=2.0)
+        start_id: str = json.loads(response.data).get("start_id", "")
+        return start_id
+
+    def load(self, name: str, fence_number: int) -> None:
+        """Load an adapter version; loading a resident one is harmless."""
+        body = json.dumps({"lora_name": name, "lora_path": name}).encode()
+        self._order("/v1/load_lora_adapter", body, fence_number)
+
+    def unload(self, name: str, fence_number: int) -> None:
+        """Unload an adapter version; unloading an absent one is harmless."""
+        body = json.dumps({"lora_name": name}).encode()
+        self._order("/v1/unload_lora_adapter", body, fence_number)
+
+    def _order(self, path: str, body: bytes, fence_number: int) -> None:
+        headers = {
+            "Content-Type": "application/json",
+            FENCE_HEADER: str(fence_number),
+        }
+        response = self._request("POST", path, body, headers, ORDER_TIMEOUT_S)
+        text = response.data.decode("utf-8", "replace")
+        if response.status == 409:
+            raise FencedError(text, sent=True)
+        already = "already" in text or "not loaded" in text
+        if response.status >= 300 and not already:
+            raise BackendError(f"{path}: {response.status} {text[:200]}", sent=True)
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str],
+        timeout_s: float,
+    ) -> urllib3.BaseHTTPResponse:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
+        try:
+            return self._pool.urlopen(
+                method, path, body=body, headers=dict(headers), timeout=timeout
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise _backend_error(error) from error
+
+    def _open(
+        self, method: str, target: str, body: bytes, headers: Mapping[str, str]
+    ) -> urllib3.BaseHTTPResponse:
+        try:
+            return self._pool.urlopen(
+                method,
+                target,
+                body=body,
+                headers=dict(headers),
+                timeout=self._timeout,
+                preload_content=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise _backend_error(error) from error
+
+    def run_service(self, work: WorkRequest, fence_number: int) -> Finish:
+        """Pass a call to a plain service and return its whole answer."""
+        headers = _headers(work, fence_number)
+        response = self._open(work.method, work.target, work.body, headers)
+        try:
+            body = _read_whole(response)
+        finally:
+            response.release_conn()
+        echoed = response.headers.get(REQUEST_ID_HEADER)
+        if echoed is not None and echoed != work.request_id:
+            response.close()
+            raise BackendError("answer to another request", sent=True)
+        content_type = response.headers.get("Content-Type", "")
+        return Finish(response.status, content_type, body)
+
+    def run_engine(
+        self, work: WorkRequest, fence_number: int
+    ) -> Iterator[Piece | Finish]:
+        """Yield the pieces of a completion and, last, its checked finish."""
+        name = adapter_name(work.adapter, work.version) or work.model
+        payload = json.loads(work.body)
+        payload.update(
+            model=name,
+            stream=True,
+            stream_options={"include_usage": True},
+            priority=1 if work.deferred else 0,
+        )
+        headers = _headers(work, fence_number)
+        headers["Content-Type"] = "application/json"
+        body = json.dumps(payload).encode()
+        response = self._open("POST", work.target, body, headers)
+        ended = False
+        try:
+            if response.status != 200:
+                yield _engine_refusal(response)
+            else:
+                yield from _read_stream(response, work.request_id, name)
+            ended = True
+        finally:
+            if ended:
+                response.release_conn()
+            else:
+                response.close()
+
+
+def _backend_error(error: urllib3.exceptions.HTTPError) -> BackendError:
+    unsent = isinstance(
+        error,
+        (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError),
+    )
+    crashed = not isinstance(error, urllib3.exceptions.TimeoutError)
+    return BackendError(str(error), sent=not unsent, crashed=crashed and not unsent)
+
+
+def _headers(work: WorkRequest, fence_number: int) -> dict[str, str]:
+    headers = {header.name: header.value for header in work.headers}
+    headers[FENCE_HEADER] = str(fence_number)
+    headers[REQUEST_ID_HEADER] = work.request_id
+    return headers
+
+
+def _read_whole(response: urllib3.BaseHTTPResponse) -> bytes:
+    try:
+        body = response.read(MAX_ANSWER_BYTES + 1)
+    except urllib3.exceptions.HTTPError as error:
+        raise _backend_error(error) from error
+    if len(body) > MAX_ANSWER_BYTES:
+        raise BackendError("the answer is too large", sent=True)
+    expected = response.headers.get("Content-Length")
+    if expected is not None and len(body) != int(expected):
+        raise BackendError("the answer is truncated", sent=True)
+    return body
+
+
+def _engine_refusal(response: urllib3.BaseHTTPResponse) -> Finish:
+    body = _read_whole(response)
+    text = body.decode("utf-8", "replace")
+    if response.status == 409:
+        raise FencedError(text, sent=False)
+    if response.status == 404:
+        raise UnknownAdapterError(text, sent=False)
+    if response.status >= 500:
+        raise BackendError(f"{response.status}: {text[:200]}", sent=True)
+    content_type = response.headers.get("Content-Type", "application/json")
+    return Finish(response.status, content_type, body)
+
+
+def _read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[list[str]]:
+    """Yield the whole lines of each read, so that pieces can be merged."""
+    rest = b""
+    try:
+        for block in response.stream(_READ_BYTES):
+            lines = (rest + block).split(b"\n")
+            rest = lines.pop()
+            yield [line.decode("utf-8", "replace") for line in lines]
+    except urllib3.exceptions.HTTPError as error:
+        raise _backend_error(error) from error
+
+
+def _read_stream(
+    response: urllib3.BaseHTTPResponse, request_id: str, name: str
+) -> Iterator[Piece | Finish]:
+    finish = Finish(200)
+    for lines in _read_lines(response):
+        texts: list[str] = []
+        done = False
+        for line in lines:
+            if not line.startswith("data:"):
+                continue
+            data = line[5:].strip()
+            if data == _END_MARKER:
+                done = True
+                break
+            texts.extend(_take_event(data, request_id, name, finish))
+        if texts:
+            finish.completion_tokens += len(texts)
+            yield Piece("".join(texts), len(texts))
+        if done:
+            yield _checked_finish(finish)
+            return
+    raise BackendError("the stream ended without its end marker", sent=True)
+
+
+def _checked_finish(finish: Finish) -> Finish:
+    if not finish.finish_reason:
+        raise BackendError("the stream has no finish reason", sent=True)
+    return finish
+
+
+def _take_event(data: str, request_id: str, name: str, finish: Finish) -> list[str]:
+    try:
+        event: dict[str, Any] = json.loads(data)
+        choices = event.get("choices") or []
+        usage = event.get("usage") or {}
+    except (ValueError, AttributeError) as error:
+        raise BackendError("the stream holds garbage", sent=True) from error
+    if not str(event.get("id")).endswith(request_id):
+        raise BackendError("answer to another request", sent=True)
+    if event.get("model") != name:
+        raise BackendError("answer of another adapter", sent=True)
+    finish.prompt_tokens = usage.get("prompt_tokens", finish.prompt_tokens)
+    texts = []
+    for choice in choices:
+        delta = choice.get("delta") or {}
+        text = choice.get("text") or delta.get("content") or ""
+        if text:
+            texts.append(text)
+        finish.finish_reason = choice.get("finish_reason") or finish.finish_reason
+    return texts
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_control.py
@@ -0,0 +1,40 @@
+"""The agent's calls to the control hosts."""
+
+from collections.abc import Sequence
+
+from damaskvalve_core import Dialer, LeaderClient
+from damaskvalve_core.messages import (
+    BackendReport,
+    Command,
+    CommandResult,
+    GrantFence,
+    PermitReply,
+    PermitRequest,
+    ReportReply,
+)
+
+CALL_TIMEOUT_S = 2.0
+REPORT_TIMEOUT_S = 1.0
+
+
+class ControlClient:
+    """Asks the leader for fences and permits, and reports to every host."""
+
+    def __init__(self, addresses: Sequence[str], dialer: Dialer) -> None:
+        self._dialer = dialer
+        self._leader = LeaderClient(addresses, dialer)
+
+    def grant_fence(self, backend_server: str, holder: str) -> CommandResult:
+        """Commit the next fencing number for this holder."""
+        command = Command(fence=GrantFence(backend_server, holder))
+        return self._leader.commit(command, CALL_TIMEOUT_S)
+
+    def ask_permit(self, request: PermitRequest) -> PermitReply:
+        """Ask the leader for a load permit; waits as long as the request says."""
+        reply: PermitReply = self._leader.ask(request, request.wait_s + CALL_TIMEOUT_S)
+        return reply
+
+    def report(self, address: str, report: BackendReport) -> ReportReply:
+        """Report to one control host."""
+        reply: ReportReply = self._dialer.call(address, report, REPORT_TIMEOUT_S)
+        return reply
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_engine_room.py
@@ -0,0 +1,255 @@
+"""The actor that owns the scheduler of one backend server."""
+
+import contextlib
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+import pykka
+
+from damaskvalve_agent._backend_client import BackendClient, BackendError, FencedError
+from damaskvalve_agent._control import ControlClient
+from damaskvalve_agent._fair_queue import Ticket
+from damaskvalve_agent._fence import Fence
+from damaskvalve_agent._scheduler import AskPermit, Load, Refuse, Scheduler, Start
+from damaskvalve_core import Recorder, RetryLaterError
+from damaskvalve_core.messages import PermitRequest
+
+TICK_S = 0.05
+PERMIT_WAIT_S = 1.0
+
+_log = logbook.Logger("scheduler")
+
+
+class Outcome:
+    """What became of a waiting request: it starts, or it is refused."""
+
+    __slots__ = ("started", "code", "retry_after_s", "load_s")
+
+    def __init__(
+        self, started: bool, code: str, retry_after_s: float, load_s: float
+    ) -> None:
+        self.started = started
+        self.code = code
+        self.retry_after_s = retry_after_s
+        self.load_s = load_s
+
+
+class _Call:
+    """Runs a function on the scheduler inside the actor."""
+
+    __slots__ = ("work", "future")
+
+    def __init__(
+        self,
+        work: Callable[[Scheduler, float], Any],
+        future: "pykka.ThreadingFuture[Any] | None",
+    ) -> None:
+        self.work = work
+        self.future = future
+
+
+class EngineRoom(pykka.ThreadingActor):
+    """Serializes every decision about one backend server."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        backend: BackendClient,
+        control: ControlClient,
+        fence: Fence,
+        agent_id: str,
+        record: Recorder,
+    ) -> None:
+        super().__init__()
+        self.scheduler = scheduler
+        self.outcomes: dict[str, pykka.ThreadingFuture[Outcome]] = {}
+        self._backend = backend
+        self._control = control
+        self._fence = fence
+        self._agent_id = agent_id
+        self._record = record
+
+    def on_receive(self, message: _Call) -> None:
+        """Run one call and perform what the scheduler then decides."""
+        now_s = time.monotonic()
+        try:
+            result = message.work(self.scheduler, now_s)
+            if message.future is not None:
+                message.future.set(result)
+        except Exception:
+            if message.future is None:
+                _log.exception("a scheduler step failed")
+            else:
+                message.future.set_exception()
+        for action in self.scheduler.decide(now_s):
+            self._perform(action, now_s)
+
+    def _perform(self, action: Any, now_s: float) -> None:
+        if isinstance(action, Start):
+            self._resolve_start(action.ticket, now_s)
+        elif isinstance(action, Refuse):
+            refused = Outcome(False, action.code, action.retry_after_s, 0.0)
+            self._resolve(action.ticket, refused)
+        elif isinstance(action, AskPermit):
+            threading.Thread(
+                target=self._load_adapter, args=(action,), daemon=True
+            ).start()
+
+    def _resolve_start(self, ticket: Ticket, now_s: float) -> None:
+        load_s = 0.0
+        if ticket.load_started_at_s is not None:
+            load_s = now_s - ticket.load_started_at_s
+        self._resolve(ticket, Outcome(True, "", 0.0, load_s))
+
+    def _resolve(self, ticket: Ticket, outcome: Outcome) -> None:
+        future = self.outcomes.pop(ticket.request_id, None)
+        if future is not None:
+            future.set(outcome)
+
+    # ---- loading, in a thread of its own ----
+
+    def _load_adapter(self, ask: AskPermit) -> None:
+        adapter = ask.adapter
+        permit_id = self._ask_permit(ask)
+        if permit_id is None:
+            self._tell(lambda scheduler, now_s: scheduler.permit_refused(adapter))
+            return
+        try:
+            load = self._begin(adapter)
+            if load is not None:
+                self._perform_load(load)
+        finally:
+            self._finish_permit(permit_id)
+
+    def _ask_permit(self, ask: AskPermit) -> str | None:
+        request = PermitRequest(
+            self._agent_id, ask.adapter, ask.urgency, PERMIT_WAIT_S, ""
+        )
+        try:
+            reply = self._control.ask_permit(request)
+        except RetryLaterError as error:
+            _log.info("no load permit for {}: {}", ask.adapter, error)
+            time.sleep(TICK_S)
+            return None
+        return reply.permit_id if reply.granted else None
+
+    def _begin(self, adapter: str) -> Load | None:
+        future: pykka.ThreadingFuture[Load | None] = pykka.ThreadingFuture()
+
+        def begin(scheduler: Scheduler, now_s: float) -> Load | None:
+            return scheduler.begin_load(adapter, now_s)
+
+        with contextlib.suppress(pykka.ActorDeadError, pykka.Timeout):
+            self.actor_ref.tell(_Call(begin, future))
+            return future.get(timeout=5.0)
+        return None
+
+    def _perform_load(self, load: Load) -> None:
+        started_s = time.monotonic()
+        loaded = self._order_load(load)
+        self._record(
+            "adapter-load",
+            adapter=load.adapter,
+            victim=load.victim,
+            loaded=loaded,
+            took_s=round(time.monotonic() - started_s, 4),
+        )
+
+        def end(scheduler: Scheduler, now_s: float) -> None:
+            scheduler.end_load(load.adapter, loaded=loaded, now_s=now_s)
+
+        self._tell(end)
+
+    def _order_load(self, load: Load) -> bool:
+        number = self._fence.number(time.monotonic())
+        if number is None:
+            return False
+        try:
+            if load.victim is not None:
+                self._backend.unload(load.victim, number)
+            self._backend.load(load.adapter, number)
+        except FencedError as error:
+            _log.error("the backend server refuses this agent's orders: {}", error)
+            return False
+        except BackendError as error:
+            _log.warning("loading {} failed: {}", load.adapter, error)
+            return False
+        return True
+
+    def _finish_permit(self, permit_id: str) -> None:
+        request = PermitRequest(self._agent_id, "", 0, 0.0, permit_id)
+        with contextlib.suppress(RetryLaterError):
+            self._control.ask_permit(request)
+
+    def _tell(self, work: Callable[[Scheduler, float], Any]) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor_ref.tell(_Call(work, None))
+
+
+class Room:
+    """The thread-safe face of a running :class:`EngineRoom`."""
+
+    def __init__(self, actor: "pykka.ActorRef[EngineRoom]", room: EngineRoom) -> None:
+        self._actor = actor
+        self._room = room
+
+    def submit(self, ticket: Ticket) -> "pykka.ThreadingFuture[Outcome]":
+        """Queue a request; the future resolves when it starts or is refused."""
+        future: pykka.ThreadingFuture[Outcome] = pykka.ThreadingFuture()
+        outcomes = self._room.outcomes
+
+        def submit(scheduler: Scheduler, now_s: float) -> None:
+            refused = scheduler.submit(ticket, now_s)
+            if refused is None:
+                outcomes[ticket.request_id] = future
+            else:
+                future.set(Outcome(False, refused.code, refused.retry_after_s, 0.0))
+
+        self._actor.tell(_Call(submit, None))
+        return future
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Take a request out of the queue, or end it if it was just started."""
+        outcomes = self._room.outcomes
+
+        def cancel(scheduler: Scheduler, now_s: float) -> None:
+            outcomes.pop(ticket.request_id, None)
+            if not scheduler.cancel(ticket):
+                scheduler.finish(ticket, delivered=False)
+
+        self._tell(cancel)
+
+    def finish(self, ticket: Ticket, *, delivered: bool) -> None:
+        """End a running request."""
+
+        def finish(scheduler: Scheduler, now_s: float) -> None:
+            scheduler.finish(ticket, delivered=delivered)
+
+        self._tell(finish)
+
+    def run(
+        self, work: Callable[[Scheduler, float], Any], timeout_s: float = 2.0
+    ) -> Any:
+        """Run a function on the scheduler and return what it returns."""
+        future: pykka.ThreadingFuture[Any] = pykka.ThreadingFuture()
+        self._actor.tell(_Call(work, future))
+        return future.get(timeout=timeout_s)
+
+    def tick(self) -> None:
+        """Let the scheduler notice the passing of time."""
+        self._tell(lambda scheduler, now_s: None)
+
+    def _tell(self, work: Callable[[Scheduler, float], Any]) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._actor.tell(_Call(work, None))
+
+
+def random_jitter() -> Callable[[], float]:
+    """Return the source of jitter for a running agent."""
+    return random.SystemRandom().random
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_fair_queue.py
@@ -0,0 +1,170 @@
+"""Waiting requests, ordered so that workspaces share service by weight.
+
+Each workspace has a virtual time: the service it got, divided by its share. The
+request whose workspace is furthest behind goes next. A request whose adapter is
+ready may overtake, as long as its workspace is at most ``max_debt_units`` of
+service ahead of the one furthest behind.
+"""
+
+from collections import deque
+from collections.abc import Iterator, Mapping
+
+
+class Ticket:
+    """One waiting or running request."""
+
+    __slots__ = (
+        "request_id",
+        "workspace",
+        "share",
+        "adapter",
+        "cost_units",
+        "deferred",
+        "deadline_s",
+        "arrived_at_s",
+        "isolated",
+        "load_started_at_s",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        workspace: str,
+        share: float,
+        adapter: str,
+        cost_units: float,
+        deadline_s: float,
+        arrived_at_s: float,
+        *,
+        deferred: bool = False,
+        isolated: bool = False,
+    ) -> None:
+        if share <= 0:
+            raise ValueError("share must be positive")
+        self.request_id = request_id
+        self.workspace = workspace
+        self.share = share
+        self.adapter = adapter
+        self.cost_units = cost_units
+        self.deadline_s = deadline_s
+        self.arrived_at_s = arrived_at_s
+        self.deferred = deferred
+        self.isolated = isolated
+        self.load_started_at_s: float | None = None
+
+
+class _Lane:
+    """The waiting requests of one workspace."""
+
+    __slots__ = ("interactive", "deferred")
+
+    def __init__(self) -> None:
+        self.interactive: deque[Ticket] = deque()
+        self.deferred: deque[Ticket] = deque()
+
+    def __len__(self) -> int:
+        return len(self.interactive) + len(self.deferred)
+
+    def __iter__(self) -> Iterator[Ticket]:
+        yield from self.interactive
+        yield from self.deferred
+
+    def add(self, ticket: Ticket) -> None:
+        (self.deferred if ticket.deferred else self.interactive).append(ticket)
+
+    def remove(self, ticket: Ticket) -> None:
+        (self.deferred if ticket.deferred else self.interactive).remove(ticket)
+
+
+class FairQueue:
+    """Bounded queue over workspaces; see the module for its order."""
+
+    def __init__(self, max_waiting: int, max_debt_units: float) -> None:
+        self.max_waiting = max_waiting
+        self.max_debt_units = max_debt_units
+        self._lanes: dict[str, _Lane] = {}
+        self._virtual_time: dict[str, float] = {}
+        self._floor = 0.0
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __iter__(self) -> Iterator[Ticket]:
+        for lane in self._lanes.values():
+            yield from lane
+
+    def is_full(self, workspace: str) -> bool:
+        """Return whether a workspace may not add another request.
+
+        A full queue still takes requests of a workspace that holds less than an
+        equal part of it, so that one workspace cannot lock out the others.
+        """
+        if self._count >= 2 * self.max_waiting:
+            return True
+        if self._count < self.max_waiting:
+            return False
+        held = len(self._lanes.get(workspace, ()))
+        return held >= self.max_waiting / (len(self._lanes) + 1)
+
+    def add(self, ticket: Ticket) -> None:
+        """Add a request; a workspace that was idle gets no credit for that."""
+        lane = self._lanes.get(ticket.workspace)
+        if lane is None:
+            lane = self._lanes[ticket.workspace] = _Lane()
+            time = self._virtual_time.get(ticket.workspace, 0.0)
+            self._virtual_time[ticket.workspace] = max(time, self._floor)
+        lane.add(ticket)
+        self._count += 1
+
+    def remove(self, ticket: Ticket) -> bool:
+        """Take a request out; False if it does not wait here."""
+        lane = self._lanes.get(ticket.workspace)
+        if lane is None or ticket not in lane:
+            return False
+        lane.remove(ticket)
+        self._count -= 1
+        if not lane:
+            del self._lanes[ticket.workspace]
+        return True
+
+    def charge(self, workspace: str, units: float, share: float) -> None:
+        """Count service that a workspace got, here or elsewhere in the fleet."""
+        time = max(self._virtual_time.get(workspace, 0.0), self._floor)
+        self._virtual_time[workspace] = time + units / share
+
+    def refund(self, workspace: str, units: float, share: float) -> None:
+        """Take back service that was counted but not delivered."""
+        if workspace in self._virtual_time:
+            self._virtual_time[workspace] -= units / share
+
+    def ordered(self) -> Iterator[Ticket]:
+        """Yield the first requests of each workspace, furthest behind first."""
+        lanes = sorted(self._lanes, key=self._order)
+        for deferred in (False, True):
+            for workspace in lanes:
+                lane = self._lanes[workspace]
+                yield from (lane.deferred if deferred else lane.interactive)
+
+    def behind(self) -> float | None:
+        """Return the virtual time of the waiting workspace furthest behind."""
+        times = [self._virtual_time[name] for name in self._lanes]
+        if not times:
+            return None
+        self._floor = max(self._floor, min(times))
+        return min(times)
+
+    def may_overtake(self, ticket: Ticket) -> bool:
+        """Return whether a ready request may pass the one that is next."""
+        behind = self.behind()
+        if behind is None:
+            return True
+        ahead = self._virtual_time[ticket.workspace] - behind
+        return ahead * ticket.share <= self.max_debt_units
+
+    def virtual_times(self) -> Mapping[str, float]:
+        """Return the virtual time of each workspace that was ever served."""
+        return self._virtual_time
+
+    def _order(self, workspace: str) -> tuple[float, str]:
+        return self._virtual_time[workspace], workspace
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_fence.py
@@ -0,0 +1,67 @@
+"""The agent's right to give its backend server orders.
+
+A fencing number is granted by the control group and held under a lease. The
+agent orders nothing outside the lease, and a new holder waits until the lease
+of the one before must have ended, so an engine that ignores the number never
+gets orders from two agents.
+"""
+
+import threading
+
+from damaskvalve_core.messages import ReportReply
+
+FENCE_LEASE_S = 3.0
+CLOCK_DRIFT = 1.1
+
+
+class Fence:
+    """The fencing number and its lease; safe to use from many threads."""
+
+    def __init__(self, holder: str) -> None:
+        self._holder = holder
+        self._lock = threading.Lock()
+        self._number = 0
+        self._first_order_at_s = 0.0
+        self._lease_until_s = float("-inf")
+        self._lost = False
+
+    def granted(self, number: int, previous_holder: str, now_s: float) -> None:
+        """Take a number that was just granted."""
+        with self._lock:
+            self._number = number
+            self._lost = False
+            self._first_order_at_s = now_s
+            if previous_holder not in ("", self._holder):
+                self._first_order_at_s = now_s + FENCE_LEASE_S * CLOCK_DRIFT
+            self._lease_until_s = now_s + FENCE_LEASE_S
+
+    def renew(self, reply: ReportReply, sent_at_s: float) -> None:
+        """Renew from a control host's answer to a report sent at ``sent_at_s``."""
+        with self._lock:
+            if not reply.fence_confirmed:
+                return
+            if reply.fence_holder not in ("", self._holder):
+                self._lost = True
+                return
+            if reply.fence_number == self._number:
+                until_s = sent_at_s - reply.fence_age_s + FENCE_LEASE_S
+                self._lease_until_s = max(self._lease_until_s, until_s)
+
+    def is_lost(self) -> bool:
+        """Return whether another agent holds a newer number."""
+        with self._lock:
+            return self._lost
+
+    def needs_grant(self) -> bool:
+        """Return whether no number was granted yet."""
+        with self._lock:
+            return self._number == 0 and not self._lost
+
+    def number(self, now_s: float) -> int | None:
+        """Return the number to order with, or None if orders are not allowed."""
+        with self._lock:
+            if self._lost or now_s < self._first_order_at_s:
+                return None
+            if now_s >= self._lease_until_s:
+                return None
+            return self._number or None
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
@@ -0,0 +1,165 @@
+"""Announces the backend server to every control host and keeps the fence."""
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+
+import logbook
+
+from damaskvalve_agent._backend_client import BackendClient, BackendError
+from damaskvalve_agent._control import ControlClient
+from damaskvalve_agent._engine_room import Room
+from damaskvalve_agent._fence import Fence
+from damaskvalve_agent._scheduler import Scheduler
+from damaskvalve_agent._service import Counters, WorkService
+from damaskvalve_agent._settings import AgentSettings
+from damaskvalve_core import ChannelError, RetryLaterError
+from damaskvalve_core.messages import BackendReport, ReportReply
+
+REPORT_S = 0.5
+HEALTH_S = 1.0
+
+_log = logbook.Logger("registration")
+
+
+class Registration:
+    """Sends reports and watches the backend server's start id."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        incarnation: str,
+        address: str,
+        room: Room,
+        backend: BackendClient,
+        control: ControlClient,
+        fence: Fence,
+        service: WorkService,
+        counters: Counters,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._address = address
+        self._room = room
+        self._backend = backend
+        self._control = control
+        self._fence = fence
+        self._service = service
+        self._counters = counters
+        self._sequence = 0
+        self._start_id: str | None = None
+        self._healthy = False
+        self._lock = threading.Lock()
+        self._elsewhere: dict[str, float] = {}
+
+    def build_report(self) -> BackendReport:
+        """Return the present state of this backend server."""
+        settings = self._settings
+        state = self._room.run(_read_state)
+        with self._lock:
+            self._sequence += 1
+            sequence = self._sequence
+        unavailable = not self._healthy or self._fence.number(time.monotonic()) is None
+        return BackendReport(
+            settings.name,
+            self._address,
+            settings.data_centre,
+            settings.backend.kind,
+            settings.backend.serves,
+            self._incarnation,
+            sequence,
+            self._service.leaving or unavailable,
+            state.queued,
+            state.running,
+            settings.backend.max_running,
+            state.resident,
+            settings.backend.slots if settings.backend.kind == "engine" else 0,
+            self._counters.served(),
+            self._counters.values(),
+        )
+
+    def report_to(self, address: str) -> None:
+        """Report to one control host and take over what it answers."""
+        sent_at_s = time.monotonic()
+        try:
+            reply = self._control.report(address, self.build_report())
+        except ChannelError as error:
+            _log.debug("report to {} failed: {}", address, error)
+            return
+        self._fence.renew(reply, sent_at_s)
+        self._take_served(reply)
+
+    def _take_served(self, reply: ReportReply) -> None:
+        """Count what the rest of the fleet served since the last answer."""
+        with self._lock:
+            gained = _gains(self._elsewhere, reply.served or {})
+        if not gained:
+            return
+
+        def charge(scheduler: Scheduler, now_s: float) -> None:
+            for workspace, units in gained.items():
+                scheduler.queue.charge(workspace, units, 1.0)
+
+        self._room.run(charge)
+
+    def ensure_fence(self) -> None:
+        """Get a fencing number, unless another agent has taken over."""
+        if not self._fence.needs_grant():
+            return
+        asked_at_s = time.monotonic()
+        result = self._control.grant_fence(self._settings.name, self._incarnation)
+        self._fence.granted(result.fence.number, result.previous_holder, asked_at_s)
+        _log.info("holding fencing number {}", result.fence.number)
+
+    def check_health(self) -> None:
+        """Notice a restart of the backend server by its start id."""
+        try:
+            start_id = self._backend.start_id()
+        except (BackendError, ValueError):
+            self._healthy = False
+            return
+        if self._start_id not in (None, start_id):
+            _log.warning("the backend server has restarted with nothing loaded")
+            self._counters.add("backend_restarts")
+            self._room.run(lambda scheduler, now_s: scheduler.engine_restarted())
+        self._start_id = start_id
+        self._healthy = True
+
+
+class _State:
+    """What a report says of the scheduler."""
+
+    __slots__ = ("queued", "running", "resident")
+
+    def __init__(self, queued: int, running: int, resident: list[str]) -> None:
+        self.queued = queued
+        self.running = running
+        self.resident = resident
+
+
+def _read_state(scheduler: Scheduler, now_s: float) -> _State:
+    resident = list(scheduler.slots.resident()) if scheduler.slots else []
+    return _State(len(scheduler.queue), len(scheduler.running), resident)
+
+
+def _gains(known: dict[str, float], total: Mapping[str, float]) -> dict[str, float]:
+    gained = {}
+    for workspace, units in total.items():
+        before = known.get(workspace)
+        known[workspace] = units
+        if before is not None and units > before:
+            gained[workspace] = units - before
+    return gained
+
+
+def repeat(stop: threading.Event, period_s: float, step: Callable[[], None]) -> None:
+    """Run a step every period until asked to stop; log what goes wrong."""
+    while not stop.is_set():
+        started_s = time.monotonic()
+        try:
+            step()
+        except RetryLaterError as error:
+            _log.info("will try again: {}", error)
+        except Exception:
+            _log.exception("a background step failed")
+        stop.wait(max(0.0, started_s + period_s - time.monotonic()))
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_scheduler.py
@@ -0,0 +1,307 @@
+"""Decides which requests start, which adapters load and which requests end.
+
+Plain decisions: each step takes the present time and returns actions. The agent
+performs them and reports back.
+"""
+
+from collections.abc import Callable, Sequence
+
+from damaskvalve_agent._fair_queue import FairQueue, Ticket
+from damaskvalve_agent._slots import LOADING, RESIDENT, Slots
+
+HELD_BACK_FAILURES = 3
+FIRST_BACKOFF_S = 0.5
+MAX_BACKOFF_S = 30.0
+
+
+class Start:
+    """The request may go to the engine; its adapter is pinned."""
+
+    __slots__ = ("ticket",)
+
+    def __init__(self, ticket: Ticket) -> None:
+        self.ticket = ticket
+
+
+class AskPermit:
+    """A load permit is to be asked for; lower urgency goes first."""
+
+    __slots__ = ("adapter", "urgency")
+
+    def __init__(self, adapter: str, urgency: int) -> None:
+        self.adapter = adapter
+        self.urgency = urgency
+
+
+class Load:
+    """An adapter is to be loaded now, after ``victim`` was unloaded, if any."""
+
+    __slots__ = ("adapter", "victim")
+
+    def __init__(self, adapter: str, victim: str | None) -> None:
+        self.adapter = adapter
+        self.victim = victim
+
+
+class Refuse:
+    """The request will not run here."""
+
+    __slots__ = ("ticket", "code", "retry_after_s")
+
+    def __init__(self, ticket: Ticket, code: str, retry_after_s: float) -> None:
+        self.ticket = ticket
+        self.code = code
+        self.retry_after_s = retry_after_s
+
+
+Action = Start | AskPermit | Refuse
+
+#: Returns a number in [0, 1) to spread retries.
+Jitter = Callable[[], float]
+
+
+class _Failure:
+    """Failed loads of one adapter version in a row."""
+
+    __slots__ = ("count", "retry_at_s")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.retry_at_s = 0.0
+
+
+class SchedulerLimits:
+    """Bounds of one agent's scheduler."""
+
+    __slots__ = ("max_running", "max_loads")
+
+    def __init__(self, max_running: int, max_loads: int) -> None:
+        self.max_running = max_running
+        self.max_loads = max_loads
+
+
+class Scheduler:
+    """Owns the queue and the slots of one backend server.
+
+    Guarantees that a started request's adapter is resident and stays so until
+    the request has ended, and that an isolated request runs alone.
+    """
+
+    def __init__(
+        self,
+        queue: FairQueue,
+        slots: Slots | None,
+        limits: SchedulerLimits,
+        jitter: Jitter,
+    ) -> None:
+        self.queue = queue
+        self.slots = slots
+        self.limits = limits
+        self.running: dict[str, Ticket] = {}
+        self._jitter = jitter
+        self._failures: dict[str, _Failure] = {}
+        # Adapters for which a permit is being asked.
+        self._asked: set[str] = set()
+
+    # ---- requests ----
+
+    def submit(self, ticket: Ticket, now_s: float) -> Refuse | None:
+        """Queue a request, or say at once why it cannot be queued."""
+        failure = self._failures.get(ticket.adapter)
+        if failure is not None and failure.count >= HELD_BACK_FAILURES:
+            wait_s = failure.retry_at_s - now_s
+            if wait_s > 0:
+                return Refuse(ticket, "adapter_held_back", wait_s)
+        if self.queue.is_full(ticket.workspace):
+            return Refuse(ticket, "queue_full", 1.0)
+        if ticket.deadline_s <= now_s:
+            return Refuse(ticket, "deadline", 0.0)
+        self.queue.add(ticket)
+        if self.slots is not None and self._is_loading(ticket):
+            ticket.load_started_at_s = now_s
+        return None
+
+    def cancel(self, ticket: Ticket) -> bool:
+        """Take a waiting request out; False if it has started or ended."""
+        return self.queue.remove(ticket)
+
+    def finish(self, ticket: Ticket, *, delivered: bool) -> None:
+        """End a running request; undelivered work is not counted as service."""
+        if self.running.pop(ticket.request_id, None) is None:
+            return
+        if self._uses_slot(ticket) and self.slots is not None:
+            self.slots.unpin(ticket.adapter, ticket.request_id)
+        if not delivered:
+            self.queue.refund(ticket.workspace, ticket.cost_units, ticket.share)
+
+    # ---- loads ----
+
+    def end_load(self, adapter: str, *, loaded: bool, now_s: float) -> None:
+        """Note how a load ended; failures are spaced out."""
+        assert self.slots is not None
+        self.slots.end_load(adapter, loaded=loaded)
+        if loaded:
+            self._failures.pop(adapter, None)
+            return
+        failure = self._failures.setdefault(adapter, _Failure())
+        failure.count += 1
+        backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (failure.count - 1))
+        failure.retry_at_s = now_s + backoff_s * (0.5 + self._jitter())
+
+    def begin_load(self, adapter: str, now_s: float) -> Load | None:
+        """Use a permit: take a slot for the load, or return None if none is free."""
+        assert self.slots is not None
+        self._asked.discard(adapter)
+        if self.slots.state(adapter) is not None:
+            return None
+        if not any(ticket.adapter == adapter for ticket in self.queue):
+            return None
+        victim = None
+        if not self.slots.has_room():
+            victim = self.slots.victim(self._wanted(), now_s)
+            if victim is None:
+                return None
+            self.slots.unload(victim)
+        self.slots.start_load(adapter)
+        return Load(adapter, victim)
+
+    def permit_refused(self, adapter: str) -> None:
+        """Note that no permit came; it is asked for again while somebody waits."""
+        self._asked.discard(adapter)
+
+    def engine_restarted(self) -> None:
+        """Forget residency; running requests end through their own errors."""
+        if self.slots is not None:
+            self.slots.clear()
+        self._failures.clear()
+
+    def held_back(self) -> Sequence[str]:
+        """Return the adapter versions that keep failing to load."""
+        return [
+            name
+            for name, failure in self._failures.items()
+            if failure.count >= HELD_BACK_FAILURES
+        ]
+
+    # ---- deciding ----
+
+    def decide(self, now_s: float) -> Sequence[Action]:
+        """Return what is to be done now."""
+        actions: list[Action] = []
+        actions.extend(self._expire(now_s))
+        actions.extend(self._refuse_held_back(now_s))
+        actions.extend(self._start_ready(now_s))
+        if self.slots is not None:
+            actions.extend(self._ask_permits(now_s))
+        return actions
+
+    def _expire(self, now_s: float) -> Sequence[Refuse]:
+        late = [item for item in self.queue if item.deadline_s <= now_s]
+        for ticket in late:
+            self.queue.remove(ticket)
+        return [Refuse(ticket, "deadline", 1.0) for ticket in late]
+
+    def _refuse_held_back(self, now_s: float) -> Sequence[Refuse]:
+        refused = []
+        for ticket in list(self.queue):
+            failure = self._failures.get(ticket.adapter)
+            if failure is None or failure.count < HELD_BACK_FAILURES:
+                continue
+            if now_s < failure.retry_at_s:
+                self.queue.remove(ticket)
+                wait_s = failure.retry_at_s - now_s
+                refused.append(Refuse(ticket, "adapter_held_back", wait_s))
+        return refused
+
+    def _start_ready(self, now_s: float) -> Sequence[Start]:
+        started = []
+        while len(self.running) < self.limits.max_running:
+            ticket = self._next_ready()
+            if ticket is None:
+                break
+            self._start(ticket, now_s)
+            started.append(Start(ticket))
+        return started
+
+    def _next_ready(self) -> Ticket | None:
+        if any(item.isolated for item in self.running.values()):
+            return None
+        first = True
+        for ticket in self.queue.ordered():
+            if ticket.isolated and self.running:
+                # Its turn has come: let the others drain, so that it runs alone.
+                if first:
+                    return None
+                continue
+            if self._is_ready(ticket) and (first or self.queue.may_overtake(ticket)):
+                return ticket
+            first = False
+        return None
+
+    def _start(self, ticket: Ticket, now_s: float) -> None:
+        self.queue.remove(ticket)
+        self.running[ticket.request_id] = ticket
+        self.queue.charge(ticket.workspace, ticket.cost_units, ticket.share)
+        if self._uses_slot(ticket) and self.slots is not None:
+            self.slots.pin(ticket.adapter, ticket.request_id, now_s)
+
+    def _uses_slot(self, ticket: Ticket) -> bool:
+        return self.slots is not None and bool(ticket.adapter)
+
+    def _is_ready(self, ticket: Ticket) -> bool:
+        if self.slots is None or not ticket.adapter:
+            return True
+        return self.slots.state(ticket.adapter) == RESIDENT
+
+    def _is_loading(self, ticket: Ticket) -> bool:
+        assert self.slots is not None
+        return self.slots.state(ticket.adapter) == LOADING
+
+    def _wanted(self) -> set[str]:
+        """Return the adapters that the next requests in turn need."""
+        assert self.slots is not None
+        wanted: set[str] = set()
+        for ticket in self.queue.ordered():
+            if len(wanted) >= self.slots.capacity:
+                break
+            if ticket.adapter:
+                wanted.add(ticket.adapter)
+        return wanted
+
+    def _ask_permits(self, now_s: float) -> Sequence[AskPermit]:
+        assert self.slots is not None
+        asks: list[AskPermit] = []
+        wanted = self._wanted()
+        room = self.slots.has_room() or self.slots.victim(wanted, now_s) is not None
+        if not room:
+            return asks
+        for ticket in self.queue.ordered():
+            busy = len(self._asked) + self.slots.loading_count()
+            if busy >= self.limits.max_loads:
+                break
+            if self._may_ask(ticket, now_s):
+                self._asked.add(ticket.adapter)
+                ticket.load_started_at_s = now_s
+                asks.append(AskPermit(ticket.adapter, 1 if ticket.deferred else 0))
+        return asks
+
+    def _may_ask(self, ticket: Ticket, now_s: float) -> bool:
+        assert self.slots is not None
+        adapter = ticket.adapter
+        if not adapter or adapter in self._asked:
+            return False
+        if self.slots.state(adapter) is not None:
+            return False
+        failure = self._failures.get(adapter)
+        return failure is None or now_s >= failure.retry_at_s
+
+
+__all__ = [
+    "Action",
+    "AskPermit",
+    "Load",
+    "Refuse",
+    "Scheduler",
+    "SchedulerLimits",
+    "Start",
+]
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -0,0 +1,285 @@
+"""Answers work requests of entry hosts."""
+
+import threading
+import time
+from collections.abc import Generator, Iterator
+from typing import Any
+
+import logbook
+import pykka
+
+from damaskvalve_agent._backend_client import (
+    BackendClient,
+    BackendError,
+    FencedError,
+    Finish,
+    Piece,
+    UnknownAdapterError,
+    adapter_name,
+)
+from damaskvalve_agent._engine_room import Outcome, Room
+from damaskvalve_agent._fair_queue import Ticket
+from damaskvalve_agent._fence import Fence
+from damaskvalve_agent._settings import BackendSettings
+from damaskvalve_core import NOT_RUN, UNKNOWN, Connection, Recorder
+from damaskvalve_core.messages import (
+    Problem,
+    WorkChunk,
+    WorkEnd,
+    WorkProgress,
+    WorkRefused,
+    WorkRequest,
+    WorkStarted,
+)
+
+WAIT_STEP_S = 0.1
+PROGRESS_S = 0.5
+RESTART_RETRIES = 2
+
+_log = logbook.Logger("work")
+
+
+class Counters:
+    """Totals of this agent; read by its reports."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._values: dict[str, float] = {}
+        self._served: dict[str, float] = {}
+        self._active = 0
+
+    def add(self, name: str, amount: float = 1.0) -> None:
+        """Add to a total."""
+        with self._lock:
+            self._values[name] = self._values.get(name, 0.0) + amount
+
+    def add_served(self, workspace: str, units: float) -> None:
+        """Add delivered service of a workspace."""
+        with self._lock:
+            self._served[workspace] = self._served.get(workspace, 0.0) + units
+
+    def values(self) -> dict[str, float]:
+        """Return a copy of the totals."""
+        with self._lock:
+            return dict(self._values)
+
+    def served(self) -> dict[str, float]:
+        """Return a copy of the service delivered to each workspace."""
+        with self._lock:
+            return dict(self._served)
+
+    def enter(self) -> None:
+        """Count a request that is being answered."""
+        with self._lock:
+            self._active += 1
+
+    def leave(self) -> None:
+        """Count the end of a request."""
+        with self._lock:
+            self._active -= 1
+
+    def active(self) -> int:
+        """Return how many requests are being answered."""
+        with self._lock:
+            return self._active
+
+
+class WorkService:
+    """Takes work, waits for its turn, runs it and checks the answer."""
+
+    def __init__(
+        self,
+        settings: BackendSettings,
+        room: Room,
+        backend: BackendClient,
+        fence: Fence,
+        counters: Counters,
+        record: Recorder,
+    ) -> None:
+        self._settings = settings
+        self._room = room
+        self._backend = backend
+        self._fence = fence
+        self._counters = counters
+        self._record = record
+        self.leaving = False
+
+    def handle(self, request: Any, connection: Connection) -> Iterator[Any]:
+        """Answer one message of another process."""
+        if not isinstance(request, WorkRequest):
+            yield Problem("unexpected", "an agent takes work requests only")
+            return
+        self._counters.enter()
+        try:
+            yield from self._work(request, connection)
+        finally:
+            self._counters.leave()
+
+    def _work(self, work: WorkRequest, connection: Connection) -> Iterator[Any]:
+        refusal = self._refuse_early(work)
+        if refusal is not None:
+            yield refusal
+            return
+        for _ in range(RESTART_RETRIES):
+            ticket = self._ticket(work, time.monotonic())
+            future = self._room.submit(ticket)
+            outcome = yield from self._await_turn(work, ticket, future, connection)
+            if outcome is None:
+                return
+            if not outcome.started:
+                yield _refused(work, outcome.code, NOT_RUN, outcome.retry_after_s)
+                return
+            if (yield from self._run(work, ticket, outcome)):
+                return
+        yield _refused(work, "adapter_lost", NOT_RUN, 1.0)
+
+    def _refuse_early(self, work: WorkRequest) -> WorkRefused | None:
+        if self.leaving:
+            return _refused(work, "backend_leaving", NOT_RUN, 0.0)
+        if self._fence.number(time.monotonic()) is None:
+            return _refused(work, "not_fenced", NOT_RUN, 1.0)
+        if work.kind != self._settings.kind or work.model != self._settings.serves:
+            return _refused(work, "wrong_backend", NOT_RUN, 0.0)
+        return None
+
+    def _ticket(self, work: WorkRequest, now_s: float) -> Ticket:
+        return Ticket(
+            work.request_id,
+            work.workspace,
+            work.share,
+            adapter_name(work.adapter, work.version),
+            work.cost_units,
+            now_s + work.deadline_s,
+            now_s,
+            deferred=work.deferred,
+            isolated=work.isolated,
+        )
+
+    def _await_turn(
+        self,
+        work: WorkRequest,
+        ticket: Ticket,
+        future: "pykka.ThreadingFuture[Outcome]",
+        connection: Connection,
+    ) -> Generator[Any, None, Outcome | None]:
+        """Yield signs of life until the request starts, is refused or is left."""
+        last_progress_s = time.monotonic()
+        while True:
+            try:
+                return future.get(timeout=WAIT_STEP_S)
+            except pykka.Timeout:
+                now_s = time.monotonic()
+            if connection.peer_gone():
+                self._room.cancel(ticket)
+                self._counters.add("cancelled_requests")
+                return None
+            if now_s - last_progress_s >= PROGRESS_S:
+                last_progress_s = now_s
+                try:
+                    yield WorkProgress(work.request_id)
+                except GeneratorExit:
+                    self._room.cancel(ticket)
+                    raise
+
+    def _run(
+        self, work: WorkRequest, ticket: Ticket, outcome: Outcome
+    ) -> Generator[Any, None, bool]:
+        """Run a started request; return False if it is to be queued again."""
+        delivered = False
+        crashed = False
+        now_s = time.monotonic()
+        queued_s = now_s - ticket.arrived_at_s
+        number = self._fence.number(now_s)
+        self._note_start(work, outcome, queued_s)
+        delivered_tokens = 0
+        try:
+            if number is None:
+                yield _refused(work, "not_fenced", NOT_RUN, 1.0)
+                return True
+            yield WorkStarted(work.request_id, queued_s, outcome.load_s)
+            for item in self._pieces(work, number):
+                if isinstance(item, Piece):
+                    delivered_tokens += item.tokens
+                    yield WorkChunk(work.request_id, item.text, item.tokens)
+                else:
+                    delivered = True
+                    yield _end(work, item)
+        except UnknownAdapterError:
+            _log.warning("the engine lost {}; it has restarted", ticket.adapter)
+            self._room.run(lambda scheduler, now_s: scheduler.engine_restarted())
+            return False
+        except BackendError as error:
+            crashed = error.crashed
+            yield self._failed(work, error, delivered_tokens)
+        finally:
+            self._note_end(work, ticket, delivered=delivered, crashed=crashed)
+        return True
+
+    def _pieces(self, work: WorkRequest, number: int) -> Iterator[Piece | Finish]:
+        if self._settings.kind == "engine":
+            yield from self._backend.run_engine(work, number)
+        else:
+            yield self._backend.run_service(work, number)
+
+    def _failed(
+        self, work: WorkRequest, error: BackendError, delivered_tokens: int
+    ) -> WorkRefused:
+        code = "fenced" if isinstance(error, FencedError) else "backend_failed"
+        ran = UNKNOWN if error.sent else NOT_RUN
+        _log.warning("{}: {}", work.request_id, error)
+        return WorkRefused(
+            work.request_id, code, str(error), ran, 1.0, error.crashed, delivered_tokens
+        )
+
+    def _note_start(self, work: WorkRequest, outcome: Outcome, queued_s: float) -> None:
+        self._counters.add("started_requests")
+        self._counters.add("queued_s", queued_s)
+        if outcome.load_s > 0:
+            self._counters.add("stalled_requests")
+            self._counters.add("stall_s", outcome.load_s)
+        self._record(
+            "work-start",
+            request=work.request_id,
+            workspace=work.workspace,
+            adapter=adapter_name(work.adapter, work.version),
+            queued_s=round(queued_s, 4),
+            load_s=round(outcome.load_s, 4),
+        )
+
+    def _note_end(
+        self, work: WorkRequest, ticket: Ticket, *, delivered: bool, crashed: bool
+    ) -> None:
+        self._room.finish(ticket, delivered=delivered)
+        if delivered:
+            self._counters.add("delivered_requests")
+            self._counters.add_served(work.workspace, work.cost_units)
+        if crashed:
+            self._counters.add("backend_crashes")
+        self._record(
+            "work-end",
+            request=work.request_id,
+            workspace=work.workspace,
+            delivered=delivered,
+            crashed=crashed or None,
+        )
+
+
+def _refused(
+    work: WorkRequest, code: str, ran: str, retry_after_s: float
+) -> WorkRefused:
+    message = code.replace("_", " ")
+    return WorkRefused(work.request_id, code, message, ran, retry_after_s, False, 0)
+
+
+def _end(work: WorkRequest, finish: Finish) -> WorkEnd:
+    return WorkEnd(
+        work.request_id,
+        finish.status,
+        work.adapter,
+        work.version,
+        finish.content_type,
+        finish.body,
+        finish.prompt_tokens,
+        finish.completion_tokens,
+        finish.finish_reason,
+    )
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_settings.py
@@ -0,0 +1,177 @@
+"""Checked settings of the agent."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from damaskvalve_core import Identity
+from damaskvalve_core.settings import (
+    Document,
+    Field,
+    address,
+    flag,
+    list_of,
+    number,
+    one_of,
+    read_document,
+    text,
+    whole,
+)
+
+_TOP = {
+    "name": Field(text, required=True, help="the name of this backend server"),
+    "data_centre": Field(text, required=True, help="where it stands"),
+    "data_folder": Field(text, required=True, help="the only folder for files"),
+    "listen": Field(address, required=True, help="the agent's IP:port"),
+    "control_hosts": Field(
+        list_of(address, least=1, most=9), required=True, help="control addresses"
+    ),
+    "identity": Field(lambda value: value, required=True, help="certificate files"),
+    "backend": Field(lambda value: value, required=True, help="the backend server"),
+    "queue": Field(lambda value: value, default={}, help="bounds of the queue"),
+    "log": Field(lambda value: value, default={}, help="level, style, destination"),
+}
+_IDENTITY = {
+    "certificate": Field(text, required=True, help="certificate file"),
+    "key": Field(text, required=True, help="private key file"),
+    "authority": Field(text, required=True, help="authority file"),
+}
+_BACKEND = {
+    "address": Field(address, required=True, help="the backend server's IP:port"),
+    "kind": Field(one_of("engine", "service"), required=True, help="engine or service"),
+    "serves": Field(text, required=True, help="the base model or service name"),
+    "slots": Field(whole(1, 4096), default=8, help="adapter slots"),
+    "max_running": Field(whole(1, 4096), default=32, help="requests at a time"),
+    "checks_fencing": Field(flag, default=False, help="does it check the number"),
+    "request_timeout_s": Field(number(0.1, 3600), default=60.0, help="longest silence"),
+}
+_QUEUE = {
+    "max_waiting": Field(whole(1, 100_000), default=256, help="waiting requests"),
+    "max_debt_units": Field(number(0, 1e9), default=2000.0, help="batching debt"),
+    "max_loads": Field(whole(1, 64), default=2, help="loads at a time"),
+}
+_LOG = {
+    "level": Field(
+        one_of("debug", "info", "notice", "warning", "error"),
+        default="info",
+        help="least level that is written",
+    ),
+    "style": Field(one_of("human", "json"), default="human", help="form of a line"),
+    "destination": Field(text, default="stderr", help="stderr or a file"),
+}
+
+
+class BackendSettings:
+    """How to reach the backend server and what it can take."""
+
+    __slots__ = (
+        "address",
+        "kind",
+        "serves",
+        "slots",
+        "max_running",
+        "checks_fencing",
+        "request_timeout_s",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        kind: str,
+        serves: str,
+        slots: int,
+        max_running: int,
+        checks_fencing: bool,
+        request_timeout_s: float,
+    ) -> None:
+        self.address = address
+        self.kind = kind
+        self.serves = serves
+        self.slots = slots
+        self.max_running = max_running
+        self.checks_fencing = checks_fencing
+        self.request_timeout_s = request_timeout_s
+
+
+class AgentSettings:
+    """Everything that an agent is told before it starts."""
+
+    __slots__ = (
+        "name",
+        "data_centre",
+        "data_folder",
+        "listen",
+        "control_hosts",
+        "identity",
+        "backend",
+        "max_waiting",
+        "max_debt_units",
+        "max_loads",
+        "log_level",
+        "log_style",
+        "log_destination",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        data_folder: Path,
+        listen: str,
+        control_hosts: Sequence[str],
+        identity: Identity,
+        backend: BackendSettings,
+        max_waiting: int,
+        max_debt_units: float,
+        max_loads: int,
+        log_level: str,
+        log_style: str,
+        log_destination: str,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.data_folder = data_folder
+        self.listen = listen
+        self.control_hosts = tuple(control_hosts)
+        self.identity = identity
+        self.backend = backend
+        self.max_waiting = max_waiting
+        self.max_debt_units = max_debt_units
+        self.max_loads = max_loads
+        self.log_level = log_level
+        self.log_style = log_style
+        self.log_destination = log_destination
+
+
+def check_settings(document: Document) -> AgentSettings:
+    """Return the settings of a parsed file, or raise with every finding."""
+    top = document.check_table(_TOP, document.value)
+    identity = document.check_table(_IDENTITY, top["identity"], "identity")
+    backend = document.check_table(_BACKEND, top["backend"], "backend")
+    queue = document.check_table(_QUEUE, top["queue"], "queue")
+    log = document.check_table(_LOG, top["log"], "log")
+    document.finish()
+    folder = Path(document.path).parent
+    return AgentSettings(
+        top["name"],
+        top["data_centre"],
+        folder / top["data_folder"],
+        top["listen"],
+        top["control_hosts"],
+        Identity(
+            folder / identity["certificate"],
+            folder / identity["key"],
+            folder / identity["authority"],
+        ),
+        BackendSettings(**backend),
+        queue["max_waiting"],
+        queue["max_debt_units"],
+        queue["max_loads"],
+        log["level"],
+        log["style"],
+        log["destination"],
+    )
+
+
+def read_settings(path: Path) -> AgentSettings:
+    """Read and check a settings file."""
+    return check_settings(read_document(path))
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/_leader_client.py
@@ -0,0 +1,69 @@
+"""Calls that only the leader of the control hosts can answer."""
+
+import threading
+from collections.abc import Sequence
+from typing import Any
+
+from damaskvalve_core._channel import Dialer
+from damaskvalve_core._exceptions import ChannelError, RetryLaterError
+from damaskvalve_core._messages import Command, CommandResult, ProposeRequest
+
+MAX_REDIRECTS = 3
+
+
+class LeaderClient:
+    """Finds the leader, remembers it and follows redirects.
+
+    The leader answers with its own address; any other control host answers with
+    the address of the leader that it knows, or none. Requests may be delivered
+    twice and have to be idempotent.
+    """
+
+    def __init__(self, addresses: Sequence[str], dialer: Dialer) -> None:
+        self._addresses = tuple(addresses)
+        self._dialer = dialer
+        self._lock = threading.Lock()
+        self._leader = ""
+
+    def ask(self, request: Any, timeout_s: float) -> Any:
+        """Return the leader's reply, or raise :class:`RetryLaterError`."""
+        for address in self._candidates():
+            reply = self._follow(address, request, timeout_s)
+            if reply is not None:
+                return reply
+        raise RetryLaterError("no control host is the leader now")
+
+    def commit(self, command: Command, timeout_s: float) -> CommandResult:
+        """Commit a command and return its result.
+
+        :class:`RetryLaterError` means that the outcome is not known.
+        """
+        reply = self.ask(ProposeRequest(command), timeout_s)
+        if not reply.done:
+            raise RetryLaterError(reply.reason or "the outcome is not known")
+        return reply.result
+
+    def _candidates(self) -> Sequence[str]:
+        with self._lock:
+            leader = self._leader
+        others = [address for address in self._addresses if address != leader]
+        return [leader, *others] if leader else others
+
+    def _follow(self, address: str, request: Any, timeout_s: float) -> Any:
+        for _ in range(MAX_REDIRECTS):
+            try:
+                reply = self._dialer.call(address, request, timeout_s)
+            except ChannelError:
+                self._learn("")
+                return None
+            self._learn(reply.leader_address or "")
+            if reply.leader_address == address:
+                return reply
+            if not reply.leader_address:
+                return None
+            address = reply.leader_address
+        return None
+
+    def _learn(self, leader_address: str) -> None:
+        with self._lock:
+            self._leader = leader_address
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/_settings.py
@@ -0,0 +1,240 @@
+"""Checked YAML settings: every finding with its place, all reported at once."""
+
+import difflib
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from damaskvalve_core._exceptions import Finding, SettingsError
+
+#: Returns the checked value, or raises ValueError with the broken rule.
+Check = Callable[[Any], Any]
+
+
+class Field:
+    """What one setting must be; a field without default is required."""
+
+    __slots__ = ("check", "default", "required", "help")
+
+    def __init__(
+        self, check: Check, *, default: Any = None, required: bool = False, help: str
+    ) -> None:
+        self.check = check
+        self.default = default
+        self.required = required
+        self.help = help
+
+
+def number(least: float, most: float) -> Check:
+    """Accept a number within bounds."""
+
+    def check(value: Any) -> float:
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            raise ValueError("must be a number")
+        if not least <= value <= most:
+            raise ValueError(f"must lie between {least} and {most}")
+        return value
+
+    return check
+
+
+def whole(least: int, most: int) -> Check:
+    """Accept a whole number within bounds."""
+
+    def check(value: Any) -> int:
+        if isinstance(value, bool) or not isinstance(value, int):
+            raise ValueError("must be a whole number")
+        if not least <= value <= most:
+            raise ValueError(f"must lie between {least} and {most}")
+        return value
+
+    return check
+
+
+def text(value: Any) -> str:
+    """Accept a non-empty string."""
+    if not isinstance(value, str) or not value.strip():
+        raise ValueError("must be a non-empty text")
+    return value
+
+
+def flag(value: Any) -> bool:
+    """Accept true or false."""
+    if not isinstance(value, bool):
+        raise ValueError("must be true or false")
+    return value
+
+
+def one_of(*choices: str) -> Check:
+    """Accept one of the given words."""
+
+    def check(value: Any) -> str:
+        if value not in choices:
+            listed = ", ".join(choices)
+            raise ValueError(f"must be one of {listed}")
+        return str(value)
+
+    return check
+
+
+def address(value: Any) -> str:
+    """Accept ``IP:port`` with a numeric IPv4 address."""
+    if not isinstance(value, str):
+        raise ValueError("must be an address such as 10.0.0.1:7000")
+    ip, separator, port = value.rpartition(":")
+    parts = ip.split(".")
+    numeric = len(parts) == 4 and all(
+        part.isdigit() and int(part) <= 255 for part in parts
+    )
+    if not (separator and numeric and port.isdigit() and int(port) <= 65535):
+        raise ValueError("must be a numeric address such as 10.0.0.1:7000")
+    return value
+
+
+def list_of(check_item: Check, *, least: int = 0, most: int = 100_000) -> Check:
+    """Accept a list whose items all pass ``check_item``."""
+
+    def check(value: Any) -> Sequence[Any]:
+        if not isinstance(value, list):
+            raise ValueError("must be a list")
+        if not least <= len(value) <= most:
+            raise ValueError(f"must have between {least} and {most} items")
+        return tuple(check_item(item) for item in value)
+
+    return check
+
+
+class Document:
+    """A parsed YAML file that remembers where each value stands."""
+
+    def __init__(self, path: str, value: Any, marks: Mapping[tuple, str]) -> None:
+        self.path = path
+        self.value = value
+        self._marks = marks
+        self.findings: list[Finding] = []
+
+    def place(self, *keys: object) -> str:
+        """Return ``file:line:column`` of a value, or of its nearest parent."""
+        for length in range(len(keys), -1, -1):
+            if keys[:length] in self._marks:
+                return self._marks[keys[:length]]
+        return f"{self.path}:1:1"
+
+    def report(self, problem: str, *keys: object) -> None:
+        """Collect a finding at the place of ``keys``."""
+        self.findings.append(Finding(self.place(*keys), problem))
+
+    def check_table(
+        self, fields: Mapping[str, Field], value: Any, *keys: object
+    ) -> dict[str, Any]:
+        """Check one mapping against its fields and return it with defaults."""
+        if not isinstance(value, dict):
+            self.report("must be a table of settings", *keys)
+            return {name: field.default for name, field in fields.items()}
+        for name in value:
+            if name not in fields:
+                self._report_unknown(name, fields, keys)
+        checked = {}
+        for name, field in fields.items():
+            checked[name] = self._check_field(name, field, value, keys)
+        return checked
+
+    def _report_unknown(
+        self, name: object, fields: Mapping[str, Field], keys: tuple
+    ) -> None:
+        close = difflib.get_close_matches(str(name), list(fields), n=1, cutoff=0.4)
+        hint = f"; did you mean {close[0]!r}?" if close else ""
+        self.report(f"unknown setting {name!r}{hint}", *keys, name)
+
+    def _check_field(
+        self, name: str, field: Field, value: Mapping[str, Any], keys: tuple
+    ) -> Any:
+        if name not in value:
+            if field.required:
+                self.report(f"setting {name!r} is missing: {field.help}", *keys)
+            return field.default
+        try:
+            return field.check(value[name])
+        except ValueError as error:
+            self.report(f"{name}: {error}", *keys, name)
+            return field.default
+
+    def finish(self) -> None:
+        """Raise one error with every finding, if there is any."""
+        if self.findings:
+            raise SettingsError(self.findings)
+
+
+def parse_document(path: str, source: str) -> Document:
+    """Parse YAML text; duplicate names and bad syntax are findings."""
+    marks: dict[tuple, str] = {}
+    findings: list[Finding] = []
+    loader = yaml.SafeLoader(source)
+    try:
+        node = loader.get_single_node()
+        value = _build(loader, node, path, (), marks, findings)
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        place = _place(path, mark) if mark else f"{path}:1:1"
+        raise SettingsError([Finding(place, str(error.problem))]) from error
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        raise SettingsError([Finding(f"{path}:1:1", "unreadable YAML")]) from error
+    finally:
+        loader.dispose()
+    document = Document(path, value, marks)
+    document.findings.extend(findings)
+    return document
+
+
+def read_document(path: Path) -> Document:
+    """Read and parse a YAML file."""
+    try:
+        source = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = f"cannot be read: {error}"
+        raise SettingsError([Finding(f"{path}:1:1", problem)]) from error
+    return parse_document(str(path), source)
+
+
+def _place(path: str, mark: Any) -> str:
+    line = mark.line + 1
+    column = mark.column + 1
+    return f"{path}:{line}:{column}"
+
+
+def _build(
+    loader: yaml.SafeLoader,
+    node: Any,
+    path: str,
+    keys: tuple,
+    marks: dict[tuple, str],
+    findings: list[Finding],
+) -> Any:
+    if node is None:
+        return None
+    marks[keys] = _place(path, node.start_mark)
+    if isinstance(node, yaml.MappingNode):
+        table: dict[Any, Any] = {}
+        for key_node, value_node in node.value:
+            name = loader.construct_object(key_node, deep=True)
+            if not isinstance(name, (str, int, float, bool)):
+                findings.append(
+                    Finding(_place(path, key_node.start_mark), "name must be a text")
+                )
+                continue
+            if name in table:
+                findings.append(
+                    Finding(_place(path, key_node.start_mark), f"{name!r} stands twice")
+                )
+            child = keys + (name,)
+            table[name] = _build(loader, value_node, path, child, marks, findings)
+            marks[child] = _place(path, key_node.start_mark)
+        return table
+    if isinstance(node, yaml.SequenceNode):
+        return [
+            _build(loader, item, path, keys + (index,), marks, findings)
+            for index, item in enumerate(node.value)
+        ]
+    return loader.construct_object(node, deep=True)
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/_time_line.py
@@ -0,0 +1,70 @@
+"""Structured events of one process, appended to a file in its data folder."""
+
+import contextlib
+import json
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import TextIO
+
+from damaskvalve_core._clock import HybridClock
+
+TIME_LINE_FILE = "timeline.jsonl"
+MAX_FILE_BYTES = 64 * 1024 * 1024
+
+#: Writes one event: its name and its fields.
+Recorder = Callable[..., None]
+
+
+class _Writer:
+    """Appends events to the current file and rotates it when it grows large."""
+
+    def __init__(self, folder: Path, process: str, clock: HybridClock) -> None:
+        self._path = folder / TIME_LINE_FILE
+        self._process = process
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._file: TextIO = self._path.open("a", encoding="utf-8")
+
+    def record(self, event: str, **fields: object) -> None:
+        """Append one event; fields that are None are left out."""
+        row: dict[str, object] = {
+            "at": self._clock.tick(),
+            "process": self._process,
+            "event": event,
+        }
+        row.update((name, value) for name, value in fields.items() if value is not None)
+        line = json.dumps(row, ensure_ascii=False, separators=(",", ":")) + "\n"
+        with self._lock:
+            if self._file.closed:
+                return
+            self._file.write(line)
+            self._file.flush()
+            if self._file.tell() > MAX_FILE_BYTES:
+                self._rotate()
+
+    def _rotate(self) -> None:
+        self._file.close()
+        self._path.replace(self._path.with_suffix(".jsonl.1"))
+        self._file = self._path.open("a", encoding="utf-8")
+
+    def close(self) -> None:
+        with self._lock:
+            self._file.close()
+
+
+@contextlib.contextmanager
+def open_time_line(
+    folder: Path, process: str, clock: HybridClock
+) -> Iterator[Recorder]:
+    """Yield a function that records events; the file is closed at the end."""
+    folder.mkdir(parents=True, exist_ok=True)
+    writer = _Writer(folder, process, clock)
+    try:
+        yield writer.record
+    finally:
+        writer.close()
+
+
+def discard_event(event: str, **fields: object) -> None:
+    """Record nothing; the recorder for tests and tools."""
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/settings.py
@@ -0,0 +1,29 @@
+"""Public face of the settings checks; see :mod:`damaskvalve_core._settings`."""
+
+from damaskvalve_core._settings import (
+    Document,
+    Field,
+    address,
+    flag,
+    list_of,
+    number,
+    one_of,
+    parse_document,
+    read_document,
+    text,
+    whole,
+)
+
+__all__ = [
+    "Document",
+    "Field",
+    "address",
+    "flag",
+    "list_of",
+    "number",
+    "one_of",
+    "parse_document",
+    "read_document",
+    "text",
+    "whole",
+]
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/__init__.py
@@ -0,0 +1,58 @@
+"""The replicated state of the control hosts."""
+
+from damaskvalve_state._agreement import LEADER, Agreement, Output, Timing
+from damaskvalve_state._credit import (
+    CLOCK_DRIFT,
+    GRANT_LIFETIME_S,
+    Bucket,
+    CreditBook,
+    Limit,
+)
+from damaskvalve_state._journal import Journal, open_journal, recover
+from damaskvalve_state._load_budget import (
+    PERMIT_VALID_S,
+    Decision,
+    LoadBudget,
+    LoadLimit,
+)
+from damaskvalve_state._log import Log, empty_snapshot
+from damaskvalve_state._machine import (
+    ANSWERED,
+    QUARANTINE_CRASHES,
+    RESOLVED,
+    RUNNING,
+    Machine,
+)
+from damaskvalve_state._membership import next_members
+from damaskvalve_state._node import Group, GroupNode, NodeSettings, running_group
+
+__all__ = [
+    "ANSWERED",
+    "CLOCK_DRIFT",
+    "GRANT_LIFETIME_S",
+    "LEADER",
+    "PERMIT_VALID_S",
+    "QUARANTINE_CRASHES",
+    "RESOLVED",
+    "RUNNING",
+    "Agreement",
+    "Bucket",
+    "CreditBook",
+    "Decision",
+    "Group",
+    "GroupNode",
+    "Journal",
+    "Limit",
+    "LoadBudget",
+    "LoadLimit",
+    "Log",
+    "Machine",
+    "NodeSettings",
+    "Output",
+    "Timing",
+    "empty_snapshot",
+    "next_members",
+    "open_journal",
+    "recover",
+    "running_group",
+]
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/_load_budget.py
@@ -0,0 +1,130 @@
+"""The fleet-wide budget of adapter loads, kept by the leader.
+
+Permits come from a token bucket at the weight store's rate with a bounded
+number in flight, and go to the most urgent waiter first. A new leader starts
+with an empty bucket, so no window ever holds more than the store allows.
+"""
+
+import heapq
+from collections.abc import Sequence
+
+PERMIT_VALID_S = 3.0
+
+
+class LoadLimit:
+    """What the weight store allows."""
+
+    __slots__ = ("rate_loads_per_s", "burst_loads", "max_in_flight")
+
+    def __init__(
+        self, rate_loads_per_s: float, burst_loads: float, max_in_flight: int
+    ) -> None:
+        self.rate_loads_per_s = rate_loads_per_s
+        self.burst_loads = burst_loads
+        self.max_in_flight = max_in_flight
+
+
+class Waiter:
+    """One agent that waits for a permit; lower urgency goes first."""
+
+    __slots__ = ("urgency", "order", "agent_id", "adapter", "gives_up_at_s", "token")
+
+    def __init__(
+        self,
+        urgency: int,
+        order: int,
+        agent_id: str,
+        adapter: str,
+        gives_up_at_s: float,
+        token: object,
+    ) -> None:
+        self.urgency = urgency
+        self.order = order
+        self.agent_id = agent_id
+        self.adapter = adapter
+        self.gives_up_at_s = gives_up_at_s
+        self.token = token
+
+    def __lt__(self, other: "Waiter") -> bool:
+        return (self.urgency, self.order) < (other.urgency, other.order)
+
+
+class Decision:
+    """A waiter's answer: a permit id, or none once it has waited its time."""
+
+    __slots__ = ("waiter", "permit_id")
+
+    def __init__(self, waiter: Waiter, permit_id: str | None) -> None:
+        self.waiter = waiter
+        self.permit_id = permit_id
+
+
+class LoadBudget:
+    """Hands out permits; see the module's guarantee."""
+
+    def __init__(self, limit: LoadLimit, term: int, now_s: float) -> None:
+        self.limit = limit
+        self._term = term
+        self._level_loads = 0.0
+        self._updated_at_s = now_s
+        # Permits of the leader before may still be in flight.
+        self._in_flight: dict[str, float] = {
+            f"{term}-unknown-{number}": now_s + PERMIT_VALID_S
+            for number in range(limit.max_in_flight)
+        }
+        self._waiting: list[Waiter] = []
+        self._count = 0
+
+    def ask(
+        self,
+        agent_id: str,
+        adapter: str,
+        urgency: int,
+        gives_up_at_s: float,
+        token: object,
+    ) -> None:
+        """Queue a waiter."""
+        self._count += 1
+        waiter = Waiter(urgency, self._count, agent_id, adapter, gives_up_at_s, token)
+        heapq.heappush(self._waiting, waiter)
+
+    def finish(self, permit_id: str) -> None:
+        """Take note that the load of a permit has ended."""
+        self._in_flight.pop(permit_id, None)
+
+    def decide(self, now_s: float) -> Sequence[Decision]:
+        """Return the waiters that get an answer now."""
+        self._refill(now_s)
+        late = [item for item in self._waiting if item.gives_up_at_s <= now_s]
+        if late:
+            kept = [item for item in self._waiting if item.gives_up_at_s > now_s]
+            heapq.heapify(kept)
+            self._waiting = kept
+        decisions = [Decision(item, None) for item in late]
+        while self._waiting and self._may_grant():
+            decisions.append(self._grant(heapq.heappop(self._waiting), now_s))
+        return decisions
+
+    def retry_after_s(self) -> float:
+        """Return about when a waiter of low urgency gets its turn."""
+        ahead = len(self._waiting) + 1 - self._level_loads
+        return max(0.1, ahead / self.limit.rate_loads_per_s)
+
+    def _refill(self, now_s: float) -> None:
+        added = (now_s - self._updated_at_s) * self.limit.rate_loads_per_s
+        self._level_loads = min(self.limit.burst_loads, self._level_loads + added)
+        self._updated_at_s = now_s
+        for permit_id, valid_until_s in list(self._in_flight.items()):
+            if valid_until_s < now_s:
+                del self._in_flight[permit_id]
+
+    def _may_grant(self) -> bool:
+        has_token = self._level_loads >= 1
+        return has_token and len(self._in_flight) < self.limit.max_in_flight
+
+    def _grant(self, waiter: Waiter, now_s: float) -> Decision:
+        self._level_loads -= 1
+        self._count += 1
+        permit_id = f"{self._term}-{self._count}"
+        self._in_flight[permit_id] = now_s + PERMIT_VALID_S
+        return Decision(waiter, permit_id)
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/_log.py
@@ -0,0 +1,98 @@
+"""The replicated log in memory: a snapshot, what follows it, and a short tail."""
+
+from collections.abc import Sequence
+
+from damaskvalve_core.messages import EntryKind, LogEntry, Member, SnapshotFile
+
+
+def empty_snapshot(members: Sequence[Member] = ()) -> SnapshotFile:
+    """Return the snapshot that stands before the first log entry."""
+    return SnapshotFile(0, 0, list(members), b"")
+
+
+class Log:
+    """Entries ``first_index .. last_index`` on top of a snapshot."""
+
+    def __init__(
+        self, snapshot: SnapshotFile, entries: Sequence[LogEntry] = ()
+    ) -> None:
+        self.snapshot = snapshot
+        # The index of the first held entry; some may be in the snapshot too.
+        self.first_index: int = snapshot.last_index + 1
+        self._entries = [item for item in entries if item.index >= self.first_index]
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.first_index + len(self._entries) - 1
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        term: int | None = self.term_at(self.last_index)
+        assert term is not None
+        return term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it is not held here."""
+        term: int
+        if index == self.snapshot.last_index:
+            term = self.snapshot.last_term
+            return term
+        if not self.first_index <= index <= self.last_index:
+            return None
+        term = self._entries[index - self.first_index].term
+        return term
+
+    def entry_at(self, index: int) -> LogEntry:
+        """Return one entry that is held here."""
+        return self._entries[index - self.first_index]
+
+    def entries_from(self, index: int, most: int) -> Sequence[LogEntry]:
+        """Return up to ``most`` entries starting with ``index``."""
+        start = index - self.first_index
+        return self._entries[start : start + most]
+
+    def append(self, entry: LogEntry) -> None:
+        """Add the entry that follows the last one."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"entry {entry.index} does not follow {self.last_index}")
+        self._entries.append(entry)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entry at ``index`` and all after it."""
+        del self._entries[index - self.first_index :]
+
+    def compact(self, snapshot: SnapshotFile, retained: int) -> None:
+        """Take a newer snapshot; keep ``retained`` covered entries for others."""
+        self.snapshot = snapshot
+        first_kept = max(self.first_index, snapshot.last_index + 1 - retained)
+        del self._entries[: first_kept - self.first_index]
+        self.first_index = first_kept
+
+    def entries_after_snapshot(self) -> Sequence[LogEntry]:
+        """Return the entries that the snapshot does not cover."""
+        start: int = self.snapshot.last_index + 1 - self.first_index
+        return self._entries[start:]
+
+    def reset(self, snapshot: SnapshotFile) -> None:
+        """Replace everything with a snapshot that came from the leader."""
+        self._entries = []
+        self.snapshot = snapshot
+        self.first_index = snapshot.last_index + 1
+
+    def members(self) -> tuple[Sequence[Member], int]:
+        """Return the newest member list and the index of its entry."""
+        for entry in reversed(self._entries):
+            if entry.kind == EntryKind.MEMBERS:
+                return entry.members, entry.index
+        return self.snapshot.members, self.snapshot.last_index
+
+    def members_at(self, index: int) -> Sequence[Member]:
+        """Return the member list in force after the entry at ``index``."""
+        for entry in reversed(self._entries):
+            if entry.index <= index and entry.kind == EntryKind.MEMBERS:
+                members: Sequence[Member] = entry.members
+                return members
+        base: Sequence[Member] = self.snapshot.members
+        return base
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -0,0 +1,487 @@
+"""The actor that runs agreement on a control host: disk, peers and callers."""
+
+import contextlib
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator, Sequence
+from pathlib import Path
+from typing import Any, Generic, TypeVar
+
+import logbook
+import pykka
+
+from damaskvalve_core import DamagedJournalError, Dialer, RetryLaterError, encode_struct
+from damaskvalve_core.messages import (
+    Command,
+    CommandResult,
+    EntryKind,
+    FoundReply,
+    FoundRequest,
+    HardState,
+    HelloReply,
+    HelloRequest,
+    LogEntry,
+    Member,
+    SnapshotFile,
+    VoteReply,
+    VoteRequest,
+)
+from damaskvalve_state._agreement import LEADER, Agreement, Output, Timing
+from damaskvalve_state._journal import (
+    JOURNAL_FILE,
+    Journal,
+    read_or_make_member_id,
+    recover,
+    set_aside,
+)
+from damaskvalve_state._log import Log, empty_snapshot
+from damaskvalve_state._machine import Machine
+from damaskvalve_state._membership import is_founder, may_found, next_members
+from damaskvalve_state._peers import PeerSender
+
+TICK_S = 0.03
+HELLO_S = 0.3
+SNAPSHOT_ENTRIES = 5_000
+
+_log = logbook.Logger("group")
+T = TypeVar("T")
+
+#: Gets the result of a proposal, or None if its outcome is not known.
+ResultCallback = Callable[[CommandResult | None], None]
+
+
+class _Tick:
+    __slots__ = ()
+
+
+class _Flush:
+    __slots__ = ()
+
+
+class _Request:
+    __slots__ = ("message", "future")
+
+    def __init__(self, message: Any, future: "pykka.ThreadingFuture[Any]") -> None:
+        self.message = message
+        self.future = future
+
+
+class _Answer:
+    __slots__ = ("member", "reply")
+
+    def __init__(self, member: Member, reply: Any) -> None:
+        self.member = member
+        self.reply = reply
+
+
+class _Run(Generic[T]):
+    __slots__ = ("work", "future")
+
+    def __init__(
+        self,
+        work: Callable[["GroupNode", float], T],
+        future: "pykka.ThreadingFuture[T]",
+    ) -> None:
+        self.work = work
+        self.future = future
+
+
+class NodeSettings:
+    """What a member has to know before it starts."""
+
+    __slots__ = ("folder", "address", "data_centre", "group_addresses", "timing")
+
+    def __init__(
+        self,
+        folder: Path,
+        address: str,
+        data_centre: str,
+        group_addresses: Sequence[str],
+        timing: Timing,
+    ) -> None:
+        self.folder = folder
+        self.address = address
+        self.data_centre = data_centre
+        self.group_addresses = tuple(group_addresses)
+        self.timing = timing
+
+
+class GroupNode(pykka.ThreadingActor):
+    """Owns one member's agreement, journal and state machine.
+
+    All proposals that wait in the mailbox share one sync. An answer never
+    leaves before what it promises is on the disk.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, settings: NodeSettings, dialer: Dialer) -> None:
+        super().__init__()
+        self.settings = settings
+        self.machine = Machine()
+        self.applied_index = 0
+        self._dialer = dialer
+        self._senders: dict[str, PeerSender] = {}
+        self._replies: list[tuple[Any, Any]] = []
+        self._callbacks: dict[int, tuple[int, ResultCallback]] = {}
+        self._flush_asked = False
+        self._hellos: dict[str, tuple[Member, bool]] = {}
+        self._next_hello_s = 0.0
+        # The time of the step that runs now.
+        self.step_at_s = time.monotonic()
+        self.tick_hooks: list[Callable[[GroupNode, float], None]] = []
+        self._open_folder(time.monotonic())
+
+    # ---- the folder ----
+
+    def _open_folder(self, now_s: float) -> None:
+        folder = self.settings.folder
+        try:
+            recovered = recover(folder)
+        except DamagedJournalError as error:
+            kept = set_aside(folder, str(time.time_ns()))
+            _log.error("{}; set aside as {}; joining anew", error, kept)
+            recovered = None
+        self.member = Member(
+            read_or_make_member_id(folder),
+            self.settings.address,
+            self.settings.data_centre,
+        )
+        self.founded = recovered is not None
+        log = recovered.log if recovered else Log(empty_snapshot())
+        hard_state = recovered.hard_state if recovered else HardState(0, "")
+        if recovered is None:
+            (folder / JOURNAL_FILE).unlink(missing_ok=True)
+        elif recovered.cut_bytes:
+            _log.warning("cut a torn tail of {} bytes", recovered.cut_bytes)
+        self.journal = Journal(folder)
+        self.agreement = Agreement(
+            self.member,
+            log,
+            hard_state,
+            self.settings.timing,
+            random.Random(self.member.member_id),
+            now_s,
+        )
+        self._restore(log.snapshot)
+
+    def _restore(self, snapshot: SnapshotFile) -> None:
+        self.machine = Machine.from_bytes(snapshot.data)
+        self.applied_index = snapshot.last_index
+
+    # ---- the mailbox ----
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message; everything written is synced in one batch later."""
+        now_s = time.monotonic()
+        self.step_at_s = now_s
+        if isinstance(message, _Flush):
+            self._flush_asked = False
+            self._flush(now_s)
+            return
+        if isinstance(message, _Tick):
+            self._on_tick(now_s)
+        elif isinstance(message, _Request):
+            self._on_request(message, now_s)
+        elif isinstance(message, _Answer):
+            self._on_answer(message, now_s)
+        elif isinstance(message, _Run):
+            self._on_run(message, now_s)
+        if not self._flush_asked:
+            self._flush_asked = True
+            self.actor_ref.tell(_Flush())
+
+    def _on_tick(self, now_s: float) -> None:
+        self.agreement.tick(now_s)
+        if not self.agreement.is_voter() and now_s >= self._next_hello_s:
+            self._next_hello_s = now_s + HELLO_S
+            self._say_hello()
+        if self.agreement.role == LEADER:
+            self._change_members(now_s)
+        for hook in self.tick_hooks:
+            hook(self, now_s)
+
+    def _on_run(self, message: "_Run[Any]", now_s: float) -> None:
+        try:
+            message.future.set(message.work(self, now_s))
+        except Exception:
+            message.future.set_exception()
+
+    def _on_request(self, message: _Request, now_s: float) -> None:
+        request = message.message
+        reply: Any
+        if isinstance(request, HelloRequest):
+            reply = self._on_hello(request, now_s)
+        elif isinstance(request, FoundRequest):
+            reply = FoundReply(self._found(request.members, now_s))
+        elif isinstance(request, VoteRequest) and not self.founded:
+            own_id = self.member.member_id
+            reply = VoteReply(self.agreement.term, own_id, False, request.pre_vote)
+        else:
+            self._join_if_empty()
+            reply = self.agreement.receive(request, now_s)
+        self._replies.append((message.future, reply))
+
+    def _on_answer(self, message: _Answer, now_s: float) -> None:
+        reply = message.reply
+        if reply is None:
+            self.agreement.request_failed(message.member)
+        elif isinstance(reply, HelloReply):
+            self._on_hello_reply(reply, now_s)
+        elif not isinstance(reply, FoundReply):
+            self.agreement.receive(reply, now_s)
+
+    # ---- founding and joining ----
+
+    def _say_hello(self) -> None:
+        request = HelloRequest(self.member, not self.founded)
+        for address in self.settings.group_addresses:
+            if address != self.member.address:
+                self._send(Member("", address, ""), request)
+
+    def _on_hello(self, request: HelloRequest, now_s: float) -> HelloReply:
+        if self.agreement.role == LEADER:
+            self.agreement.add_learner(request.member, now_s)
+        elif request.empty and self.founded:
+            self._repeat_founding(request.member)
+        return HelloReply(self.member, not self.founded, self.agreement.leader_address)
+
+    def _repeat_founding(self, member: Member) -> None:
+        log = self.agreement.log
+        if log.first_index > 1 or log.last_index < 1:
+            return
+        founders = log.entry_at(1).members
+        if member.member_id in [founder.member_id for founder in founders]:
+            self._send(member, FoundRequest(founders))
+
+    def _on_hello_reply(self, reply: HelloReply, now_s: float) -> None:
+        self._hellos[reply.member.address] = (reply.member, reply.empty)
+        if self.founded:
+            return
+        hellos = [*self._hellos.values(), (self.member, True)]
+        addresses = self.settings.group_addresses
+        if may_found(hellos, addresses) and is_founder(self.member, hellos):
+            members = sorted((member for member, _ in hellos), key=_member_order)
+            self._found(members, now_s)
+            for member in members:
+                if member.member_id != self.member.member_id:
+                    self._send(member, FoundRequest(members))
+
+    def _found(self, members: Sequence[Member], now_s: float) -> bool:
+        ids = [member.member_id for member in members]
+        if self.founded or self.member.member_id not in ids:
+            return False
+        entry = LogEntry(1, 0, EntryKind.MEMBERS, b"", list(members))
+        snapshot = empty_snapshot()
+        self.journal.install(snapshot, [entry], HardState(0, ""))
+        self.agreement = Agreement(
+            self.member,
+            Log(snapshot, [entry]),
+            HardState(0, ""),
+            self.settings.timing,
+            random.Random(self.member.member_id),
+            now_s,
+        )
+        self.founded = True
+        _log.info("founded a group of {} members", len(members))
+        return True
+
+    def _join_if_empty(self) -> None:
+        if self.founded:
+            return
+        self.journal.install(empty_snapshot(), [], HardState(0, ""))
+        self.founded = True
+        _log.info("joining an existing group as a learner")
+
+    def _change_members(self, now_s: float) -> None:
+        learners = self.agreement.caught_up_learners()
+        if not learners or not self.agreement.may_change_members():
+            return
+        voters = self.agreement.voters()
+        members = next_members(voters, learners, self.settings.group_addresses)
+        if members is not None:
+            self.agreement.propose_members(members, now_s)
+            _log.info("changing the group to {} voters", len(members))
+
+    # ---- output ----
+
+    def _flush(self, now_s: float) -> None:
+        while True:
+            output = self.agreement.take_output()
+            replies, self._replies = self._replies, []
+            if not self._work_in(output) and not replies:
+                return
+            self._send_all(output.early_messages)
+            self._write(output)
+            self.agreement.synced(self.agreement.log.last_index, now_s)
+            self._send_all(output.messages)
+            for future, reply in replies:
+                future.set(reply)
+            self._apply(output.committed)
+
+    @staticmethod
+    def _work_in(output: Output) -> bool:
+        return bool(
+            output.install
+            or output.records
+            or output.early_messages
+            or output.messages
+            or output.committed
+        )
+
+    def _write(self, output: Output) -> None:
+        if output.install is not None:
+            hard_state = HardState(self.agreement.term, self.agreement.voted_for)
+            self.journal.install(output.install, [], hard_state)
+            self._restore(output.install)
+        self.journal.append(output.records)
+
+    def _send_all(self, messages: Sequence[tuple[Member, Any]]) -> None:
+        for member, message in messages:
+            self._send(member, message)
+
+    def _send(self, member: Member, message: Any) -> None:
+        sender = self._senders.get(member.address)
+        if sender is None:
+            timeout_s = self.settings.timing.election_timeout_s
+            sender = PeerSender(
+                member.address, self._dialer, timeout_s, self._take_answer
+            )
+            self._senders[member.address] = sender
+        sender.send(member, message)
+
+    def _take_answer(self, member: Member, reply: Any) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor_ref.tell(_Answer(member, reply))
+
+    def _apply(self, entries: Sequence[LogEntry]) -> None:
+        for entry in entries:
+            result = None
+            if entry.kind == EntryKind.COMMAND:
+                result = self.machine.apply(entry.index, entry.command)
+            self.applied_index = entry.index
+            term, callback = self._callbacks.pop(entry.index, (0, None))
+            if callback is not None:
+                callback(result if term == entry.term else None)
+        if self.agreement.role != LEADER:
+            self._fail_callbacks()
+        covered = self.agreement.log.snapshot.last_index
+        if self.applied_index - covered >= SNAPSHOT_ENTRIES:
+            self._snapshot()
+
+    def _fail_callbacks(self) -> None:
+        callbacks, self._callbacks = self._callbacks, {}
+        for _, callback in callbacks.values():
+            callback(None)
+
+    def _snapshot(self) -> None:
+        data = self.machine.to_bytes()
+        snapshot = self.agreement.compact(self.applied_index, data)
+        entries = self.agreement.log.entries_after_snapshot()
+        hard_state = HardState(self.agreement.term, self.agreement.voted_for)
+        self.journal.install(snapshot, entries, hard_state)
+
+    def propose(self, command: Command, callback: ResultCallback, now_s: float) -> bool:
+        """Propose from inside the actor; False if this is not the leader."""
+        indexes = self.agreement.propose([encode_struct(command)], now_s)
+        for index in indexes:
+            self._callbacks[index] = (self.agreement.term, callback)
+        return bool(indexes)
+
+    def on_stop(self) -> None:
+        """Close the peers and the journal."""
+        for sender in self._senders.values():
+            sender.stop()
+        self._fail_callbacks()
+        self.journal.close()
+
+
+def _member_order(member: Member) -> tuple[str, str]:
+    return member.address, member.member_id
+
+
+class Group:
+    """The thread-safe face of a running member."""
+
+    def __init__(self, actor: "pykka.ActorRef[GroupNode]") -> None:
+        self._actor = actor
+
+    def _tell(self, message: Any) -> None:
+        try:
+            self._actor.tell(message)
+        except pykka.ActorDeadError as error:
+            raise RetryLaterError("the control host is stopping") from error
+
+    def ask_peer(self, message: Any, timeout_s: float) -> Any:
+        """Handle a message of another member and return the reply."""
+        future: pykka.ThreadingFuture[Any] = pykka.ThreadingFuture()
+        self._tell(_Request(message, future))
+        return _wait(future, timeout_s)
+
+    def run(self, work: Callable[[GroupNode, float], T], timeout_s: float = 2.0) -> T:
+        """Run a function inside the actor and return what it returns."""
+        future: pykka.ThreadingFuture[T] = pykka.ThreadingFuture()
+        self._tell(_Run(work, future))
+        return _wait(future, timeout_s)
+
+    def propose(self, command: Command, timeout_s: float) -> CommandResult | None:
+        """Commit a command as leader; None if this member is not the leader.
+
+        Raises :class:`RetryLaterError` when the outcome is not known.
+        """
+        future: pykka.ThreadingFuture[CommandResult | None] = pykka.ThreadingFuture()
+
+        def start(node: GroupNode, now_s: float) -> bool:
+            return node.propose(command, future.set, now_s)
+
+        if not self.run(start):
+            return None
+        result = _wait(future, timeout_s)
+        if result is None:
+            raise RetryLaterError("the leader changed; the outcome is not known")
+        return result
+
+    def tick(self) -> None:
+        """Let the member notice the passing of time."""
+        self._tell(_Tick())
+
+
+def _wait(future: "pykka.ThreadingFuture[T]", timeout_s: float) -> T:
+    try:
+        return future.get(timeout=timeout_s)
+    except pykka.Timeout as error:
+        raise RetryLaterError("the control host did not answer in time") from error
+
+
+def _tick_until(stop: threading.Event, group: Group) -> None:
+    while not stop.wait(TICK_S):
+        try:
+            group.tick()
+        except RetryLaterError:
+            return
+
+
+@contextlib.contextmanager
+def running_group(settings: NodeSettings, dialer: Dialer) -> Iterator[Group]:
+    """Run a member of the group; it is stopped at the end."""
+    settings.folder.mkdir(parents=True, exist_ok=True)
+    actor = GroupNode.start(settings, dialer)
+    group = Group(actor)
+    stop = threading.Event()
+    ticker = threading.Thread(target=_tick_until, args=(stop, group), daemon=True)
+    ticker.start()
+    try:
+        yield group
+    finally:
+        stop.set()
+        ticker.join()
+        actor.stop()
+
+
+__all__ = [
+    "Group",
+    "GroupNode",
+    "NodeSettings",
+    "running_group",
+]
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_cli/_processes.py
@@ -0,0 +1,61 @@
+"""Commands that run a host, check settings and make identities."""
+
+import datetime
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from damaskvalve._cli._common import EXIT_OK, SettingsPath, run_reporting
+
+
+def serve(settings: SettingsPath) -> int:
+    """Run the roles that the settings name, until SIGTERM."""
+
+    def work() -> int:
+        from damaskvalve._host import run_host
+        from damaskvalve._settings import read_settings
+        from damaskvalve_core import logging_to
+
+        checked = read_settings(settings)
+        with logging_to(checked.log_level, checked.log_style, checked.log_destination):
+            run_host(checked)
+        return EXIT_OK
+
+    return run_reporting(work)
+
+
+def check_settings(settings: SettingsPath) -> int:
+    """Check a host's settings file and print every finding."""
+
+    def work() -> int:
+        from damaskvalve._settings import read_settings
+
+        read_settings(settings)
+        print(f"{settings}: no findings")
+        return EXIT_OK
+
+    return run_reporting(work)
+
+
+def make_identity(
+    folder: Annotated[Path, cappa.Arg(long="--folder", help="where the files go")],
+    names: Annotated[list[str], cappa.Arg(help="one name for each process")],
+) -> int:
+    """Make certificates; the authority is made first if there is none."""
+
+    def work() -> int:
+        from damaskvalve._identity import (
+            AUTHORITY_KEY_FILE,
+            make_authority,
+            make_identity,
+        )
+
+        at = datetime.datetime.now(datetime.timezone.utc)
+        if not (folder / AUTHORITY_KEY_FILE).exists():
+            make_authority(folder, at)
+        for name in names:
+            make_identity(folder, name, at)
+        return EXIT_OK
+
+    return run_reporting(work)
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_control_service.py
@@ -0,0 +1,394 @@
+"""Answers the calls that reach a control host."""
+
+import threading
+import time
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any
+
+import logbook
+import pykka
+
+from damaskvalve._backend_table import BackendTable
+from damaskvalve._configuration import ADAPTER
+from damaskvalve._leader_desk import LeaderDesk
+from damaskvalve_core import ChannelError, Connection, Dialer, RetryLaterError
+from damaskvalve_core.messages import (
+    AppendRequest,
+    BackendReport,
+    ConfirmReply,
+    ConfirmRequest,
+    CreditReply,
+    CreditRequest,
+    FoundRequest,
+    HelloRequest,
+    LeaseJobReply,
+    LeaseJobRequest,
+    LookupReply,
+    LookupRequest,
+    PermitReply,
+    PermitRequest,
+    PollReply,
+    PollRequest,
+    Problem,
+    ProposeReply,
+    ProposeRequest,
+    ReadReply,
+    ReadRequest,
+    ReportReply,
+    Row,
+    SnapshotRequest,
+    SubscriberRecord,
+    VoteRequest,
+)
+from damaskvalve_state import Group, GroupNode, LoadLimit
+
+PEER_TIMEOUT_S = 1.0
+PROPOSE_TIMEOUT_S = 2.0
+CONFIRM_S = 0.25
+POLL_STEP_S = 0.02
+SUBSCRIBER_KEPT_S = 60.0
+MAX_LISTED = 1_000
+
+_log = logbook.Logger("control")
+
+
+class _Freshness:
+    """Since when this host's state is known to hold all that was committed."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._as_of_s = float("-inf")
+
+    def confirm(self, as_of_s: float) -> None:
+        with self._lock:
+            self._as_of_s = max(self._as_of_s, as_of_s)
+
+    def age_s(self, now_s: float) -> float:
+        with self._lock:
+            return now_s - self._as_of_s
+
+
+class ControlService:
+    """One control host's side of every protocol between the processes."""
+
+    def __init__(
+        self,
+        control_id: str,
+        group: Group,
+        dialer: Dialer,
+        load_limit: LoadLimit,
+        lease_s: float,
+    ) -> None:
+        self._control_id = control_id
+        self._group = group
+        self._dialer = dialer
+        self._load_limit = load_limit
+        self._lease_s = lease_s
+        self._news = threading.Condition()
+        self._seen_versions = (-1, -1)
+        self.backends = BackendTable(self._wake_polls)
+        self._freshness = _Freshness()
+        self._desk: LeaderDesk | None = None
+        self._lock = threading.Lock()
+        self._subscribers: dict[str, tuple[SubscriberRecord, float]] = {}
+        self._handlers: Mapping[type, Callable[[Any, Connection], Any]] = {
+            VoteRequest: self._peer,
+            AppendRequest: self._peer,
+            SnapshotRequest: self._peer,
+            HelloRequest: self._peer,
+            FoundRequest: self._peer,
+            ProposeRequest: self._propose,
+            ConfirmRequest: self._confirm,
+            BackendReport: self._report,
+            PollRequest: self._poll,
+            LookupRequest: self._lookup,
+            CreditRequest: self._credit,
+            PermitRequest: self._permit,
+            LeaseJobRequest: self._lease_jobs,
+            ReadRequest: self._read,
+        }
+        group.run(lambda node, now_s: node.tick_hooks.append(self._tick))
+
+    def handle(self, request: Any, connection: Connection) -> Iterator[Any]:
+        """Answer one message with exactly one reply."""
+        handler = self._handlers.get(type(request))
+        if handler is None:
+            yield Problem("unexpected", f"no call {type(request).__name__}")
+            return
+        try:
+            yield handler(request, connection)
+        except RetryLaterError as error:
+            yield Problem("retry-later", str(error))
+
+    # ---- agreement ----
+
+    def _peer(self, request: Any, connection: Connection) -> Any:
+        return self._group.ask_peer(request, PEER_TIMEOUT_S)
+
+    def _propose(self, request: ProposeRequest, connection: Connection) -> ProposeReply:
+        try:
+            result = self._group.propose(request.command, PROPOSE_TIMEOUT_S)
+        except RetryLaterError as error:
+            return ProposeReply(False, self._leader_address(), None, str(error))
+        if result is None:
+            return ProposeReply(False, self._leader_address(), None, "not the leader")
+        return ProposeReply(True, self._leader_address(own=True), result, "")
+
+    def _leader_address(self, *, own: bool = False) -> str:
+        def read(node: GroupNode, now_s: float) -> str:
+            return node.member.address if own else node.agreement.leader_address
+
+        return self._group.run(read)
+
+    def _confirm(self, request: ConfirmRequest, connection: Connection) -> ConfirmReply:
+        def confirm(node: GroupNode, now_s: float) -> ConfirmReply:
+            agreement = node.agreement
+            confirmed = agreement.may_serve(now_s)
+            return ConfirmReply(
+                confirmed, agreement.commit_index, agreement.leader_address
+            )
+
+        return self._group.run(confirm)
+
+    def keep_fresh(self) -> None:
+        """Confirm with the leader that this host's state is up to date."""
+        asked_at_s = time.monotonic()
+
+        def look(node: GroupNode, now_s: float) -> tuple[bool, str, str]:
+            serving = node.agreement.may_serve(now_s)
+            return serving, node.agreement.leader_address, node.member.address
+
+        serving, leader_address, own_address = self._group.run(look)
+        if serving:
+            self._freshness.confirm(asked_at_s)
+            return
+        if not leader_address or leader_address == own_address:
+            return
+        try:
+            reply = self._dialer.call(
+                leader_address, ConfirmRequest(self._control_id), PEER_TIMEOUT_S
+            )
+        except ChannelError as error:
+            _log.debug("the leader does not confirm: {}", error)
+            return
+        if reply.confirmed and self._await_applied(reply.commit_index):
+            self._freshness.confirm(asked_at_s)
+
+    def _await_applied(self, index: int) -> bool:
+        give_up_s = time.monotonic() + PEER_TIMEOUT_S
+        while time.monotonic() < give_up_s:
+            if self._group.run(lambda node, now_s: node.applied_index) >= index:
+                return True
+            time.sleep(POLL_STEP_S)
+        return False
+
+    def _is_fresh(self, age_s: float) -> bool:
+        return age_s < self._lease_s
+
+    # ---- backend servers ----
+
+    def _report(self, report: BackendReport, connection: Connection) -> ReportReply:
+        self.backends.take(report, time.monotonic())
+
+        def read(node: GroupNode, now_s: float) -> tuple[int, str]:
+            fence = node.machine.fences.get(report.backend_server)
+            return (fence.number, fence.holder) if fence else (0, "")
+
+        number, holder = self._group.run(read)
+        age_s = self._freshness.age_s(time.monotonic())
+        served = dict(self.backends.served_elsewhere(report.backend_server))
+        return ReportReply(number, holder, self._is_fresh(age_s), age_s, served)
+
+    # ---- subscriptions ----
+
+    def _wake_polls(self) -> None:
+        with self._news:
+            self._news.notify_all()
+
+    def _poll(self, request: PollRequest, connection: Connection) -> PollReply:
+        """Answer when something urgent happens, or after the caller's wait."""
+        self._note_subscriber(request)
+        wait_s = min(request.wait_s, self._lease_s / 2)
+        if request.control_id == self._control_id:
+            with self._news:
+                if self._seen_versions == (request.revision, request.suspects_version):
+                    self._news.wait(wait_s)
+        same_host = request.control_id == self._control_id
+        reply = self._group.run(lambda node, now_s: self._state_news(node, request))
+        changes = self.backends.changes_since(
+            request.backends_version if same_host else 0
+        )
+        reply.backends_version = changes.version
+        reply.backends = list(changes.changed)
+        reply.removed_backends = list(changes.removed)
+        reply.age_s = self._freshness.age_s(time.monotonic())
+        reply.fresh = self._is_fresh(reply.age_s)
+        return reply
+
+    def _state_news(self, node: GroupNode, request: PollRequest) -> PollReply:
+        machine = node.machine
+        changed = machine.rows_since(request.revision)
+        if changed is None:
+            rows = [
+                row
+                for table in machine.tables()
+                if table != ADAPTER
+                for row in machine.table(table).values()
+            ]
+        else:
+            rows = [row for row in changed if row.table != ADAPTER]
+        evicted = [row.key for row in changed or () if row.table == ADAPTER]
+        same_suspects = machine.suspects_version == request.suspects_version
+        return PollReply(
+            revision=machine.revision,
+            full=changed is None,
+            rows=rows,
+            evicted_adapters=evicted,
+            suspects_version=machine.suspects_version,
+            suspects=None if same_suspects else list(machine.suspects.values()),
+            leader_address=node.agreement.leader_address,
+            control_id=self._control_id,
+        )
+
+    def _note_subscriber(self, request: PollRequest) -> None:
+        record = SubscriberRecord(
+            request.subscriber, request.data_centre, request.revision, 0.0
+        )
+        now_s = time.monotonic()
+        with self._lock:
+            self._subscribers[request.subscriber] = (record, now_s)
+            for name, (_, heard_at_s) in list(self._subscribers.items()):
+                if now_s - heard_at_s > SUBSCRIBER_KEPT_S:
+                    del self._subscribers[name]
+
+    def _lookup(self, request: LookupRequest, connection: Connection) -> LookupReply:
+        def read(node: GroupNode, now_s: float) -> tuple[int, list[Row]]:
+            found = [node.machine.row(request.table, key) for key in request.keys]
+            return node.machine.revision, [row for row in found if row is not None]
+
+        revision, rows = self._group.run(read)
+        age_s = self._freshness.age_s(time.monotonic())
+        return LookupReply(self._is_fresh(age_s), age_s, revision, rows)
+
+    # ---- what only the leader answers ----
+
+    def _at_desk(
+        self, start: Callable[[LeaderDesk, Callable[[Any], None], float], None]
+    ) -> Callable[[GroupNode, float], Any]:
+        """Return work for the actor that runs ``start`` if this is the leader."""
+
+        def run(node: GroupNode, now_s: float) -> Any:
+            future: pykka.ThreadingFuture[Any] = pykka.ThreadingFuture()
+            desk = self._current_desk(node, now_s)
+            if desk is None:
+                future.set(None)
+            else:
+                start(desk, future.set, now_s)
+            return future, node.agreement.leader_address
+
+        return run
+
+    def _current_desk(self, node: GroupNode, now_s: float) -> LeaderDesk | None:
+        if not node.agreement.may_serve(now_s):
+            return None
+        if self._desk is None or self._desk.term != node.agreement.term:
+            self._desk = LeaderDesk(node, self._load_limit, now_s)
+        return self._desk
+
+    def _tick(self, node: GroupNode, now_s: float) -> None:
+        versions = (node.machine.revision, node.machine.suspects_version)
+        if versions != self._seen_versions:
+            self._seen_versions = versions
+            self._wake_polls()
+        self.backends.expire(now_s)
+        if self._desk is not None:
+            self._desk.tick(now_s)
+
+    def _ask_desk(
+        self,
+        start: Callable[[LeaderDesk, Callable[[Any], None], float], None],
+        timeout_s: float,
+    ) -> tuple[Any, str]:
+        future, leader_address = self._group.run(self._at_desk(start))
+        try:
+            return future.get(timeout=timeout_s), leader_address
+        except pykka.Timeout:
+            return None, leader_address
+
+    def _credit(self, request: CreditRequest, connection: Connection) -> CreditReply:
+        reply, leader = self._ask_desk(
+            lambda desk, resolve, now_s: desk.credit(request, resolve, now_s),
+            PROPOSE_TIMEOUT_S,
+        )
+        return reply or CreditReply(False, leader, [], 0.0)
+
+    def _permit(self, request: PermitRequest, connection: Connection) -> PermitReply:
+        reply, leader = self._ask_desk(
+            lambda desk, resolve, now_s: desk.permit(request, resolve, now_s),
+            request.wait_s + PEER_TIMEOUT_S,
+        )
+        return reply or PermitReply(False, leader, "", 1.0, 0.0)
+
+    def _lease_jobs(
+        self, request: LeaseJobRequest, connection: Connection
+    ) -> LeaseJobReply:
+        reply, leader = self._ask_desk(
+            lambda desk, resolve, now_s: resolve(desk.lease_jobs(request, now_s)),
+            PEER_TIMEOUT_S,
+        )
+        return reply or LeaseJobReply(leader, [])
+
+    # ---- reading for operators and entry hosts ----
+
+    def _read(self, request: ReadRequest, connection: Connection) -> ReadReply:
+        reply = self._group.run(lambda node, now_s: _read_state(node, request))
+        age_s = self._freshness.age_s(time.monotonic())
+        reply.fresh = self._is_fresh(age_s)
+        reply.subscribers = self._subscriber_list() if request.what == "status" else []
+        return reply
+
+    def _subscriber_list(self) -> Sequence[SubscriberRecord]:
+        now_s = time.monotonic()
+        with self._lock:
+            known = list(self._subscribers.values())
+        return [
+            SubscriberRecord(
+                record.subscriber, record.data_centre, record.revision, now_s - heard
+            )
+            for record, heard in known
+        ]
+
+
+def _read_state(node: GroupNode, request: ReadRequest) -> ReadReply:
+    machine = node.machine
+    agreement = node.agreement
+    reply = ReadReply(
+        False,
+        machine.revision,
+        members=list(agreement.voters()),
+        leader_address=agreement.leader_address,
+        commit_index=agreement.commit_index,
+        last_index=agreement.log.last_index,
+        term=agreement.term,
+    )
+    if request.what == "rows":
+        tables = [request.key] if request.key else machine.tables()
+        reply.rows = [row for name in tables for row in machine.table(name).values()]
+    elif request.what == "adapters":
+        prefix = f"{request.key}/"
+        rows = machine.table(ADAPTER)
+        reply.rows = [rows[key] for key in rows if key.startswith(prefix)]
+    elif request.what == "claim":
+        claim = machine.claims.get(request.key)
+        reply.claims = [claim] if claim else []
+    elif request.what == "claims":
+        running = [item for item in machine.claims.values() if item.answer is None]
+        reply.claims = running[:MAX_LISTED]
+    elif request.what == "job":
+        job = machine.jobs.get(request.key)
+        reply.jobs = [job] if job else []
+    elif request.what == "suspects":
+        reply.suspects = list(machine.suspects.values())
+    elif request.what == "audit":
+        reply.audit = list(machine.audit)
+    return reply
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_filters/_admission.py
@@ -0,0 +1,112 @@
+"""Quarantine of requests that crash backend servers, and the limits."""
+
+import hashlib
+import threading
+from collections.abc import Iterable, Iterator
+
+from damaskvalve._exchange import Exchange, Filter, Next, Reply
+from damaskvalve._ledger import Ledger
+from damaskvalve._view import ConfigurationView
+from damaskvalve_core import NOT_RUN, RefusedError
+
+
+def fingerprint_of(exchange: Exchange) -> str:
+    """Return what makes two requests the same work."""
+    digest = hashlib.sha256()
+    for part in (
+        exchange.workspace_name(),
+        exchange.adapter_key(),
+        exchange.method,
+        exchange.path,
+    ):
+        digest.update(part.encode("utf-8", "replace"))
+        digest.update(b"\0")
+    digest.update(exchange.body)
+    return digest.hexdigest()[:32]
+
+
+def make_quarantine_filter(view: ConfigurationView) -> Filter:
+    """Return the filter that refuses quarantined work and isolates suspects."""
+
+    def quarantine(exchange: Exchange, following: Next) -> Reply:
+        exchange.fingerprint = fingerprint_of(exchange)
+        suspect = view.suspect(exchange.fingerprint)
+        if suspect is not None and suspect.quarantined:
+            raise RefusedError(
+                422, "quarantined", "this request has crashed several backend servers"
+            )
+        exchange.isolated = suspect is not None
+        return following(exchange)
+
+    return quarantine
+
+
+class _Concurrency:
+    """Counts each workspace's requests at this entry host."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._running: dict[str, int] = {}
+
+    def enter(self, workspace: str, most: int) -> bool:
+        with self._lock:
+            running = self._running.get(workspace, 0)
+            if running >= most:
+                return False
+            self._running[workspace] = running + 1
+            return True
+
+    def leave(self, workspace: str) -> None:
+        with self._lock:
+            self._running[workspace] -= 1
+
+
+def make_limit_filter(ledger: Ledger) -> Filter:
+    """Return the filter that charges the workspace and refunds what is not used."""
+    concurrency = _Concurrency()
+
+    def settle(exchange: Exchange) -> None:
+        workspace = exchange.workspace_name()
+        concurrency.leave(workspace)
+        if exchange.used_tokens is not None and exchange.charged_at_s:
+            unused = exchange.cost_tokens - exchange.used_tokens
+            ledger.refund(workspace, unused, exchange.charged_at_s)
+
+    def settle_after(exchange: Exchange, chunks: Iterable[bytes]) -> Iterator[bytes]:
+        try:
+            yield from chunks
+        finally:
+            settle(exchange)
+
+    def limit(exchange: Exchange, following: Next) -> Reply:
+        workspace = exchange.workspace
+        if workspace is None:
+            return following(exchange)
+        if exchange.cost_tokens > workspace.burst_tokens:
+            raise RefusedError(
+                400, "over_burst", "the request costs more than the workspace's burst"
+            )
+        if not concurrency.enter(workspace.name, workspace.max_concurrent):
+            raise RefusedError(
+                429, "too_many_requests", "too many at a time", retry_after_s=0.5
+            )
+        kept = False
+        try:
+            if exchange.cost_tokens > 0:
+                exchange.charged_at_s = ledger.charge(
+                    workspace.name, exchange.cost_tokens
+                )
+            reply = following(exchange)
+            if reply.chunks is not None:
+                reply.chunks = settle_after(exchange, reply.chunks)
+                kept = True
+            return reply
+        except RefusedError as error:
+            if error.ran == NOT_RUN:
+                exchange.used_tokens = 0.0
+            raise
+        finally:
+            if not kept:
+                settle(exchange)
+
+    return limit
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_filters/_authorise.py
@@ -0,0 +1,169 @@
+"""Who calls, for which workspace, and whether the adapter may be used."""
+
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+from damaskvalve._configuration import OPEN, AdapterGrant, key_digest
+from damaskvalve._exchange import Exchange, Filter, Next, Reply
+from damaskvalve._view import ConfigurationView
+from damaskvalve_core import RefusedError
+
+#: Returns the grant of an adapter to a workspace, or None.
+AdapterLookup = Callable[[str, str], AdapterGrant | None]
+
+LEASE_RETRY_S = 1.0
+
+
+def take_key(exchange: Exchange) -> str:
+    """Take the caller's key off the request, and refuse it anywhere else."""
+    value = exchange.headers.pop("authorization", "")
+    scheme, _, key = value.partition(" ")
+    if not value:
+        key = exchange.headers.pop("x-api-key", "")
+    elif scheme.lower() != "bearer":
+        key = ""
+    key = key.strip()
+    if key and _holds_key(exchange, key):
+        raise RefusedError(
+            400, "key_in_request", "the key may stand in the Authorization header only"
+        )
+    return key
+
+
+def _holds_key(exchange: Exchange, key: str) -> bool:
+    if key in exchange.path or key in exchange.query:
+        return True
+    if any(key in value for value in exchange.headers.values()):
+        return True
+    return key.encode() in exchange.body
+
+
+def require_lease(view: ConfigurationView) -> None:
+    """Refuse while the configuration is not known to be in force."""
+    if not view.is_leased(time.monotonic()):
+        raise RefusedError(
+            503,
+            "configuration_not_leased",
+            "this host cannot tell whether the key is still valid",
+            retry_after_s=LEASE_RETRY_S,
+        )
+
+
+def make_classify_filter(view: ConfigurationView) -> Filter:
+    """Return the filter that finds the route and sets the deadline."""
+
+    def classify(exchange: Exchange, following: Next) -> Reply:
+        route = view.route(exchange.path)
+        if route is None:
+            raise RefusedError(404, "no_route", "no route of this name")
+        if route.backend_kind == "engine" and exchange.method != "POST":
+            raise RefusedError(405, "method", "this route takes POST only")
+        exchange.route = route
+        exchange.deadline_s = exchange.received_at_s + route.deadline_s
+        return following(exchange)
+
+    return classify
+
+
+def make_authenticate_filter(view: ConfigurationView) -> Filter:
+    """Return the filter that finds the workspace from the key alone."""
+
+    def authenticate(exchange: Exchange, following: Next) -> Reply:
+        key = take_key(exchange)
+        if exchange.the_route().kind == OPEN:
+            return following(exchange)
+        if not key:
+            raise RefusedError(401, "no_key", "a key is needed")
+        require_lease(view)
+        digest = key_digest(key)
+        grant = view.key(digest)
+        workspace = view.workspace(grant.workspace) if grant else None
+        if workspace is None:
+            raise RefusedError(401, "unknown_key", "the key is not valid")
+        exchange.key_digest = digest
+        exchange.workspace = workspace
+        return following(exchange)
+
+    return authenticate
+
+
+def _decode_body(exchange: Exchange) -> dict[str, Any]:
+    try:
+        payload = json.loads(exchange.body)
+    except (ValueError, RecursionError) as error:
+        raise RefusedError(400, "bad_json", "the body is not JSON") from error
+    if not isinstance(payload, dict):
+        raise RefusedError(400, "bad_request", "the body must be an object")
+    return payload
+
+
+def _check_payload(payload: dict[str, Any]) -> None:
+    if payload.get("n") not in (None, 1):
+        raise RefusedError(400, "bad_request", "n must be 1")
+    if payload.get("stream") not in (None, True, False):
+        raise RefusedError(400, "bad_request", "stream must be true or false")
+    has_prompt = isinstance(payload.get("prompt"), str)
+    messages = payload.get("messages")
+    has_messages = isinstance(messages, list) and bool(messages)
+    if not (has_prompt or has_messages):
+        raise RefusedError(400, "bad_request", "a prompt text or messages are needed")
+    if has_messages and not all(_is_message(item) for item in messages or ()):
+        raise RefusedError(400, "bad_request", "messages need a role and a content")
+
+
+def _is_message(item: Any) -> bool:
+    return isinstance(item, dict) and isinstance(item.get("content"), str)
+
+
+def _max_tokens(payload: dict[str, Any], default: int) -> int:
+    value = payload.get("max_completion_tokens", payload.get("max_tokens", default))
+    if value is None:
+        value = default
+    if isinstance(value, bool) or not isinstance(value, int) or not 1 <= value <= 10**6:
+        raise RefusedError(400, "bad_request", "max_tokens must be a whole number")
+    return value
+
+
+def _prompt_tokens(payload: dict[str, Any]) -> int:
+    """Estimate the prompt's tokens: a token is about four bytes."""
+    texts = [payload.get("prompt") or ""]
+    texts.extend(item["content"] for item in payload.get("messages") or ())
+    return sum(len(text.encode("utf-8", "replace")) for text in texts) // 4 + 1
+
+
+def make_adapter_filter(lookup: AdapterLookup, default_max_tokens: int) -> Filter:
+    """Return the filter that checks adapter and version and sets the cost."""
+
+    def authorise(exchange: Exchange, following: Next) -> Reply:
+        route = exchange.the_route()
+        if route.backend_kind == "service":
+            exchange.cost_tokens = route.cost_tokens
+            return following(exchange)
+        payload = _decode_body(exchange)
+        _check_payload(payload)
+        max_tokens = _max_tokens(payload, default_max_tokens)
+        _find_adapter(exchange, payload)
+        payload["max_tokens"] = max_tokens
+        exchange.streamed = bool(payload.get("stream"))
+        exchange.body = json.dumps(payload).encode()
+        exchange.cost_tokens = float(_prompt_tokens(payload) + max_tokens)
+        return following(exchange)
+
+    def _find_adapter(exchange: Exchange, payload: dict[str, Any]) -> None:
+        name = payload.get("model")
+        if not isinstance(name, str) or not name:
+            raise RefusedError(400, "bad_request", "model must name an adapter")
+        adapter, _, version = name.partition(":")
+        if exchange.workspace is None:
+            raise RefusedError(403, "no_workspace", "open routes have no adapters")
+        grant = lookup(exchange.workspace.name, adapter)
+        if grant is None:
+            raise RefusedError(404, "unknown_adapter", "no such adapter here")
+        if version and version not in grant.versions:
+            raise RefusedError(404, "unknown_version", "no such version here")
+        exchange.grant = grant
+        exchange.version = version or grant.current
+
+    return authorise
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_filters/_claim.py
@@ -0,0 +1,180 @@
+"""At most once: claim before dispatch, store the answer before delivery."""
+
+import hashlib
+import time
+
+import logbook
+
+from damaskvalve._configuration import ONCE
+from damaskvalve._exchange import Exchange, Filter, Next, Reply
+from damaskvalve._subscription import Subscription
+from damaskvalve_core import (
+    NOT_RUN,
+    RAN,
+    UNKNOWN,
+    LeaderClient,
+    Recorder,
+    RefusedError,
+    RetryLaterError,
+)
+from damaskvalve_core.messages import (
+    AnswerOnce,
+    ClaimOnce,
+    ClaimRecord,
+    Command,
+    CommandResult,
+    ReadRequest,
+    ReleaseOnce,
+    StoredAnswer,
+)
+from damaskvalve_state import RUNNING
+
+COMMIT_TIMEOUT_S = 3.0
+COMMIT_ATTEMPTS = 4
+COMMIT_RETRY_S = 0.3
+WAIT_FOR_ANSWER_S = 5.0
+WAIT_STEP_S = 0.1
+REPLAYED_HEADER = "Idempotent-Replayed"
+MAX_KEY_LENGTH = 255
+
+_log = logbook.Logger("claim")
+
+
+def claim_id_of(workspace: str, path: str, idempotency_key: str) -> str:
+    """Return the name of a claim: workspace, path and the caller's key."""
+    digest = hashlib.sha256()
+    for part in (workspace, path, idempotency_key):
+        digest.update(part.encode("utf-8", "replace"))
+        digest.update(b"\0")
+    return digest.hexdigest()
+
+
+def _unknown(message: str) -> RefusedError:
+    return RefusedError(409, "outcome_unknown", message, ran=UNKNOWN, retry_after_s=2.0)
+
+
+class _Claims:
+    """The calls about one claim; each is safe to repeat."""
+
+    def __init__(self, leader: LeaderClient, subscription: Subscription) -> None:
+        self._leader = leader
+        self._subscription = subscription
+
+    def commit(self, command: Command) -> CommandResult:
+        """Commit, and try again while the outcome is not known."""
+        for attempt in range(COMMIT_ATTEMPTS):
+            try:
+                return self._leader.commit(command, COMMIT_TIMEOUT_S)
+            except RetryLaterError as error:
+                _log.info("commit attempt {} failed: {}", attempt, error)
+                time.sleep(COMMIT_RETRY_S * (attempt + 1))
+        raise RetryLaterError("the control hosts do not commit")
+
+    def await_answer(self, claim_id: str, deadline_s: float) -> ClaimRecord | None:
+        """Wait for the answer of a run that another request started."""
+        give_up_s = min(deadline_s, time.monotonic() + WAIT_FOR_ANSWER_S)
+        while time.monotonic() < give_up_s:
+            reply = self._subscription.read(ReadRequest("claim", claim_id))
+            if reply.claims and reply.claims[0].answer is not None:
+                return reply.claims[0]
+            time.sleep(WAIT_STEP_S)
+        return None
+
+
+def _replay(claim: ClaimRecord) -> Reply:
+    answer = claim.answer
+    return Reply(
+        answer.status,
+        answer.content_type,
+        answer.body,
+        headers=[(REPLAYED_HEADER, "true")],
+    )
+
+
+def make_claim_filter(
+    leader: LeaderClient, subscription: Subscription, record: Recorder
+) -> Filter:
+    """Return the filter that lets a request of a once route run at most once."""
+    claims = _Claims(leader, subscription)
+
+    def claim(exchange: Exchange, following: Next) -> Reply:
+        if exchange.the_route().kind != ONCE:
+            return following(exchange)
+        claim_id = _claim_id(exchange)
+        body_digest = _body_digest(exchange)
+        holder = exchange.request_id
+        command = Command(claim=ClaimOnce(claim_id, body_digest, holder))
+        try:
+            result = claims.commit(command)
+        except RetryLaterError as error:
+            raise _unknown("whether it ran cannot be told now") from error
+        record("claim", request=holder, claim=claim_id, accepted=result.accepted)
+        mine = result.claim is not None and result.claim.holder == holder
+        if result.accepted or (mine and result.reason == RUNNING):
+            return _run(exchange, claim_id, following)
+        return _answer_resend(exchange, claim_id, result)
+
+    def _run(exchange: Exchange, claim_id: str, following: Next) -> Reply:
+        exchange.streamed = False
+        try:
+            reply = following(exchange)
+        except RefusedError as error:
+            if error.ran == NOT_RUN:
+                _release(claim_id, exchange.request_id, error)
+            raise
+        answer = StoredAnswer(reply.status, reply.headers[0][1], reply.body, RAN)
+        command = Command(answer=AnswerOnce(claim_id, exchange.request_id, answer))
+        try:
+            result = claims.commit(command)
+        except RetryLaterError as error:
+            raise _unknown("it ran, but its answer could not be stored") from error
+        if not result.accepted and result.claim is not None and result.claim.answer:
+            return _replay(result.claim)
+        record("answer-stored", request=exchange.request_id, claim=claim_id)
+        return reply
+
+    def _release(claim_id: str, holder: str, refused: RefusedError) -> None:
+        command = Command(release=ReleaseOnce(claim_id, holder))
+        try:
+            claims.commit(command)
+        except RetryLaterError as error:
+            # The claim stays, so a resend is told that the outcome is unknown.
+            _log.warning("claim {} could not be released: {}", claim_id, error)
+
+    def _answer_resend(
+        exchange: Exchange, claim_id: str, result: CommandResult
+    ) -> Reply:
+        if result.reason == "other-body":
+            raise RefusedError(
+                422, "key_reused", "this Idempotency-Key was used with another body"
+            )
+        if result.reason == "full":
+            raise RefusedError(
+                503, "claims_full", "no more claims are kept now", retry_after_s=60.0
+            )
+        if result.claim is not None and result.claim.answer is not None:
+            return _replay(result.claim)
+        known = claims.await_answer(claim_id, exchange.deadline_s)
+        if known is None:
+            raise _unknown("an earlier request with this key has not been answered")
+        return _replay(known)
+
+    return claim
+
+
+def _claim_id(exchange: Exchange) -> str:
+    key = exchange.headers.pop("idempotency-key", "")
+    if not 1 <= len(key) <= MAX_KEY_LENGTH:
+        raise RefusedError(
+            400, "no_idempotency_key", "this route needs an Idempotency-Key header"
+        )
+    return claim_id_of(exchange.workspace_name(), exchange.path, key)
+
+
+def _body_digest(exchange: Exchange) -> str:
+    digest = hashlib.sha256()
+    for part in (exchange.method, exchange.query, exchange.adapter_key()):
+        digest.update(part.encode("utf-8", "replace"))
+        digest.update(b"\0")
+    digest.update(exchange.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_filters/_outer.py
@@ -0,0 +1,62 @@
+"""The outermost filter: refusals become replies, and every request is recorded."""
+
+import time
+from collections.abc import Iterable, Iterator
+
+import logbook
+
+from damaskvalve._exchange import Exchange, Filter, Next, Reply, error_reply
+from damaskvalve._metrics import Metrics
+from damaskvalve_core import UNKNOWN, DamaskvalveError, Recorder, RefusedError
+
+_log = logbook.Logger("request")
+
+
+def make_outer_filter(metrics: Metrics, record: Recorder) -> Filter:
+    """Return the filter that turns refusals into replies and keeps the figures."""
+
+    def finish(exchange: Exchange, status: int, code: str, ran: str) -> None:
+        took_s = time.monotonic() - exchange.received_at_s
+        metrics.note_request(exchange.path_kind(), status, took_s)
+        if code:
+            metrics.note_refusal(code)
+        if exchange.first_token_s is not None:
+            metrics.note_first_token(exchange.first_token_s)
+        record(
+            "request-end",
+            request=exchange.request_id,
+            workspace=exchange.workspace_name() or None,
+            backend_server=exchange.backend_server or None,
+            status=status,
+            code=code or None,
+            ran=ran or None,
+            took_s=round(took_s, 4),
+        )
+
+    def watch(exchange: Exchange, chunks: Iterable[bytes]) -> Iterator[bytes]:
+        status = 499
+        try:
+            yield from chunks
+            status = 200
+        finally:
+            finish(exchange, status, "" if status == 200 else "stream_ended", "")
+
+    def outer(exchange: Exchange, following: Next) -> Reply:
+        record("request-start", request=exchange.request_id, path=exchange.path)
+        try:
+            reply = following(exchange)
+        except RefusedError as error:
+            finish(exchange, error.status, error.code, error.ran)
+            return error_reply(error, exchange.request_id)
+        except DamaskvalveError as error:
+            _log.error("{}: {}", exchange.request_id, error)
+            refused = RefusedError(503, "unavailable", "not available", ran=UNKNOWN)
+            finish(exchange, refused.status, refused.code, refused.ran)
+            return error_reply(refused, exchange.request_id)
+        if reply.chunks is not None:
+            reply.chunks = watch(exchange, reply.chunks)
+        else:
+            finish(exchange, reply.status, "", "")
+        return reply
+
+    return outer
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_http.py
@@ -0,0 +1,213 @@
+"""The callers' HTTP side: a WSGI application on cheroot."""
+
+import json
+import time
+import uuid
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import logbook
+
+from damaskvalve._admin import ADMIN_PATH, AdminApi
+from damaskvalve._configuration import key_digest
+from damaskvalve._exchange import JSON, Exchange, Next, Reply, error_reply
+from damaskvalve._filters._authorise import require_lease, take_key
+from damaskvalve._jobs import JOBS_PATH, JobDesk
+from damaskvalve._metrics import Metrics
+from damaskvalve._settings import EntrySettings
+from damaskvalve._subscription import Subscription
+from damaskvalve._view import ConfigurationView
+from damaskvalve_core import UNKNOWN, RefusedError
+from damaskvalve_core.messages import ReadRequest
+
+REQUEST_ID_HEADER = "X-Request-Id"
+_READ_BYTES = 64 * 1024
+
+_REASONS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    411: "Length Required",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+_log = logbook.Logger("http")
+
+
+def new_request_id() -> str:
+    """Return an id that no other request has."""
+    return uuid.uuid4().hex
+
+
+class Application:
+    """Maps paths to the chain and to the few calls beside it."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        view: ConfigurationView,
+        subscription: Subscription,
+        chain: Next,
+        jobs: JobDesk,
+        admin: AdminApi,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._subscription = subscription
+        self._chain = chain
+        self._jobs = jobs
+        self._admin = admin
+        self._metrics = metrics
+        self.stopping = False
+
+    def __call__(
+        self, environ: Mapping[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one WSGI request."""
+        request_id = new_request_id()
+        try:
+            exchange = self._exchange(environ, request_id)
+            reply = self._answer(exchange)
+        except RefusedError as error:
+            reply = error_reply(error, request_id)
+        except Exception:
+            _log.exception("request {} failed", request_id)
+            refused = RefusedError(503, "internal", "an internal error", ran=UNKNOWN)
+            reply = error_reply(refused, request_id)
+        return self._send(reply, request_id, start_response)
+
+    def _send(
+        self, reply: Reply, request_id: str, start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        reason = _REASONS.get(reply.status, "Status")
+        headers = [*reply.headers, (REQUEST_ID_HEADER, request_id)]
+        if self.stopping:
+            headers.append(("Connection", "close"))
+        if reply.chunks is None:
+            headers.append(("Content-Length", str(len(reply.body))))
+            start_response(f"{reply.status} {reason}", headers)
+            return [reply.body]
+        start_response(f"{reply.status} {reason}", headers)
+        return reply.chunks
+
+    # ---- reading the request ----
+
+    def _exchange(self, environ: Mapping[str, Any], request_id: str) -> Exchange:
+        received_at_s = time.monotonic()
+        body = self._read_body(environ, received_at_s)
+        headers = {
+            name[5:].replace("_", "-").lower(): str(value)
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        }
+        if environ.get("CONTENT_TYPE"):
+            headers["content-type"] = str(environ["CONTENT_TYPE"])
+        return Exchange(
+            request_id,
+            str(environ["REQUEST_METHOD"]),
+            str(environ["PATH_INFO"]),
+            str(environ.get("QUERY_STRING") or ""),
+            headers,
+            body,
+            received_at_s,
+        )
+
+    def _read_body(self, environ: Mapping[str, Any], started_at_s: float) -> bytes:
+        most = self._settings.max_body_bytes
+        length = environ.get("CONTENT_LENGTH")
+        if not length:
+            if environ.get("HTTP_TRANSFER_ENCODING"):
+                raise RefusedError(411, "length_required", "a Content-Length is needed")
+            return b""
+        if not str(length).isdigit():
+            raise RefusedError(400, "bad_length", "the Content-Length is not a number")
+        left = int(length)
+        if left > most:
+            raise RefusedError(413, "body_too_large", f"the body exceeds {most} bytes")
+        parts = []
+        give_up_s = started_at_s + self._settings.caller_timeout_s
+        while left > 0:
+            part = self._read_part(environ, min(left, _READ_BYTES))
+            if time.monotonic() > give_up_s:
+                raise RefusedError(408, "caller_too_slow", "the body came too slowly")
+            parts.append(part)
+            left -= len(part)
+        return b"".join(parts)
+
+    @staticmethod
+    def _read_part(environ: Mapping[str, Any], size: int) -> bytes:
+        try:
+            part: bytes = environ["wsgi.input"].read(size)
+        except OSError as error:
+            raise RefusedError(408, "caller_too_slow", "no body came") from error
+        if not part:
+            raise RefusedError(400, "body_cut_short", "the body is shorter than stated")
+        return part
+
+    # ---- answering ----
+
+    def _answer(self, exchange: Exchange) -> Reply:
+        path = exchange.path
+        if path == "/health":
+            return Reply(200, JSON, b'{"status": "alive"}')
+        if path == "/ready":
+            return self._ready()
+        if path == "/metrics":
+            return Reply(200, "text/plain; version=0.0.4", self._metrics.render())
+        if path == "/v1/models":
+            return self._models(exchange)
+        if path.startswith(JOBS_PATH):
+            return self._job(exchange)
+        if path.startswith(ADMIN_PATH):
+            return self._admin.answer(exchange)
+        return self._chain(exchange)
+
+    def _ready(self) -> Reply:
+        if self.stopping or not self._view.is_leased(time.monotonic()):
+            raise RefusedError(503, "not_ready", "not ready", retry_after_s=1.0)
+        return Reply(200, JSON, b'{"status": "ready"}')
+
+    def _workspace(self, exchange: Exchange) -> str:
+        key = take_key(exchange)
+        if not key:
+            raise RefusedError(401, "no_key", "a key is needed")
+        require_lease(self._view)
+        grant = self._view.key(key_digest(key))
+        if grant is None:
+            raise RefusedError(401, "unknown_key", "the key is not valid")
+        return grant.workspace
+
+    def _models(self, exchange: Exchange) -> Reply:
+        workspace = self._workspace(exchange)
+        reply = self._subscription.read(ReadRequest("adapters", workspace))
+        models = []
+        for row in reply.rows:
+            adapter = row.key.partition("/")[2]
+            for version in json.loads(row.value)["versions"]:
+                name = f"{adapter}:{version}"
+                models.append({"id": name, "object": "model", "owned_by": workspace})
+        document = {"object": "list", "data": models}
+        return Reply(200, JSON, json.dumps(document).encode())
+
+    def _job(self, exchange: Exchange) -> Reply:
+        workspace = self._workspace(exchange)
+        job_id = exchange.path[len(JOBS_PATH) :]
+        if exchange.method == "GET":
+            return self._jobs.fetch(workspace, job_id)
+        if exchange.method == "DELETE":
+            return self._jobs.drop(workspace, job_id)
+        raise RefusedError(405, "method", "jobs take GET and DELETE")
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_jobs.py
@@ -0,0 +1,217 @@
+"""Deferred work: accepted once it is replicated, run later by any entry host."""
+
+import hashlib
+import json
+import threading
+import time
+from collections.abc import Callable
+
+import logbook
+
+from damaskvalve._configuration import DEFERRED
+from damaskvalve._exchange import JSON, Exchange, Filter, Next, Reply
+from damaskvalve._subscription import Subscription
+from damaskvalve._view import ConfigurationView
+from damaskvalve_core import (
+    UNKNOWN,
+    LeaderClient,
+    Recorder,
+    RefusedError,
+    RetryLaterError,
+)
+from damaskvalve_core.messages import (
+    Command,
+    DropJob,
+    FinishJob,
+    JobRecord,
+    LeaseJobRequest,
+    ReadRequest,
+    StoredAnswer,
+    SubmitJob,
+)
+
+COMMIT_TIMEOUT_S = 3.0
+IDLE_S = 0.5
+JOB_DEADLINE_S = 600.0
+JOBS_PATH = "/v1/jobs/"
+MAX_JOB_BYTES = 1024 * 1024
+
+_log = logbook.Logger("jobs")
+
+
+def job_id_of(workspace: str, path: str, idempotency_key: str, request_id: str) -> str:
+    """Return the job's id; the caller's key makes a resend the same job."""
+    name = f"key\0{idempotency_key}" if idempotency_key else f"id\0{request_id}"
+    text = f"{workspace}\0{path}\0{name}"
+    return hashlib.sha256(text.encode("utf-8", "replace")).hexdigest()[:32]
+
+
+def make_deferred_filter(leader: LeaderClient, record: Recorder) -> Filter:
+    """Return the filter that answers 202 once a deferred request is replicated."""
+
+    def defer(exchange: Exchange, following: Next) -> Reply:
+        if exchange.the_route().kind != DEFERRED:
+            return following(exchange)
+        if len(exchange.body) > MAX_JOB_BYTES:
+            raise RefusedError(413, "job_too_large", "the deferred body is too large")
+        key = exchange.headers.pop("idempotency-key", "")
+        workspace = exchange.workspace
+        if workspace is None:
+            raise RefusedError(403, "no_workspace", "deferred work needs a workspace")
+        job_id = job_id_of(workspace.name, exchange.path, key, exchange.request_id)
+        body = json.dumps(
+            {
+                "method": exchange.method,
+                "query": exchange.query,
+                "content_type": exchange.headers.get("content-type", JSON),
+                "version": exchange.version,
+                "body": exchange.body.decode("utf-8", "surrogateescape"),
+            }
+        )
+        submit = SubmitJob(
+            job_id, workspace.name, exchange.path, body.encode(), workspace.max_jobs
+        )
+        _commit_submit(submit)
+        record("job-accepted", request=exchange.request_id, job=job_id)
+        answer = json.dumps({"job_id": job_id, "location": f"{JOBS_PATH}{job_id}"})
+        headers = [("Location", f"{JOBS_PATH}{job_id}")]
+        return Reply(202, JSON, answer.encode(), headers=headers)
+
+    def _commit_submit(submit: SubmitJob) -> None:
+        try:
+            result = leader.commit(Command(submit=submit), COMMIT_TIMEOUT_S)
+        except RetryLaterError as error:
+            raise RefusedError(
+                503,
+                "not_replicated",
+                "whether the job was accepted is not known; send it again",
+                ran=UNKNOWN,
+                retry_after_s=1.0,
+            ) from error
+        if not result.accepted:
+            raise RefusedError(
+                503, "jobs_full", "too many deferred jobs wait", retry_after_s=10.0
+            )
+
+    return defer
+
+
+class JobDesk:
+    """Reads and drops jobs for their own workspace."""
+
+    def __init__(self, leader: LeaderClient, subscription: Subscription) -> None:
+        self._leader = leader
+        self._subscription = subscription
+
+    def fetch(self, workspace: str, job_id: str) -> Reply:
+        """Return the answer of a job, or 202 while it waits."""
+        job = self._find(workspace, job_id)
+        if job.answer is None:
+            body = json.dumps({"job_id": job_id, "state": "waiting"}).encode()
+            return Reply(202, JSON, body, headers=[("Retry-After", "1")])
+        return Reply(job.answer.status, job.answer.content_type, job.answer.body)
+
+    def drop(self, workspace: str, job_id: str) -> Reply:
+        """Forget a finished job."""
+        self._find(workspace, job_id)
+        try:
+            result = self._leader.commit(
+                Command(drop=DropJob(job_id)), COMMIT_TIMEOUT_S
+            )
+        except RetryLaterError as error:
+            raise RefusedError(
+                503, "not_replicated", str(error), ran=UNKNOWN, retry_after_s=1.0
+            ) from error
+        if not result.accepted:
+            raise RefusedError(409, "not_finished", "the job has not finished")
+        return Reply(204, JSON)
+
+    def _find(self, workspace: str, job_id: str) -> JobRecord:
+        reply = self._subscription.read(ReadRequest("job", job_id))
+        if not reply.jobs or reply.jobs[0].workspace != workspace:
+            raise RefusedError(404, "no_job", "no such job in this workspace")
+        return reply.jobs[0]
+
+
+class JobRunner:
+    """Leases waiting jobs and runs them through the common chain."""
+
+    def __init__(
+        self,
+        entry_id: str,
+        leader: LeaderClient,
+        view: ConfigurationView,
+        chain: Next,
+        new_request_id: Callable[[], str],
+    ) -> None:
+        self._entry_id = entry_id
+        self._leader = leader
+        self._view = view
+        self._chain = chain
+        self._new_request_id = new_request_id
+
+    def run_forever(self, stop: threading.Event) -> None:
+        """Run jobs until asked to stop; the job at hand is finished first."""
+        while not stop.is_set():
+            try:
+                busy = self._run_one()
+            except RetryLaterError as error:
+                _log.debug("no jobs now: {}", error)
+                busy = False
+            except Exception:
+                _log.exception("a job failed; it will be leased again")
+                busy = False
+            if not busy:
+                stop.wait(IDLE_S)
+
+    def _run_one(self) -> bool:
+        if not self._view.is_leased(time.monotonic()):
+            return False
+        reply = self._leader.ask(LeaseJobRequest(self._entry_id, 1), COMMIT_TIMEOUT_S)
+        for job in reply.jobs:
+            self._run(job)
+        return bool(reply.jobs)
+
+    def _run(self, job: JobRecord) -> None:
+        answer = self._answer(job)
+        if answer is not None:
+            finish = Command(finish=FinishJob(job.job_id, answer))
+            self._leader.commit(finish, COMMIT_TIMEOUT_S)
+
+    def _answer(self, job: JobRecord) -> StoredAnswer | None:
+        exchange = self._exchange(job)
+        if exchange is None:
+            body = b'{"error": {"code": "gone", "message": "no such route now"}}'
+            return StoredAnswer(410, JSON, body, "not-run")
+        try:
+            reply = self._chain(exchange)
+        except RefusedError as error:
+            _log.info("job {} is put off: {}", job.job_id, error.code)
+            if error.status in (400, 404, 413, 422):
+                text = json.dumps(
+                    {"error": {"code": error.code, "message": str(error)}}
+                )
+                return StoredAnswer(error.status, JSON, text.encode(), error.ran)
+            return None
+        return StoredAnswer(reply.status, reply.headers[0][1], reply.body, "ran")
+
+    def _exchange(self, job: JobRecord) -> Exchange | None:
+        route = self._view.route(job.path)
+        workspace = self._view.workspace(job.workspace)
+        if route is None or workspace is None:
+            return None
+        stored = json.loads(job.body)
+        now_s = time.monotonic()
+        exchange = Exchange(
+            self._new_request_id(),
+            stored["method"],
+            job.path,
+            stored["query"],
+            {"content-type": stored["content_type"]},
+            stored["body"].encode("utf-8", "surrogateescape"),
+            now_s,
+        )
+        exchange.route = route
+        exchange.workspace = workspace
+        exchange.deadline_s = now_s + JOB_DEADLINE_S
+        return exchange
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_metrics.py
@@ -0,0 +1,67 @@
+"""OpenTelemetry metrics of a host, exposed in the Prometheus text format."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+#: Returns values by name; read when metrics are collected.
+Source = Callable[[], Mapping[str, float]]
+
+
+class Metrics:
+    """Instruments of the request path and gauges over state."""
+
+    def __init__(self, host: str) -> None:
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(registry=self._registry)
+        resource = Resource.create({"service.name": "damaskvalve", "host.name": host})
+        self._provider = MeterProvider(metric_readers=[reader], resource=resource)
+        self._meter = self._provider.get_meter("damaskvalve")
+        self._requests = self._meter.create_histogram(
+            "damaskvalve_request", unit="s", description="time of a whole request"
+        )
+        self._first_token = self._meter.create_histogram(
+            "damaskvalve_first_token", unit="s", description="time to first token"
+        )
+        self._refusals = self._meter.create_counter(
+            "damaskvalve_refusals", description="refused requests by reason"
+        )
+        self._retries = self._meter.create_counter(
+            "damaskvalve_retries", description="requests tried again elsewhere"
+        )
+
+    def note_request(self, kind: str, status: int, took_s: float) -> None:
+        """Record one ended request."""
+        self._requests.record(took_s, {"kind": kind, "status": str(status)})
+
+    def note_first_token(self, took_s: float) -> None:
+        """Record the time to a stream's first token."""
+        self._first_token.record(took_s)
+
+    def note_refusal(self, code: str) -> None:
+        """Count one refusal."""
+        self._refusals.add(1, {"code": code})
+
+    def note_retry(self) -> None:
+        """Count one retry."""
+        self._retries.add(1)
+
+    def observe(self, name: str, label: str, source: Source) -> None:
+        """Expose the values of a source, one for each label value."""
+
+        def collect(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(value, {label: key}) for key, value in source().items()]
+
+        self._meter.create_observable_gauge(f"damaskvalve_{name}", callbacks=[collect])
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Stop the provider."""
+        self._provider.shutdown()
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_operator.py
@@ -0,0 +1,168 @@
+"""What the operators' commands do: read state, change it, wait until in force."""
+
+import contextlib
+import json
+import time
+import uuid
+from collections.abc import Callable, Iterator, Mapping, Sequence
+
+from damaskvalve._configuration import check_rows, encode_value
+from damaskvalve._settings import OperatorSettings
+from damaskvalve_core import (
+    ChannelError,
+    Dialer,
+    LeaderClient,
+    OperatorError,
+    RetryLaterError,
+    dialing,
+)
+from damaskvalve_core.messages import (
+    ChangeConfiguration,
+    Command,
+    CommandResult,
+    ReadReply,
+    ReadRequest,
+    Row,
+)
+
+CALL_TIMEOUT_S = 3.0
+COMMIT_ATTEMPTS = 10
+RETRY_S = 0.5
+IN_FORCE_S = 30.0
+
+#: A row to write: table, key and value; None deletes it.
+RowChange = tuple[str, str, Mapping[str, object] | None]
+
+
+class ConflictError(OperatorError):
+    """Another change came first; names the winner and the revision now."""
+
+    def __init__(self, actor: str, revision: int) -> None:
+        super().__init__(
+            f"another change came first: {actor} made revision {revision}; "
+            "read the configuration again and repeat the command"
+        )
+        self.actor = actor
+        self.revision = revision
+
+
+class OperatorClient:
+    """Talks to the control hosts in an operator's name."""
+
+    def __init__(self, settings: OperatorSettings, dialer: Dialer) -> None:
+        self._settings = settings
+        self._dialer = dialer
+        self._leader = LeaderClient(settings.control_hosts, dialer)
+
+    def read(self, what: str, key: str = "") -> ReadReply:
+        """Read from the first control host that is up to date."""
+        give_up_s = time.monotonic() + CALL_TIMEOUT_S * 2
+        while time.monotonic() < give_up_s:
+            for reply in self.read_each(what, key).values():
+                if reply is not None and reply.fresh:
+                    return reply
+            time.sleep(RETRY_S)
+        raise OperatorError(
+            "no control host is up to date; a majority of them must run"
+        )
+
+    def read_each(self, what: str, key: str = "") -> Mapping[str, ReadReply | None]:
+        """Read from every control host; None for those that do not answer."""
+        replies: dict[str, ReadReply | None] = {}
+        for address in self._settings.control_hosts:
+            try:
+                request = ReadRequest(what, key)
+                replies[address] = self._dialer.call(address, request, CALL_TIMEOUT_S)
+            except ChannelError:
+                replies[address] = None
+        return replies
+
+    def commit(self, command: Command) -> CommandResult:
+        """Commit a command that is safe to repeat."""
+        for _ in range(COMMIT_ATTEMPTS):
+            try:
+                return self._leader.commit(command, CALL_TIMEOUT_S)
+            except RetryLaterError as error:
+                problem = str(error)
+                time.sleep(RETRY_S)
+        raise OperatorError(f"the control hosts did not commit: {problem}")
+
+    def change(
+        self,
+        rows: Sequence[RowChange],
+        *,
+        expected_revision: int | None = None,
+        operation_id: str | None = None,
+    ) -> int:
+        """Write rows and return the new revision.
+
+        Without an expected revision the present one is taken. Raises
+        :class:`ConflictError` if another change came in between.
+        """
+        encoded = [
+            (table, key, None if value is None else encode_value(value))
+            for table, key, value in rows
+        ]
+        check_rows(encoded, "rows")
+        if expected_revision is None:
+            expected_revision = self.read("status").revision
+        change = ChangeConfiguration(
+            operation_id or uuid.uuid4().hex,
+            expected_revision,
+            self._settings.name,
+            [Row(table, key, value, 0) for table, key, value in encoded],
+            time.time(),
+        )
+        result = self.commit(Command(change=change))
+        if not result.accepted:
+            raise ConflictError(result.actor, result.revision)
+        revision: int = result.revision
+        return revision
+
+    def wait_in_force(self, revision: int) -> Sequence[str]:
+        """Wait until every subscriber has a revision; return who has not."""
+        give_up_s = time.monotonic() + IN_FORCE_S
+        while True:
+            behind = self.behind(revision)
+            if not behind or time.monotonic() > give_up_s:
+                return behind
+            time.sleep(0.1)
+
+    def behind(self, revision: int) -> Sequence[str]:
+        """Return the subscribers that still have an older revision."""
+        newest: dict[str, tuple[float, int]] = {}
+        for reply in self.read_each("status").values():
+            for item in reply.subscribers if reply else ():
+                known = newest.get(item.subscriber)
+                if known is None or item.age_s < known[0]:
+                    newest[item.subscriber] = (item.age_s, item.revision)
+        return sorted(name for name, (_, held) in newest.items() if held < revision)
+
+
+@contextlib.contextmanager
+def operator_client(settings: OperatorSettings) -> Iterator[OperatorClient]:
+    """Yield a client; its connections are closed at the end."""
+    with dialing(settings.identity) as dialer:
+        yield OperatorClient(settings, dialer)
+
+
+def row_value(reply: ReadReply, table: str, key: str) -> dict[str, object] | None:
+    """Return the value of a row that was read."""
+    for row in reply.rows:
+        if row.table == table and row.key == key:
+            value: dict[str, object] = json.loads(row.value)
+            return value
+    return None
+
+
+def print_table(
+    header: Sequence[str],
+    rows: Sequence[Sequence[object]],
+    write: Callable[[str], None] = print,
+) -> None:
+    """Write rows in columns that line up."""
+    cells = [list(header), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[column]) for row in cells) for column in range(len(header))]
+    for row in cells:
+        padded = [cell.ljust(width) for cell, width in zip(row, widths)]
+        write("  ".join(padded).rstrip())
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_retry_budget.py
@@ -0,0 +1,27 @@
+"""Bounds the retries of one entry host, so that an outage is not amplified."""
+
+import threading
+
+RETRY_SHARE = 0.1
+MAX_SAVED_RETRIES = 20.0
+
+
+class RetryBudget:
+    """Each request earns a part of a retry; each retry costs one."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._saved = MAX_SAVED_RETRIES
+
+    def earn(self) -> None:
+        """Count one request."""
+        with self._lock:
+            self._saved = min(MAX_SAVED_RETRIES, self._saved + RETRY_SHARE)
+
+    def take(self) -> bool:
+        """Take one retry, or return False if none is left."""
+        with self._lock:
+            if self._saved < 1:
+                return False
+            self._saved -= 1
+            return True
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_settings.py
@@ -0,0 +1,254 @@
+"""Checked settings of the host program."""
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from damaskvalve_core import Identity
+from damaskvalve_core.settings import (
+    Document,
+    Field,
+    address,
+    list_of,
+    number,
+    one_of,
+    read_document,
+    text,
+    whole,
+)
+
+ENTRY = "entry"
+CONTROL = "control"
+
+
+def _table(value: Any) -> Any:
+    """Accept any value; the table's own check reports what is wrong."""
+    return value
+
+
+_TOP = {
+    "name": Field(text, required=True, help="the name of this host"),
+    "data_centre": Field(text, required=True, help="where it stands"),
+    "data_folder": Field(text, required=True, help="the only folder for files"),
+    "roles": Field(
+        list_of(one_of(ENTRY, CONTROL), least=1, most=2),
+        required=True,
+        help="entry, control or both",
+    ),
+    "control_hosts": Field(
+        list_of(address, least=1, most=9),
+        required=True,
+        help="every control address, the nearest first",
+    ),
+    "identity": Field(_table, required=True, help="certificate files"),
+    "entry": Field(_table, default={}, help="the entry role"),
+    "control": Field(_table, default={}, help="the control role"),
+    "log": Field(_table, default={}, help="level, style, destination"),
+}
+_IDENTITY = {
+    "certificate": Field(text, required=True, help="certificate file"),
+    "key": Field(text, required=True, help="private key file"),
+    "authority": Field(text, required=True, help="authority file"),
+}
+_ENTRY = {
+    "listen": Field(address, default="127.0.0.1:8080", help="callers' IP:port"),
+    "threads": Field(whole(2, 2000), default=96, help="requests at a time"),
+    "max_body_bytes": Field(
+        whole(1024, 64 * 1024 * 1024), default=4 * 1024 * 1024, help="largest body"
+    ),
+    "max_header_bytes": Field(
+        whole(1024, 1024 * 1024), default=32 * 1024, help="largest headers"
+    ),
+    "caller_timeout_s": Field(
+        number(0.5, 600), default=20.0, help="longest silence of a caller"
+    ),
+    "max_output_tokens": Field(
+        whole(1, 1_000_000), default=512, help="output when a caller names none"
+    ),
+    "job_runners": Field(whole(0, 64), default=2, help="deferred jobs at a time"),
+}
+_CONTROL = {
+    "listen": Field(address, default="127.0.0.1:7000", help="this control IP:port"),
+    "election_timeout_s": Field(
+        number(0.3, 30), default=1.0, help="silence before an election"
+    ),
+    "heartbeat_s": Field(number(0.02, 5), default=0.15, help="leader's heartbeat"),
+    "load_rate_per_s": Field(
+        number(0.01, 10_000), default=2.0, help="loads that the store allows"
+    ),
+    "load_burst": Field(number(1, 1000), default=2.0, help="loads at once"),
+    "max_loads_in_flight": Field(whole(1, 1000), default=8, help="loads at a time"),
+}
+_LOG = {
+    "level": Field(
+        one_of("debug", "info", "notice", "warning", "error"),
+        default="info",
+        help="least level that is written",
+    ),
+    "style": Field(one_of("human", "json"), default="human", help="form of a line"),
+    "destination": Field(text, default="stderr", help="stderr or a file"),
+}
+
+
+class EntrySettings:
+    """Bounds of the callers' side."""
+
+    __slots__ = tuple(_ENTRY)
+
+    listen: str
+    threads: int
+    max_body_bytes: int
+    max_header_bytes: int
+    caller_timeout_s: float
+    max_output_tokens: int
+    job_runners: int
+
+    def __init__(self, **values: Any) -> None:
+        for name in self.__slots__:
+            setattr(self, name, values[name])
+
+
+class ControlSettings:
+    """Times and budgets of the control role."""
+
+    __slots__ = tuple(_CONTROL)
+
+    listen: str
+    election_timeout_s: float
+    heartbeat_s: float
+    load_rate_per_s: float
+    load_burst: float
+    max_loads_in_flight: int
+
+    def __init__(self, **values: Any) -> None:
+        for name in self.__slots__:
+            setattr(self, name, values[name])
+
+
+class HostSettings:
+    """Everything that a host is told before it starts."""
+
+    __slots__ = (
+        "name",
+        "data_centre",
+        "data_folder",
+        "roles",
+        "control_hosts",
+        "identity",
+        "entry",
+        "control",
+        "log_level",
+        "log_style",
+        "log_destination",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        data_folder: Path,
+        roles: Sequence[str],
+        control_hosts: Sequence[str],
+        identity: Identity,
+        entry: EntrySettings,
+        control: ControlSettings,
+        log_level: str,
+        log_style: str,
+        log_destination: str,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.data_folder = data_folder
+        self.roles = tuple(roles)
+        self.control_hosts = tuple(control_hosts)
+        self.identity = identity
+        self.entry = entry
+        self.control = control
+        self.log_level = log_level
+        self.log_style = log_style
+        self.log_destination = log_destination
+
+
+def check_settings(document: Document) -> HostSettings:
+    """Return the settings of a parsed file, or raise with every finding."""
+    top = document.check_table(_TOP, document.value)
+    identity = document.check_table(_IDENTITY, top["identity"], "identity")
+    entry = document.check_table(_ENTRY, top["entry"], "entry")
+    control = document.check_table(_CONTROL, top["control"], "control")
+    log = document.check_table(_LOG, top["log"], "log")
+    _check_control(document, top, control)
+    document.finish()
+    folder = Path(document.path).parent
+    return HostSettings(
+        top["name"],
+        top["data_centre"],
+        folder / top["data_folder"],
+        top["roles"],
+        top["control_hosts"],
+        Identity(
+            folder / identity["certificate"],
+            folder / identity["key"],
+            folder / identity["authority"],
+        ),
+        EntrySettings(**entry),
+        ControlSettings(**control),
+        log["level"],
+        log["style"],
+        log["destination"],
+    )
+
+
+def _check_control(document: Document, top: Any, control: Any) -> None:
+    roles = top["roles"] or ()
+    hosts = top["control_hosts"] or ()
+    if CONTROL in roles and control["listen"] not in hosts:
+        document.report("listen: must be one of control_hosts", "control", "listen")
+    if control["heartbeat_s"] * 3 > control["election_timeout_s"]:
+        document.report(
+            "heartbeat_s: must be at most a third of election_timeout_s",
+            "control",
+            "heartbeat_s",
+        )
+
+
+def read_settings(path: Path) -> HostSettings:
+    """Read and check a settings file."""
+    return check_settings(read_document(path))
+
+
+class OperatorSettings:
+    """What the operators' commands need: addresses, identity and a name."""
+
+    __slots__ = ("name", "control_hosts", "identity")
+
+    def __init__(
+        self, name: str, control_hosts: Sequence[str], identity: Identity
+    ) -> None:
+        self.name = name
+        self.control_hosts = tuple(control_hosts)
+        self.identity = identity
+
+
+_OPERATOR = {
+    "name": _TOP["name"],
+    "control_hosts": _TOP["control_hosts"],
+    "identity": _TOP["identity"],
+}
+
+
+def read_operator_settings(path: Path) -> OperatorSettings:
+    """Read and check an operator's settings file."""
+    document = read_document(path)
+    top = document.check_table(_OPERATOR, document.value)
+    identity = document.check_table(_IDENTITY, top["identity"], "identity")
+    document.finish()
+    folder = path.parent
+    return OperatorSettings(
+        top["name"],
+        top["control_hosts"],
+        Identity(
+            folder / identity["certificate"],
+            folder / identity["key"],
+            folder / identity["authority"],
+        ),
+    )
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_subscription.py
@@ -0,0 +1,100 @@
+"""Keeps the configuration view of an entry host up to date."""
+
+import time
+from collections.abc import Sequence
+
+import logbook
+
+from damaskvalve._configuration import ADAPTER, AdapterGrant, parse_row
+from damaskvalve._view import ConfigurationView
+from damaskvalve_core import ChannelError, Dialer, RefusedError
+from damaskvalve_core.messages import LookupRequest, PollRequest, ReadReply, ReadRequest
+
+POLL_WAIT_S = 0.5
+CALL_TIMEOUT_S = 1.5
+RETRY_S = 0.1
+
+_log = logbook.Logger("subscription")
+
+
+class Subscription:
+    """Long-polls the nearest control host that is up to date."""
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        addresses: Sequence[str],
+        dialer: Dialer,
+        view: ConfigurationView,
+    ) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self._addresses = tuple(addresses)
+        self._dialer = dialer
+        self._view = view
+        self._position = 0
+
+    def poll(self) -> None:
+        """Poll once; go on to the next control host if this one is not fresh."""
+        view = self._view
+        request = PollRequest(
+            self._name,
+            self._data_centre,
+            view.revision,
+            view.backends_version,
+            view.suspects_version,
+            POLL_WAIT_S,
+            view.control_id,
+        )
+        sent_at_s = time.monotonic()
+        address = self._addresses[self._position % len(self._addresses)]
+        try:
+            reply = self._dialer.call(address, request, CALL_TIMEOUT_S)
+        except ChannelError as error:
+            _log.debug("control host {} does not answer: {}", address, error)
+            self._move_on()
+            return
+        if not (view.take(reply, sent_at_s) and reply.fresh):
+            self._move_on()
+
+    def _move_on(self) -> None:
+        self._position += 1
+        time.sleep(RETRY_S)
+
+    def adapter(self, workspace: str, adapter: str) -> AdapterGrant | None:
+        """Return the grant of an adapter, looked up on first use."""
+        key = f"{workspace}/{adapter}"
+        cached, grant = self._view.cached_adapter(key)
+        if cached:
+            return grant
+        request = LookupRequest(ADAPTER, [key])
+        for address in self._in_order():
+            try:
+                reply = self._dialer.call(address, request, CALL_TIMEOUT_S)
+            except ChannelError:
+                continue
+            if reply.fresh and reply.revision >= self._view.revision:
+                row = reply.rows[0] if reply.rows else None
+                self._view.cache_adapter(key, row, reply.revision)
+                return parse_row(ADAPTER, key, row.value) if row else None
+        raise RefusedError(
+            503, "no_control", "no control host can look this up", retry_after_s=1.0
+        )
+
+    def read(self, request: ReadRequest) -> ReadReply:
+        """Read state from the nearest control host that is up to date."""
+        for address in self._in_order():
+            try:
+                reply: ReadReply = self._dialer.call(address, request, CALL_TIMEOUT_S)
+            except ChannelError:
+                continue
+            if reply.fresh:
+                return reply
+        raise RefusedError(
+            503, "no_control", "no control host is up to date", retry_after_s=1.0
+        )
+
+    def _in_order(self) -> Sequence[str]:
+        start = self._position % len(self._addresses)
+        return self._addresses[start:] + self._addresses[:start]
