--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_work_call.py
@@ -0,0 +1,122 @@
+"""One attempt at an agent: sends the work and checks everything that returns."""
+
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from damaskvalve_core import (
+    NOT_RUN,
+    UNKNOWN,
+    ChannelError,
+    Connection,
+    Dialer,
+    NotSentError,
+    ProtocolError,
+    SilenceError,
+)
+from damaskvalve_core.messages import (
+    Problem,
+    WorkChunk,
+    WorkEnd,
+    WorkProgress,
+    WorkRefused,
+    WorkRequest,
+    WorkStarted,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+CHECK_S = 0.5
+# An agent shows a sign of life every half second while a request waits.
+QUEUED_SILENCE_S = 3.0
+RUNNING_SILENCE_S = 15.0
+
+#: Raises if the request may not go on, such as after its key was withdrawn.
+Check = Callable[[], None]
+
+
+class AttemptError(Exception):
+    """An attempt failed; says whether it ran and whether the backend crashed."""
+
+    def __init__(
+        self,
+        code: str,
+        message: str,
+        *,
+        ran: str,
+        retry_after_s: float = 1.0,
+        crashed: bool = False,
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+        self.ran = ran
+        self.retry_after_s = retry_after_s
+        self.crashed = crashed
+
+
+def run_attempt(
+    dialer: Dialer, address: str, work: WorkRequest, deadline_s: float, check: Check
+) -> Iterator[Any]:
+    """Yield the agent's messages up to a checked end, or raise AttemptError."""
+    try:
+        with dialer.open_call(address, work, CONNECT_TIMEOUT_S) as connection:
+            connection.set_timeout(CHECK_S)
+            yield from _read_answer(connection, work, deadline_s, check)
+    except NotSentError as error:
+        raise AttemptError("no_agent", str(error), ran=NOT_RUN) from error
+    except (ChannelError, ProtocolError) as error:
+        raise AttemptError("agent_lost", str(error), ran=UNKNOWN) from error
+
+
+def _read_answer(
+    connection: Connection, work: WorkRequest, deadline_s: float, check: Check
+) -> Iterator[Any]:
+    silence_s = QUEUED_SILENCE_S
+    while True:
+        message = _receive(connection, silence_s, deadline_s, check)
+        if isinstance(message, WorkRefused):
+            _check_id(message, work)
+            raise AttemptError(
+                message.code,
+                message.message,
+                ran=message.ran,
+                retry_after_s=message.retry_after_s,
+                crashed=bool(message.backend_crashed),
+            )
+        if isinstance(message, WorkStarted):
+            silence_s = RUNNING_SILENCE_S
+        elif not isinstance(message, (WorkChunk, WorkEnd, WorkProgress)):
+            name = type(message).__name__
+            if isinstance(message, Problem):
+                name = message.message
+            raise ProtocolError(f"unexpected answer: {name}")
+        _check_id(message, work)
+        if isinstance(message, WorkEnd):
+            _check_end(message, work)
+        yield message
+        if isinstance(message, WorkEnd):
+            return
+
+
+def _receive(
+    connection: Connection, silence_s: float, deadline_s: float, check: Check
+) -> Any:
+    """Return the next message; look at key, silence and deadline meanwhile."""
+    started_s = time.monotonic()
+    while True:
+        check()
+        try:
+            return connection.receive()
+        except SilenceError:
+            now_s = time.monotonic()
+            if now_s > deadline_s or now_s - started_s > silence_s:
+                raise
+
+
+def _check_id(message: Any, work: WorkRequest) -> None:
+    if message.request_id != work.request_id:
+        raise ProtocolError("answer to another request")
+
+
+def _check_end(message: WorkEnd, work: WorkRequest) -> None:
+    if (message.adapter, message.version) != (work.adapter, work.version):
+        raise ProtocolError("answer of another adapter or version")
--- /dev/null
+++ b/testing/damaskvalve-standins/damaskvalve_standins/_server.py
@@ -0,0 +1,90 @@
+"""A small threaded HTTP server for the stand-ins."""
+
+import json
+import signal
+import threading
+from collections.abc import Callable, Mapping
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+#: Answers one request with the handler's help.
+Route = Callable[["Handler"], None]
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Passes each request to the stand-in's routes."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = 16 * 1024
+    routes: Mapping[str, Route] = {}
+    fallback: Route | None = None
+
+    def _dispatch(self) -> None:
+        route = self.routes.get(self.path.partition("?")[0], self.fallback)
+        if route is None:
+            self.send_json(404, {"error": "no such path"})
+        else:
+            route(self)
+
+    do_GET = do_POST = do_PUT = do_DELETE = _dispatch
+
+    def read_body(self) -> bytes:
+        """Return the request's body."""
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def send_whole(
+        self, status: int, content_type: str, body: bytes, **headers: str
+    ) -> None:
+        """Send a whole answer."""
+        self.send_response(status)
+        self.send_header("Content-Type", content_type)
+        self.send_header("Content-Length", str(len(body)))
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
+
+    def send_json(self, status: int, document: Any, **headers: str) -> None:
+        """Send a whole JSON answer."""
+        body = json.dumps(document).encode()
+        self.send_whole(status, "application/json", body, **headers)
+
+    def start_stream(self) -> None:
+        """Begin a chunked answer."""
+        self.send_response(200)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+
+    def send_chunk(self, data: bytes) -> None:
+        """Send one chunk; an empty one ends the stream."""
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.wfile.flush()
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Log nothing."""
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 512
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Ignore callers that went away."""
+
+
+def serve(address: str, routes: Mapping[str, Route], fallback: Route | None) -> None:
+    """Serve until SIGTERM."""
+    ip, _, port = address.rpartition(":")
+    attributes: dict[str, Any] = {"routes": routes}
+    if fallback is not None:
+        attributes["fallback"] = staticmethod(fallback)
+    handler = type("BoundHandler", (Handler,), attributes)
+    server = _Server((ip, int(port)), handler)
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda number, frame: stop.set())
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    stop.wait()
+    server.shutdown()
--- /dev/null
+++ b/testing/damaskvalve-standins/damaskvalve_standins/demo.py
@@ -0,0 +1,184 @@
+"""Shows the whole path, with one agent and one control host killed midway."""
+
+import json
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import urllib3
+
+from damaskvalve_standins.fleet import Fleet, running_fleet
+
+WORKSPACE = "valuation"
+ADAPTER = "provenance"
+STREAM_TOKENS = 400
+
+
+class Findings:
+    """What was lost or doubled."""
+
+    def __init__(self) -> None:
+        self.problems: list[str] = []
+
+    def check(self, holds: bool, what: str) -> None:
+        """Print one result and remember it if it is bad."""
+        mark = "ok    " if holds else "FAILED"
+        print(f"  {mark} {what}", flush=True)
+        if not holds:
+            self.problems.append(what)
+
+
+def _start(fleet: Fleet) -> str:
+    print("starting 3 control and entry hosts, 3 agents and their stand-ins")
+    fleet.start_hosts(3)
+    fleet.start_engine("engine-1")
+    fleet.start_engine("engine-2")
+    fleet.start_service("certificates")
+    fleet.wait_ready()
+    print("creating a workspace, an adapter, a route and a key")
+    fleet.operate(
+        *("config", "set-workspace", WORKSPACE, "--share", "1"),
+        *("--rate", "5000", "--burst", "50000"),
+    )
+    fleet.operate(
+        *("config", "set-adapter", WORKSPACE, ADAPTER),
+        *("--model", "base", "--version", "1"),
+    )
+    fleet.operate(
+        *("config", "set-route", "/services/certificates", "--kind", "once"),
+        *("--backend-kind", "service", "--serves", "certificates"),
+    )
+    key, _ = fleet.grant_key(WORKSPACE)
+    for entry in fleet.entries:
+        fleet.wait_serving(entry, key, ADAPTER)
+    return key
+
+
+def _stream_text(data: bytes) -> str:
+    texts: list[str] = []
+    for line in data.decode().splitlines():
+        if line.startswith("data: {"):
+            choices = json.loads(line[6:]).get("choices") or []
+            texts.extend(choice.get("text", "") for choice in choices)
+    return "".join(texts)
+
+
+def _expected_text(count: int) -> str:
+    return "".join(f" {ADAPTER}@1#{number}" for number in range(count))
+
+
+def _show_requests(fleet: Fleet, key: str, findings: Findings) -> None:
+    whole = fleet.complete("host-1", key, ADAPTER, 8)
+    text = whole.json()["choices"][0]["text"] if whole.status == 200 else ""
+    findings.check(text == _expected_text(8), f"whole answer: {whole.status}")
+    body = {"model": ADAPTER, "prompt": "x", "max_tokens": 20, "stream": True}
+    streamed = fleet.request("host-2", "POST", "/v1/completions", key=key, body=body)
+    findings.check(
+        _stream_text(streamed.data) == _expected_text(20)
+        and streamed.data.rstrip().endswith(b"[DONE]"),
+        f"streamed answer: {streamed.status}",
+    )
+    for entry in ("host-3", "host-1"):
+        answer = _certificate(fleet, entry, key, "scroll-1")
+        findings.check(answer.status == 200, f"certificate by {entry}: {answer.status}")
+    bad = fleet.complete("host-1", "not-a-key", ADAPTER, 8)
+    findings.check(
+        bad.status == 401 and bad.json()["error"]["ran"] == "not-run",
+        f"unknown key: {bad.status} not-run",
+    )
+
+
+def _certificate(
+    fleet: Fleet, entry: str, key: str, name: str
+) -> urllib3.BaseHTTPResponse:
+    return fleet.request(
+        entry,
+        "POST",
+        "/services/certificates",
+        key=key,
+        body=name.encode(),
+        headers={"Idempotency-Key": name},
+    )
+
+
+def _entry_besides(fleet: Fleet, host: str) -> str:
+    return next(name for name in fleet.entries if name != host)
+
+
+def _show_kills(fleet: Fleet, key: str, findings: Findings) -> None:
+    leader = fleet.leader()
+    entry = _entry_besides(fleet, leader)
+    results: list[bytes] = []
+
+    def stream() -> None:
+        body = {
+            "model": ADAPTER,
+            "prompt": "x",
+            "max_tokens": STREAM_TOKENS,
+            "stream": True,
+        }
+        reply = fleet.request(entry, "POST", "/v1/completions", key=key, body=body)
+        results.append(reply.data)
+
+    thread = threading.Thread(target=stream)
+    thread.start()
+    time.sleep(0.4)
+    busy = _busy_engine(fleet)
+    print(f"killing the agent {busy} and the leading control host {leader}")
+    fleet.processes[busy].kill()
+    fleet.processes[leader].kill()
+    thread.join()
+    text = _stream_text(results[0]) if results else ""
+    findings.check(
+        text == _expected_text(STREAM_TOKENS),
+        f"the stream went on elsewhere: {text.count('#')} tokens",
+    )
+    _show_certificates_after(fleet, key, entry, findings)
+
+
+def _busy_engine(fleet: Fleet) -> str:
+    for name in ("engine-1", "engine-2"):
+        if fleet.standin(name, "figures")["running"]:
+            return name
+    return "engine-1"
+
+
+def _show_certificates_after(
+    fleet: Fleet, key: str, entry: str, findings: Findings
+) -> None:
+    statuses = []
+    for number in range(10):
+        name = f"scroll-after-{number}"
+        give_up_s = time.monotonic() + 15
+        while time.monotonic() < give_up_s:
+            answer = _certificate(fleet, entry, key, name)
+            if answer.status == 200:
+                break
+            time.sleep(0.3)
+        statuses.append(answer.status)
+    findings.check(statuses == [200] * 10, f"certificates after the kills: {statuses}")
+    runs = fleet.standin("certificates", "runs")
+    findings.check(
+        len(runs) == 11 and set(runs.values()) == {1},
+        f"{len(runs)} certificates, none lost, each ran {max(runs.values())} time",
+    )
+
+
+def main() -> int:
+    """Run the demo; the exit code is 1 if anything was lost or doubled."""
+    findings = Findings()
+    started_s = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        with running_fleet(Path(folder)) as fleet:
+            key = _start(fleet)
+            _show_requests(fleet, key, findings)
+            _show_kills(fleet, key, findings)
+    took_s = round(time.monotonic() - started_s, 1)
+    print(f"done in {took_s} s; {len(findings.problems)} problems")
+    return 1 if findings.problems else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/testing/damaskvalve-standins/damaskvalve_standins/run_tests.py
@@ -0,0 +1,74 @@
+"""Runs every test with nose2 and closes with ``N passed, N failed``.
+
+Tests named in KNOWN-RED.txt may fail; they are run and printed, and one that
+passes has to be taken off the list.
+"""
+
+import sys
+import unittest
+from pathlib import Path
+
+import hypothesis
+from nose2.main import PluggableTestProgram
+
+ROOT = Path(__file__).resolve().parents[3]
+KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
+PACKAGES = (
+    "packages/damaskvalve-core",
+    "packages/damaskvalve-state",
+    "packages/damaskvalve-agent",
+    "packages/damaskvalve",
+    "testing/damaskvalve-standins",
+)
+
+
+def known_red() -> dict[str, str]:
+    """Return the listed tests with what is known of them."""
+    entries = {}
+    for line in KNOWN_RED_FILE.read_text(encoding="utf-8").splitlines():
+        if line.strip() and not line.startswith("#"):
+            name, _, rest = line.partition("|")
+            entries[name.strip()] = rest.strip()
+    return entries
+
+
+def _use_fixed_profile() -> None:
+    hypothesis.settings.register_profile(
+        "fixed",
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    hypothesis.settings.load_profile("fixed")
+
+
+def _run(package: str, names: list[str]) -> unittest.TestResult:
+    arguments = ["nose2", "-s", package, "-t", package, *names]
+    program = PluggableTestProgram(module=None, argv=arguments, exit=False)
+    return program.result
+
+
+def main(names: list[str]) -> int:
+    """Run all tests, or the named ones; return 1 if one failed that may not."""
+    _use_fixed_profile()
+    allowed = known_red()
+    failed: list[str] = []
+    count = 0
+    for package in PACKAGES:
+        result = _run(str(ROOT / package), names)
+        count += result.testsRun
+        failed.extend(test.id() for test, _ in (*result.failures, *result.errors))
+    red = [name for name in failed if name in allowed]
+    for name in red:
+        print(f"known red: {name}: {allowed[name]}")
+    healed = [name for name in allowed if name not in failed and not names]
+    for name in healed:
+        print(f"listed in KNOWN-RED.txt but passes: {name}")
+    bad = len(failed) - len(red)
+    print(f"{count - len(failed)} passed, {bad} failed")
+    return 1 if bad or healed or count == 0 else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/testing/damaskvalve-standins/damaskvalve_standins/service.py
@@ -0,0 +1,74 @@
+"""A stand-in for a plain service that counts what it ran."""
+
+import argparse
+import json
+import os
+import threading
+import time
+import uuid
+
+from damaskvalve_standins._server import Handler, serve
+
+
+class Service:
+    """Counts runs by the marker in the body."""
+
+    def __init__(self) -> None:
+        self.start_id = uuid.uuid4().hex
+        self.lock = threading.Lock()
+        self.runs: dict[str, int] = {}
+        self.seen: list[str] = []
+        self.faults: dict[str, float] = {}
+
+    def run(self, handler: Handler) -> None:
+        """Run one call: the body's text is what is counted."""
+        body = handler.read_body()
+        text = body.decode("utf-8", "replace")
+        with self.lock:
+            self.seen.append(f"{handler.path} {dict(handler.headers)} {text}")
+            self.runs[text] = self.runs.get(text, 0) + 1
+            number = self.runs[text]
+        time.sleep(self.faults.get("delay_s", 0.0))
+        if self.faults.pop("lose_answer", 0):
+            handler.connection.close()
+            return
+        if self.faults.pop("crash", 0):
+            os._exit(1)
+        document = {"ran": text, "times": number, "method": handler.command}
+        request_id = handler.headers.get("X-Request-Id", "")
+        if self.faults.pop("cross_ids", 0):
+            request_id = uuid.uuid4().hex
+        handler.send_json(200, document, X_Request_Id=request_id)
+
+
+def main() -> None:
+    """Run one stand-in service."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", required=True)
+    arguments = parser.parse_args()
+    service = Service()
+
+    def health(handler: Handler) -> None:
+        handler.send_json(200, {"start_id": service.start_id})
+
+    def faults(handler: Handler) -> None:
+        service.faults.update(json.loads(handler.read_body()))
+        handler.send_json(200, service.faults)
+
+    def runs(handler: Handler) -> None:
+        handler.send_json(200, service.runs)
+
+    def seen(handler: Handler) -> None:
+        handler.send_json(200, service.seen)
+
+    routes = {
+        "/health": health,
+        "/standin/faults": faults,
+        "/standin/runs": runs,
+        "/standin/seen": seen,
+    }
+    serve(arguments.listen, routes, service.run)
+
+
+if __name__ == "__main__":
+    main()
