--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -111,7 +111,7 @@
 }
 
 struct CreditRecord { 1: string workspace  2: double level_tokens  3: double outstanding_tokens }
-struct FenceRecord { 1: string backend_server  2: i64 number  3: string holder }
+struct FenceRecord { 1: string backend_server  2: i64 number  3: string holder  4: string previous_holder }
 struct SuspectRecord { 1: string fingerprint  2: i32 crashes  3: bool quarantined }
 struct AuditRecord { 1: i64 revision  2: string actor  3: string operation_id  4: string summary  5: double at_s }
 
@@ -186,7 +186,6 @@
   6: optional JobRecord job
   7: optional FenceRecord fence
   8: optional SuspectRecord suspect
-  9: string previous_holder
 }
 
 // ---- calls to a control host ----
--- a/packages/damaskvalve-agent/damaskvalve_agent/_fence.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_fence.py
@@ -25,15 +25,17 @@
         self._lease_until_s = float("-inf")
         self._lost = False
 
-    def granted(self, number: int, previous_holder: str, now_s: float) -> None:
-        """Take a number that was just granted."""
+    def granted(
+        self, number: int, previous_holder: str, asked_at_s: float, now_s: float
+    ) -> None:
+        """Take a number that was asked for at ``asked_at_s`` and came just now."""
         with self._lock:
             self._number = number
             self._lost = False
             self._first_order_at_s = now_s
             if previous_holder not in ("", self._holder):
                 self._first_order_at_s = now_s + FENCE_LEASE_S * CLOCK_DRIFT
-            self._lease_until_s = now_s + FENCE_LEASE_S
+            self._lease_until_s = asked_at_s + FENCE_LEASE_S
 
     def renew(self, reply: ReportReply, sent_at_s: float) -> None:
         """Renew from a control host's answer to a report sent at ``sent_at_s``."""
--- a/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
@@ -108,7 +108,9 @@
             return
         asked_at_s = time.monotonic()
         result = self._control.grant_fence(self._settings.name, self._incarnation)
-        self._fence.granted(result.fence.number, result.previous_holder, asked_at_s)
+        fence = result.fence
+        now_s = time.monotonic()
+        self._fence.granted(fence.number, fence.previous_holder, asked_at_s, now_s)
         _log.info("holding fencing number {}", result.fence.number)
 
     def check_health(self) -> None:
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_scheduler.py
@@ -0,0 +1,263 @@
+"""Pins, isolation, starvation and fairness under every interleaving."""
+
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from damaskvalve_agent import (
+    AskPermit,
+    FairQueue,
+    Refuse,
+    Scheduler,
+    SchedulerLimits,
+    Slots,
+    Start,
+    Ticket,
+)
+
+ADAPTERS = st.sampled_from([f"a{n}@1" for n in range(6)])
+WORKSPACES = st.sampled_from(["big", "small", "tiny"])
+DEBT_UNITS = 50.0
+
+
+def make_scheduler(slots=2, max_running=3, max_waiting=50, debt=DEBT_UNITS):
+    return Scheduler(
+        FairQueue(max_waiting, debt),
+        Slots(slots),
+        SchedulerLimits(max_running, 2),
+        lambda: 0.5,
+    )
+
+
+def ticket(name, workspace="big", adapter="a0@1", now_s=0.0, **more):
+    share = {"big": 1.0, "small": 1.0, "tiny": 1.0}[workspace]
+    return Ticket(name, workspace, share, adapter, 10.0, now_s + 60.0, now_s, **more)
+
+
+class Engine:
+    """Performs actions as the agent does, one step at a time."""
+
+    def __init__(self, scheduler):
+        self.scheduler = scheduler
+        self.permits = []
+        self.loads = []
+        self.started = {}
+        self.refused = []
+        self.resident = set()
+
+    def perform(self, now_s):
+        for action in self.scheduler.decide(now_s):
+            if isinstance(action, Start):
+                self.started[action.ticket.request_id] = action.ticket
+            elif isinstance(action, AskPermit):
+                self.permits.append(action.adapter)
+            elif isinstance(action, Refuse):
+                self.refused.append(action)
+
+    def begin(self, now_s):
+        if not self.permits:
+            return
+        load = self.scheduler.begin_load(self.permits.pop(0), now_s)
+        if load is None:
+            return
+        if load.victim is not None:
+            self.resident.discard(load.victim)
+        self.loads.append(load.adapter)
+
+    def end(self, now_s, loaded=True):
+        if not self.loads:
+            return
+        adapter = self.loads.pop(0)
+        if loaded:
+            self.resident.add(adapter)
+        self.scheduler.end_load(adapter, loaded=loaded, now_s=now_s)
+
+    def restart(self):
+        self.resident.clear()
+        self.loads.clear()
+        self.scheduler.engine_restarted()
+
+    def finish(self, delivered=True):
+        if self.started:
+            name = next(iter(self.started))
+            self.scheduler.finish(self.started.pop(name), delivered=delivered)
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("submit"), WORKSPACES, ADAPTERS),
+        st.tuples(st.just("isolated"), WORKSPACES, ADAPTERS),
+        st.tuples(st.sampled_from(["begin", "end", "fail", "finish", "lost"])),
+        st.tuples(st.just("restart")),
+    ),
+    max_size=120,
+)
+
+
+class SchedulerTests(unittest.TestCase):
+    @settings(max_examples=400)
+    @given(steps=STEPS)
+    def test_an_adapter_in_use_is_never_evicted(self, steps):
+        """Every running request's adapter stays resident at the engine."""
+        scheduler = make_scheduler()
+        engine = Engine(scheduler)
+        before_restart = set()
+        for number, step in enumerate(steps):
+            now_s = number * 0.1
+            name = f"r{number}"
+            if step[0] in ("submit", "isolated"):
+                isolated = step[0] == "isolated"
+                item = ticket(name, step[1], step[2], now_s, isolated=isolated)
+                scheduler.submit(item, now_s)
+            elif step[0] == "begin":
+                engine.begin(now_s)
+            elif step[0] in ("end", "fail"):
+                engine.end(now_s, loaded=step[0] == "end")
+            elif step[0] in ("finish", "lost"):
+                engine.finish(delivered=step[0] == "finish")
+            else:
+                engine.restart()
+                before_restart.update(engine.started)
+            engine.perform(now_s)
+            for running in scheduler.running.values():
+                if running.request_id not in before_restart:
+                    self.assertIn(running.adapter, engine.resident)
+            isolated = [item for item in scheduler.running.values() if item.isolated]
+            if isolated:
+                self.assertEqual(len(scheduler.running), 1)
+            loading = scheduler.slots.loading_count()
+            self.assertLessEqual(loading + len(engine.resident), 2)
+
+    @settings(max_examples=150)
+    @given(adapters=st.lists(st.tuples(WORKSPACES, ADAPTERS), min_size=1, max_size=40))
+    def test_no_request_starves(self, adapters):
+        """Each one starts within a bounded number of rounds."""
+        scheduler = make_scheduler()
+        engine = Engine(scheduler)
+        for number, (workspace, adapter) in enumerate(adapters):
+            scheduler.submit(ticket(f"r{number}", workspace, adapter), 0.0)
+        done = 0
+        for round_number in range(4 * len(adapters) + 4):
+            now_s = round_number * 0.01
+            engine.perform(now_s)
+            done += len(engine.started)
+            while engine.started:
+                engine.finish()
+            engine.begin(now_s)
+            engine.end(now_s)
+        engine.perform(1.0)
+        done += len(engine.started)
+        self.assertEqual(done, len(adapters))
+
+    def test_a_restart_clears_residency_and_old_requests_free_no_new_pin(self):
+        """The end of a request from before must not unpin a new one."""
+        scheduler = make_scheduler(slots=1, max_running=4)
+        engine = Engine(scheduler)
+        scheduler.submit(ticket("old"), 0.0)
+        engine.perform(0.0)
+        engine.begin(0.0)
+        engine.end(0.0)
+        engine.perform(0.0)
+        old = engine.started["old"]
+        engine.restart()
+        scheduler.submit(ticket("new"), 1.0)
+        engine.perform(1.0)
+        engine.begin(1.0)
+        engine.end(1.0)
+        engine.perform(1.0)
+        scheduler.finish(old, delivered=False)
+        self.assertEqual(scheduler.slots.pins("a0@1"), 1)
+
+    def test_a_version_that_keeps_failing_is_held_back_and_said_so(self):
+        """After three failures in a row its requests are refused at once."""
+        scheduler = make_scheduler()
+        engine = Engine(scheduler)
+        now_s = 0.0
+        for number in range(3):
+            now_s = number * 30.0
+            scheduler.submit(ticket(f"r{number}", now_s=now_s), now_s)
+            engine.perform(now_s)
+            engine.begin(now_s)
+            engine.end(now_s, loaded=False)
+        engine.perform(now_s)
+        self.assertEqual(scheduler.held_back(), ["a0@1"])
+        refused = scheduler.submit(ticket("next", now_s=now_s), now_s)
+        self.assertEqual(refused.code, "adapter_held_back")
+        self.assertGreater(refused.retry_after_s, 0)
+
+    def test_what_cannot_make_its_deadline_is_refused_at_its_deadline(self):
+        """A waiting request does not stay beyond its deadline."""
+        scheduler = make_scheduler()
+        engine = Engine(scheduler)
+        scheduler.submit(ticket("r"), 0.0)
+        engine.perform(60.0)
+        self.assertEqual([item.code for item in engine.refused], ["deadline"])
+
+    def test_one_workspace_cannot_lock_the_others_out_of_a_full_queue(self):
+        """A full queue still takes requests of a workspace with little in it."""
+        scheduler = make_scheduler(max_waiting=10)
+        for number in range(30):
+            scheduler.submit(ticket(f"b{number}", "big"), 0.0)
+        self.assertIsNone(scheduler.submit(ticket("s", "small"), 0.0))
+        self.assertIsNotNone(scheduler.submit(ticket("b", "big"), 0.0))
+
+
+class FairnessTests(unittest.TestCase):
+    @settings(max_examples=150)
+    @given(
+        costs=st.lists(st.sampled_from([1.0, 5.0, 20.0]), min_size=30, max_size=90),
+        shares=st.tuples(st.sampled_from([1.0, 2.0, 4.0]), st.just(1.0)),
+    )
+    def test_backlogged_workspaces_differ_by_a_bounded_service(self, costs, shares):
+        """Service over share differs by the debt and one request at most."""
+        queue = FairQueue(1000, DEBT_UNITS)
+        share = dict(zip(("big", "small"), shares))
+        for number, cost in enumerate(costs):
+            for name in share:
+                item = Ticket(f"{name}{number}", name, share[name], "", cost, 1e9, 0.0)
+                queue.add(item)
+        served = {"big": 0.0, "small": 0.0}
+        left = {"big": len(costs), "small": len(costs)}
+        while all(left.values()):
+            item = next(queue.ordered())
+            queue.remove(item)
+            queue.charge(item.workspace, item.cost_units, item.share)
+            served[item.workspace] += item.cost_units / item.share
+            left[item.workspace] -= 1
+            gap = abs(served["big"] - served["small"])
+            self.assertLessEqual(gap, max(costs) + 1e-9)
+
+    def test_overtaking_is_bounded_by_the_debt(self):
+        """A ready request may pass while its workspace is within the debt."""
+        queue = FairQueue(100, DEBT_UNITS)
+        behind = Ticket("x", "behind", 1.0, "a", 1.0, 1e9, 0.0)
+        ahead = Ticket("y", "ahead", 1.0, "b", 1.0, 1e9, 0.0)
+        queue.add(behind)
+        queue.add(ahead)
+        queue.charge("ahead", DEBT_UNITS, 1.0)
+        self.assertTrue(queue.may_overtake(ahead))
+        queue.charge("ahead", 1.0, 1.0)
+        self.assertFalse(queue.may_overtake(ahead))
+
+    def test_an_idle_workspace_gets_no_credit_for_its_idleness(self):
+        """It starts level with the one furthest behind."""
+        queue = FairQueue(100, DEBT_UNITS)
+        first = Ticket("x", "busy", 1.0, "a", 1.0, 1e9, 0.0)
+        queue.add(first)
+        queue.charge("busy", 1000.0, 1.0)
+        queue.behind()
+        queue.add(Ticket("y", "idle", 1.0, "a", 1.0, 1e9, 0.0))
+        times = queue.virtual_times()
+        self.assertEqual(times["idle"], times["busy"])
+
+    def test_interactive_requests_go_before_deferred_ones(self):
+        """Also when the deferred one's workspace is behind."""
+        queue = FairQueue(100, DEBT_UNITS)
+        queue.add(Ticket("d", "behind", 1.0, "", 1.0, 1e9, 0.0, deferred=True))
+        queue.add(Ticket("i", "ahead", 1.0, "", 1.0, 1e9, 0.0))
+        queue.charge("ahead", 500.0, 1.0)
+        self.assertEqual(next(queue.ordered()).request_id, "i")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2058,6 +2058,7 @@
      - backend_server
      - number
      - holder
+     - previous_holder
 
     """
 
@@ -2065,13 +2066,15 @@
         'backend_server',
         'number',
         'holder',
+        'previous_holder',
     )
 
 
-    def __init__(self, backend_server=None, number=None, holder=None,):
+    def __init__(self, backend_server=None, number=None, holder=None, previous_holder=None,):
         self.backend_server = backend_server
         self.number = number
         self.holder = holder
+        self.previous_holder = previous_holder
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2097,6 +2100,11 @@
                     self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.previous_holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2119,6 +2127,10 @@
             oprot.writeFieldBegin('holder', TType.STRING, 3)
             oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
             oprot.writeFieldEnd()
+        if self.previous_holder is not None:
+            oprot.writeFieldBegin('previous_holder', TType.STRING, 4)
+            oprot.writeString(self.previous_holder.encode('utf-8') if sys.version_info[0] == 2 else self.previous_holder)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4134,7 +4146,6 @@
      - job
      - fence
      - suspect
-     - previous_holder
 
     """
 
@@ -4147,11 +4158,10 @@
         'job',
         'fence',
         'suspect',
-        'previous_holder',
     )
 
 
-    def __init__(self, accepted=None, reason=None, revision=None, actor=None, claim=None, job=None, fence=None, suspect=None, previous_holder=None,):
+    def __init__(self, accepted=None, reason=None, revision=None, actor=None, claim=None, job=None, fence=None, suspect=None,):
         self.accepted = accepted
         self.reason = reason
         self.revision = revision
@@ -4160,7 +4170,6 @@
         self.job = job
         self.fence = fence
         self.suspect = suspect
-        self.previous_holder = previous_holder
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4215,11 +4224,6 @@
                     self.suspect.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.STRING:
-                    self.previous_holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4262,10 +4266,6 @@
             oprot.writeFieldBegin('suspect', TType.STRUCT, 8)
             self.suspect.write(oprot)
             oprot.writeFieldEnd()
-        if self.previous_holder is not None:
-            oprot.writeFieldBegin('previous_holder', TType.STRING, 9)
-            oprot.writeString(self.previous_holder.encode('utf-8') if sys.version_info[0] == 2 else self.previous_holder)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8304,6 +8304,7 @@
     (1, TType.STRING, 'backend_server', 'UTF8', None, ),  # 1
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.STRING, 'holder', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'previous_holder', 'UTF8', None, ),  # 4
 )
 all_structs.append(SuspectRecord)
 SuspectRecord.thrift_spec = (
@@ -8458,7 +8459,6 @@
     (6, TType.STRUCT, 'job', [JobRecord, None], None, ),  # 6
     (7, TType.STRUCT, 'fence', [FenceRecord, None], None, ),  # 7
     (8, TType.STRUCT, 'suspect', [SuspectRecord, None], None, ),  # 8
-    (9, TType.STRING, 'previous_holder', 'UTF8', None, ),  # 9
 )
 all_structs.append(ProposeRequest)
 ProposeRequest.thrift_spec = (
--- a/packages/damaskvalve-core/damaskvalve_core/_settings.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_settings.py
@@ -171,18 +171,17 @@
     """Parse YAML text; duplicate names and bad syntax are findings."""
     marks: dict[tuple, str] = {}
     findings: list[Finding] = []
-    loader = yaml.SafeLoader(source)
     try:
+        loader = yaml.SafeLoader(source)
         node = loader.get_single_node()
         value = _build(loader, node, path, (), marks, findings)
+        loader.dispose()
     except yaml.MarkedYAMLError as error:
         mark = error.problem_mark or error.context_mark
         place = _place(path, mark) if mark else f"{path}:1:1"
         raise SettingsError([Finding(place, str(error.problem))]) from error
     except (yaml.YAMLError, ValueError, RecursionError) as error:
         raise SettingsError([Finding(f"{path}:1:1", "unreadable YAML")]) from error
-    finally:
-        loader.dispose()
     document = Document(path, value, marks)
     document.findings.extend(findings)
     return document
--- a/packages/damaskvalve-state/damaskvalve_state/_agreement.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_agreement.py
@@ -135,6 +135,14 @@
         contact_s = quorum_contact_s(self.voters(), own_id, now_s, self.progress)
         return contact_s + self.timing.lease_s - now_s
 
+    def needs_hello(self) -> bool:
+        """Return whether a leader may not know of this member.
+
+        A voter counts too while it hears no leader: the change that made it one
+        may have been replaced by another leader's.
+        """
+        return not self.is_voter() or not self.leader_id
+
     def may_serve(self, now_s: float) -> bool:
         """Return whether this is the leader and knows all that is committed."""
         if self.role != LEADER or self.commit_index < self._term_start_index:
@@ -171,6 +179,10 @@
         """Append a member list that differs by one voter; False if not now."""
         if not self.may_change_members():
             return False
+        kept = {member.member_id for member in members}
+        for voter in self.voters():
+            if voter.member_id not in kept:
+                self.progress.pop(voter.member_id, None)
         self._append_own(EntryKind.MEMBERS, b"", members)
         self._refresh_progress()
         self._broadcast(now_s)
@@ -365,26 +377,32 @@
 
     def _broadcast(self, now_s: float, *, heartbeat: bool = False) -> None:
         for known in self.progress.values():
-            if heartbeat or known.next_index <= self.log.last_index:
+            awaited = now_s - known.in_flight < self.timing.resend_s
+            behind = known.next_index <= self.log.last_index
+            if heartbeat or (behind and not awaited):
                 self._send_append(known, now_s)
         if heartbeat:
             self._next_heartbeat_s = now_s + self.timing.heartbeat_s
 
     def _send_append(self, known: Progress, now_s: float) -> None:
-        if now_s - known.in_flight < self.timing.resend_s:
-            return
-        known.in_flight = now_s
+        """Send what a member lacks; only contact while an answer is awaited."""
         previous = known.next_index - 1
+        waiting = now_s - known.in_flight < self.timing.resend_s
         if self.log.term_at(previous) is None:
-            self._send_snapshot(known, now_s)
+            if not waiting:
+                known.in_flight = now_s
+                self._send_snapshot(known, now_s)
             return
+        if not waiting:
+            known.in_flight = now_s
+        most = 0 if waiting else MAX_ENTRIES_PER_APPEND
         request = AppendRequest(
             self.term,
             self.member.member_id,
             self.member.address,
             previous,
             self.log.term_at(previous),
-            list(self.log.entries_from(known.next_index, MAX_ENTRIES_PER_APPEND)),
+            list(self.log.entries_from(known.next_index, most)),
             self.commit_index,
             now_s,
         )
--- a/packages/damaskvalve-state/damaskvalve_state/_machine.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_machine.py
@@ -263,14 +263,17 @@
         return self._result(accepted=True)
 
     def fence(self, index: int, body: GrantFence) -> CommandResult:
-        """Give a holder the next fencing number of a backend server."""
+        """Give a holder the next fencing number of a backend server.
+
+        A repeated grant, after a lost answer, names the same previous holder.
+        """
         known = self.fences.get(body.backend_server)
-        previous = known.holder if known else ""
         if known is None or known.holder != body.holder:
             number = known.number + 1 if known else 1
-            known = FenceRecord(body.backend_server, number, body.holder)
+            previous = known.holder if known else ""
+            known = FenceRecord(body.backend_server, number, body.holder, previous)
             self.fences[body.backend_server] = known
-        return self._result(accepted=True, fence=known, previous_holder=previous)
+        return self._result(accepted=True, fence=known)
 
     def crash(self, index: int, body: ReportCrash) -> CommandResult:
         """Count a crash against a fingerprint; a repeated report counts once.
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -194,7 +194,7 @@
 
     def _on_tick(self, now_s: float) -> None:
         self.agreement.tick(now_s)
-        if not self.agreement.is_voter() and now_s >= self._next_hello_s:
+        if self.agreement.needs_hello() and now_s >= self._next_hello_s:
             self._next_hello_s = now_s + HELLO_S
             self._say_hello()
         if self.agreement.role == LEADER:
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_agreement.py
@@ -0,0 +1,140 @@
+"""Agreement under lost, doubled and late messages, crashes, cuts and lost disks."""
+
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from damaskvalve_state.tests.fake_group import FakeGroup
+
+SEEDS = st.integers(min_value=0, max_value=2**32)
+SIZES = st.sampled_from([3, 5, 7])
+
+
+def majority_up(group):
+    return len(group.up()) > len(group.hosts) // 2 + 1
+
+
+def break_something(group):
+    """Do one random thing that the brief names."""
+    rng = group.rng
+    host = rng.choice(list(group.hosts.values()))
+    what = rng.choice(["crash", "boot", "freeze", "cut", "mend", "silence"])
+    if what == "crash" and majority_up(group):
+        group.crash(host)
+    elif what == "boot" and host.agreement is None:
+        group.boot(host)
+    elif what == "freeze":
+        host.frozen_until_s = group.now_s + rng.random() * 4
+    elif what == "cut":
+        other = rng.choice(list(group.hosts))
+        group.cut.add((host.address, other))
+    elif what == "silence":
+        for other in group.hosts:
+            group.cut.update({(host.address, other), (other, host.address)})
+    elif what == "mend":
+        group.cut = set()
+
+
+class AgreementTests(unittest.TestCase):
+    @settings(max_examples=80)
+    @given(seed=SEEDS, size=SIZES)
+    def test_accepted_changes_survive_crashes_cuts_and_freezes(self, seed, size):
+        """No accepted change is lost and no two hosts disagree."""
+        group = FakeGroup(seed, size)
+        for number in range(60):
+            group.run(0.3)
+            group.propose(f"change-{number}")
+            if group.rng.random() < 0.4:
+                break_something(group)
+        group.heal()
+        for host in group.hosts.values():
+            self.assertLessEqual(group.accepted, set(host.applied))
+
+    def run_until_whole(self, group):
+        """Run with message loss until the lost disk is replaced."""
+        for _ in range(3000):
+            group.boot_all()
+            group.step()
+            if group.is_whole():
+                return
+        self.fail("the lost disk was not replaced")
+
+    @settings(max_examples=50)
+    @given(seed=SEEDS, size=SIZES)
+    def test_a_second_host_lost_right_after_a_repair_loses_nothing(self, seed, size):
+        """Disks are lost one after the other, each as soon as the group is whole."""
+        group = FakeGroup(seed, size, loss=0.05)
+        number = 0
+        for _ in range(size + 1):
+            for _ in range(15):
+                group.run(0.15)
+                group.propose(f"change-{number}")
+                number += 1
+            victim = group.rng.choice(list(group.hosts.values()))
+            group.lose_disk(victim)
+            group.run(group.rng.random() * 2)
+            self.run_until_whole(group)
+        group.heal()
+        self.assertGreater(len(group.accepted), 15)
+        for host in group.hosts.values():
+            self.assertLessEqual(group.accepted, set(host.applied))
+
+    @settings(max_examples=20)
+    @given(seed=SEEDS)
+    def test_an_empty_majority_never_decides_anything(self, seed):
+        """Two of three lost disks stop the group instead of starting it anew."""
+        group = FakeGroup(seed, 3, loss=0.0, crash_rate=0.0)
+        group.run(5)
+        group.propose("kept")
+        group.run(1)
+        lost = group.rng.sample(list(group.hosts.values()), 2)
+        for host in lost:
+            group.lose_disk(host)
+        for host in lost:
+            group.boot(host)
+        before = len(group.committed)
+        for number in range(30):
+            group.run(0.5)
+            group.propose(f"lost-{number}")
+        self.assertEqual(len(group.committed), before)
+        self.assertIsNone(group.leader())
+
+    @settings(max_examples=20)
+    @given(seed=SEEDS, size=SIZES)
+    def test_a_host_cut_off_for_long_neither_serves_nor_disturbs(self, seed, size):
+        """Pre-vote keeps the term and the leader when the host returns."""
+        group = FakeGroup(seed, size, loss=0.0, crash_rate=0.0)
+        group.run(6)
+        old = group.leader()
+        for other in group.hosts:
+            if other != old.address:
+                group.cut.update({(old.address, other), (other, old.address)})
+        group.run(6)
+        self.assertFalse(old.agreement.may_serve(group.local(old)))
+        new = group.leader()
+        self.assertIsNotNone(new)
+        term = new.agreement.term
+        group.run(30)
+        group.cut = set()
+        group.run(10)
+        self.assertEqual(group.leader().agreement.term, term)
+
+    @settings(max_examples=20)
+    @given(seed=SEEDS)
+    def test_a_restarted_voter_waits_before_it_votes(self, seed):
+        """A vote right after a restart could end a lease that still runs."""
+        group = FakeGroup(seed, 3, loss=0.0, crash_rate=0.0)
+        group.run(5)
+        leader = group.leader()
+        others = [h for h in group.hosts.values() if h is not leader]
+        for host in others:
+            group.cut.update({(leader.address, host.address)})
+            group.cut.update({(host.address, leader.address)})
+            group.crash(host)
+            group.boot(host)
+        group.run(12)
+        self.assertIsNotNone(group.leader())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_credit.py
@@ -0,0 +1,206 @@
+"""Rate and burst over the whole fleet, whatever dies, is cut or elected."""
+
+import random
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from damaskvalve_core.messages import (
+    CreditAsk,
+    CreditRecord,
+    CreditRefund,
+    CreditReport,
+)
+from damaskvalve_state import GRANT_LIFETIME_S, CreditBook, Limit
+
+STEP_S = 0.05
+MAX_DELAY_S = 0.4
+WORKSPACE = "w"
+TOLERANCE_TOKENS = 1e-6
+
+
+class EntryHost:
+    """Spends grants until they expire on its own clock, and reports late."""
+
+    def __init__(self, name, rng):
+        self.name = name
+        self.sequence = 0
+        self.rate = rng.choice([0.97, 1.0, 1.03])
+        self.grants = []
+        self.refunds = []
+
+
+class FakeFleet:
+    """Entry hosts and a sequence of leaders that share committed records."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self.rate = self.rng.choice([5.0, 50.0, 500.0])
+        self.burst = self.rate * self.rng.choice([0.5, 2.0, 10.0])
+        self.limit = Limit(self.rate, self.burst)
+        self.entries = [EntryHost(f"e{n}", self.rng) for n in range(3)]
+        self.committed = {}
+        self.book = CreditBook({}, self.now_s)
+        self.messages = []
+        # Time and tokens of each admission; a refund takes tokens back from it.
+        self.admitted = []
+
+    def elect(self):
+        """Replace the leader by one that knows the committed records only."""
+        self.book = CreditBook(dict(self.committed), self.now_s)
+
+    def ask(self, entry):
+        entry.sequence += 1
+        reports = [
+            CreditReport(g["id"], g["spent"], self.give_back(g)) for g in entry.grants
+        ]
+        for grant in entry.grants:
+            grant["spent"] = 0.0
+        entry.grants = [
+            g
+            for g in entry.grants
+            if g["left"] > 0 and g["until"] > self.now_s * entry.rate
+        ]
+        refunds = [CreditRefund(t, self.now_s - at) for t, at in entry.refunds]
+        entry.refunds = []
+        wanted = self.rng.choice([0.0, self.burst * self.rng.random()])
+        ask = CreditAsk(WORKSPACE, wanted, reports, refunds)
+        if self.rng.random() < 0.15:
+            return
+        at_s = self.now_s + self.rng.random() * MAX_DELAY_S
+        message = (at_s, entry, entry.sequence, ask, self.now_s * entry.rate)
+        self.messages.append(message)
+        if self.rng.random() < 0.1:
+            self.messages.append((at_s + 0.3, *message[1:]))
+
+    def give_back(self, grant):
+        if self.rng.random() < 0.7:
+            return 0.0
+        returned = grant["left"]
+        grant["left"] = 0.0
+        return returned
+
+    def answer(self, entry, sequence, ask, sent_at_s):
+        book = self.book
+        if not book.is_new(entry.name, sequence):
+            return
+        limits = {WORKSPACE: self.limit}
+        book.settle(entry.name, ask, self.limit, self.now_s)
+        records = book.reservations([ask], limits, self.now_s)
+        if records and self.rng.random() < 0.1:
+            if self.rng.random() < 0.5:
+                self.remember(records)
+            return
+        self.remember(records)
+        book.cover(records)
+        grant = book.grant(entry.name, ask, self.limit, self.now_s)
+        lost = self.rng.random() < 0.1
+        if grant.tokens > 0 and not lost:
+            until_s = sent_at_s + GRANT_LIFETIME_S
+            held = {"id": grant.grant_id, "left": grant.tokens, "spent": 0.0}
+            entry.grants.append({**held, "until": until_s})
+
+    def remember(self, records):
+        for record in records:
+            self.committed[record.workspace] = CreditRecord(
+                record.workspace, record.level_tokens, record.outstanding_tokens
+            )
+
+    def spend(self, entry):
+        for grant in entry.grants:
+            if grant["until"] <= self.now_s * entry.rate:
+                continue
+            tokens = grant["left"] * self.rng.random()
+            grant["left"] -= tokens
+            grant["spent"] += tokens
+            self.admitted.append([self.now_s, tokens])
+            if self.rng.random() < 0.3:
+                self.refund_later(entry, self.admitted[-1])
+
+    def refund_later(self, entry, admission):
+        """Use only a part of what was charged, and report that some time later."""
+        unused = admission[1] * self.rng.random()
+        admission[1] -= unused
+        entry.refunds.append((unused, admission[0]))
+
+    def step(self):
+        self.now_s += STEP_S
+        due = [item for item in self.messages if item[0] <= self.now_s]
+        self.messages = [item for item in self.messages if item[0] > self.now_s]
+        for _, *rest in due:
+            self.answer(*rest)
+        for entry in self.entries:
+            if self.rng.random() < 0.3:
+                self.ask(entry)
+            if self.rng.random() < 0.4:
+                self.spend(entry)
+        if self.rng.random() < 0.01:
+            entry = self.rng.choice(self.entries)
+            entry.grants = []
+        if self.rng.random() < 0.01:
+            self.elect()
+
+    def worst_excess(self):
+        """Return by how much some interval is over its bound."""
+        worst = 0.0
+        level = self.burst
+        last_s = None
+        for at_s, tokens in self.admitted:
+            if last_s is not None:
+                level = min(self.burst, level + (at_s - last_s) * self.rate)
+            last_s = at_s
+            level -= tokens
+            worst = max(worst, -level)
+        return worst
+
+
+class CreditTests(unittest.TestCase):
+    @settings(max_examples=300)
+    @given(seed=st.integers(0, 2**32))
+    def test_no_interval_admits_more_than_rate_times_length_plus_burst(self, seed):
+        """Entry hosts die, messages are lost, doubled and late, leaders change."""
+        fleet = FakeFleet(seed)
+        for _ in range(400):
+            fleet.step()
+        self.assertLessEqual(fleet.worst_excess(), TOLERANCE_TOKENS)
+
+    @settings(max_examples=20)
+    @given(seed=st.integers(0, 2**32))
+    def test_a_steady_caller_gets_nearly_its_whole_rate(self, seed):
+        """The bound is kept without giving away service."""
+        fleet = FakeFleet(seed)
+        fleet.rng = random.Random(1)
+        limits = {WORKSPACE: fleet.limit}
+        granted = 0.0
+        start_s = fleet.now_s
+        for sequence in range(1, 400):
+            fleet.now_s += STEP_S
+            reports = [CreditReport(sequence - 1, granted, 0.0)]
+            ask = CreditAsk(WORKSPACE, fleet.burst, reports, [])
+            fleet.book.settle("e0", ask, fleet.limit, fleet.now_s)
+            records = fleet.book.reservations([ask], limits, fleet.now_s)
+            fleet.book.cover(records)
+            grant = fleet.book.grant("e0", ask, fleet.limit, fleet.now_s)
+            granted = grant.tokens
+            fleet.admitted.append([fleet.now_s, granted])
+        total = sum(tokens for _, tokens in fleet.admitted)
+        entitled = fleet.burst + fleet.rate * (fleet.now_s - start_s)
+        self.assertGreater(total, 0.9 * entitled)
+
+    def test_a_new_leader_never_starts_above_the_committed_level(self):
+        """The first grant of a new leader comes out of what was left."""
+        limit = Limit(1.0, 100.0)
+        limits = {WORKSPACE: limit}
+        ask = CreditAsk(WORKSPACE, 90.0, [], [])
+        old = CreditBook({}, 0.0)
+        records = old.reservations([ask], limits, 0.0)
+        old.cover(records)
+        self.assertEqual(old.grant("e", ask, limit, 0.0).tokens, 90.0)
+        new = CreditBook({record.workspace: record for record in records}, 1.0)
+        new.cover(new.reservations([ask], limits, 1.0))
+        self.assertLessEqual(new.grant("e", ask, limit, 1.0).tokens, 11.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
@@ -0,0 +1,106 @@
+"""The journal after torn writes, damage and hundreds of changes."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given, settings, strategies as st
+
+from damaskvalve_core import DamagedJournalError
+from damaskvalve_core.messages import (
+    EntryKind,
+    HardState,
+    JournalRecord,
+    LogEntry,
+    SnapshotFile,
+)
+from damaskvalve_state import empty_snapshot, open_journal, recover
+
+
+def entry(index, term=1):
+    return LogEntry(index, term, EntryKind.COMMAND, b"x" * (index % 7), [])
+
+
+def write(folder, count):
+    with open_journal(folder) as journal:
+        journal.install(empty_snapshot(), [], HardState(1, "me"))
+        for index in range(1, count + 1):
+            journal.append([JournalRecord(entry=entry(index))])
+
+
+class JournalTests(unittest.TestCase):
+    def setUp(self):
+        self.scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(self.scratch.cleanup)
+        self.folder = Path(self.scratch.name)
+        self.path = self.folder / "journal"
+
+    def test_hundreds_of_changes_are_read_back_after_a_restart(self):
+        """What was appended is read back in order."""
+        write(self.folder, 700)
+        recovered = recover(self.folder)
+        self.assertEqual(recovered.log.last_index, 700)
+        self.assertEqual(recovered.log.entry_at(700).command, entry(700).command)
+        self.assertEqual(recovered.hard_state.voted_for, "me")
+
+    def test_a_folder_that_was_never_founded_gives_nothing(self):
+        """An empty folder is not a member with an empty log."""
+        self.assertIsNone(recover(self.folder))
+
+    def test_a_tail_torn_at_any_byte_is_cut_and_the_rest_kept(self):
+        """Each cut inside the last record leaves the records before it."""
+        write(self.folder, 3)
+        whole = self.path.read_bytes()
+        write(self.folder, 2)
+        shorter = len(self.path.read_bytes())
+        for length in range(shorter, len(whole)):
+            self.path.write_bytes(whole[:length])
+            recovered = recover(self.folder)
+            self.assertEqual(recovered.log.last_index, 2)
+            self.assertEqual(len(self.path.read_bytes()), shorter)
+
+    @settings(max_examples=150)
+    @given(position=st.integers(0, 10_000), flip=st.integers(1, 255))
+    def test_damage_anywhere_is_noticed_and_never_read_as_valid(self, position, flip):
+        """A flipped byte raises instead of losing synced records silently."""
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            write(folder, 20)
+            data = bytearray((folder / "journal").read_bytes())
+            data[position % len(data)] ^= flip
+            (folder / "journal").write_bytes(bytes(data))
+            with self.assertRaises(DamagedJournalError):
+                recover(folder)
+
+    def test_truncation_and_rewriting_are_replayed(self):
+        """A follower that replaced entries reads back the new ones."""
+        write(self.folder, 5)
+        with open_journal(self.folder) as journal:
+            journal.append([JournalRecord(truncate_from_index=3)])
+            journal.append([JournalRecord(entry=entry(3, term=2))])
+        log = recover(self.folder).log
+        self.assertEqual((log.last_index, log.last_term), (3, 2))
+
+    def test_a_snapshot_replaces_what_it_covers(self):
+        """After a snapshot only later entries are in the journal."""
+        write(self.folder, 9)
+        with open_journal(self.folder) as journal:
+            snapshot = SnapshotFile(7, 1, [], b"state")
+            journal.install(snapshot, [entry(8), entry(9)], HardState(4, ""))
+        recovered = recover(self.folder)
+        self.assertEqual(recovered.log.snapshot.data, b"state")
+        self.assertEqual(recovered.log.last_index, 9)
+        self.assertEqual(recovered.hard_state.term, 4)
+
+    def test_a_crash_between_snapshot_and_journal_loses_nothing(self):
+        """The new snapshot with the old journal is still consistent."""
+        write(self.folder, 9)
+        old = self.path.read_bytes()
+        with open_journal(self.folder) as journal:
+            journal.install(SnapshotFile(7, 1, [], b"s"), [], HardState(1, ""))
+        self.path.write_bytes(old)
+        self.assertEqual(recover(self.folder).log.last_index, 9)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_load_budget.py
@@ -0,0 +1,76 @@
+"""The load budget over leader changes, and whose turn it is."""
+
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from damaskvalve_state import LoadBudget, LoadLimit
+
+LIMIT = LoadLimit(rate_loads_per_s=2.0, burst_loads=2.0, max_in_flight=8)
+
+
+def granted(decisions):
+    return [item for item in decisions if item.permit_id is not None]
+
+
+class LoadBudgetTests(unittest.TestCase):
+    @settings(max_examples=200)
+    @given(
+        steps=st.lists(
+            st.tuples(st.floats(0.0, 1.0), st.sampled_from(["ask", "elect", "finish"])),
+            max_size=120,
+        )
+    )
+    def test_no_window_grants_more_than_the_store_allows(self, steps):
+        """Grants in every window stay under rate * length + burst."""
+        now_s = 0.0
+        term = 1
+        budget = LoadBudget(LIMIT, term, now_s)
+        times = []
+        for gap_s, what in steps:
+            now_s += gap_s
+            if what == "elect":
+                term += 1
+                budget = LoadBudget(LIMIT, term, now_s)
+            elif what == "ask":
+                for _ in range(3):
+                    budget.ask("agent", "a", 0, now_s + 5, None)
+            decisions = granted(budget.decide(now_s))
+            times.extend([now_s] * len(decisions))
+            if what == "finish":
+                for decision in decisions:
+                    budget.finish(decision.permit_id)
+        for first in range(len(times)):
+            for last in range(first, len(times)):
+                length_s = times[last] - times[first]
+                allowed = LIMIT.rate_loads_per_s * length_s + LIMIT.burst_loads
+                self.assertLessEqual(last - first + 1, allowed + 1e-9)
+
+    def test_at_most_eight_loads_are_in_flight(self):
+        """A permit that is not finished counts until it ends."""
+        limit = LoadLimit(1000.0, 1000.0, 8)
+        budget = LoadBudget(limit, 1, 0.0)
+        for _ in range(20):
+            budget.ask("agent", "a", 0, 100.0, None)
+        self.assertEqual(len(granted(budget.decide(0.5))), 0)
+        self.assertEqual(len(granted(budget.decide(5.0))), 8)
+        self.assertEqual(len(granted(budget.decide(5.1))), 0)
+
+    def test_the_most_urgent_waiter_goes_first(self):
+        """Interactive requests come before prefetch and deferred work."""
+        budget = LoadBudget(LIMIT, 1, 0.0)
+        budget.ask("late", "a", 2, 100.0, None)
+        budget.ask("soon", "b", 0, 100.0, None)
+        first = granted(budget.decide(4.0))[0]
+        self.assertEqual(first.waiter.agent_id, "soon")
+
+    def test_a_waiter_is_answered_once_it_has_waited_its_time(self):
+        """No agent waits longer than it said."""
+        budget = LoadBudget(LIMIT, 1, 0.0)
+        budget.ask("agent", "a", 0, 0.3, None)
+        answers = budget.decide(0.3)
+        self.assertEqual([item.permit_id for item in answers], [None])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_machine.py
@@ -0,0 +1,224 @@
+"""The replicated state machine: revisions, claims, jobs, fences, quarantine."""
+
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from damaskvalve_core import encode_struct
+from damaskvalve_core.messages import (
+    AnswerOnce,
+    ChangeConfiguration,
+    ClaimOnce,
+    ClearSuspect,
+    Command,
+    CreditRecord,
+    DropJob,
+    ExpireClaims,
+    FinishJob,
+    GrantFence,
+    ReleaseOnce,
+    ReportCrash,
+    ReserveCredit,
+    ResolveOnce,
+    Row,
+    StoredAnswer,
+    SubmitJob,
+)
+from damaskvalve_state import Machine
+
+ANSWER = StoredAnswer(200, "text/plain", b"done", "ran")
+NAMES = st.sampled_from(["a", "b", "c"])
+
+
+def change(operation, expected, actor="ann", key="w", value="{}"):
+    rows = [Row("workspace", key, value, 0)]
+    return Command(change=ChangeConfiguration(operation, expected, actor, rows, 0.0))
+
+
+def commands():
+    """Return a strategy for every kind of command."""
+    return st.one_of(
+        st.builds(change, NAMES, st.integers(0, 5), NAMES, NAMES),
+        st.builds(lambda c, h: Command(claim=ClaimOnce(c, "d", h)), NAMES, NAMES),
+        st.builds(lambda c, h: Command(answer=AnswerOnce(c, h, ANSWER)), NAMES, NAMES),
+        st.builds(lambda c, h: Command(release=ReleaseOnce(c, h)), NAMES, NAMES),
+        st.builds(
+            lambda c, r: Command(resolve=ResolveOnce(c, r, "op")), NAMES, st.booleans()
+        ),
+        st.builds(lambda j: Command(submit=SubmitJob(j, "w", "/p", b"b", 2)), NAMES),
+        st.builds(lambda j: Command(finish=FinishJob(j, ANSWER)), NAMES),
+        st.builds(lambda j: Command(drop=DropJob(j)), NAMES),
+        st.builds(
+            lambda w: Command(reserve=ReserveCredit([CreditRecord(w, 1.0, 2.0)])), NAMES
+        ),
+        st.builds(lambda b, h: Command(fence=GrantFence(b, h)), NAMES, NAMES),
+        st.builds(
+            lambda f, r, i: Command(crash=ReportCrash(f, r, i)),
+            NAMES,
+            NAMES,
+            st.booleans(),
+        ),
+        st.builds(lambda f: Command(clear=ClearSuspect(f)), NAMES),
+        st.builds(lambda n: Command(expire=ExpireClaims(n)), st.integers(0, 30)),
+    )
+
+
+class MachineTests(unittest.TestCase):
+    def setUp(self):
+        self.machine = Machine()
+        self.index = 0
+
+    def apply(self, command):
+        self.index += 1
+        return self.machine.apply(self.index, encode_struct(command))
+
+    @settings(max_examples=150)
+    @given(before=st.lists(commands(), max_size=40), after=st.lists(commands()))
+    def test_a_restored_snapshot_goes_on_exactly_like_the_original(self, before, after):
+        """Snapshot and replay give equal states and equal results."""
+        original = Machine()
+        for index, command in enumerate(before, 1):
+            original.apply(index, encode_struct(command))
+        restored = Machine.from_bytes(original.to_bytes())
+        for index, command in enumerate(after, len(before) + 1):
+            data = encode_struct(command)
+            self.assertEqual(original.apply(index, data), restored.apply(index, data))
+        self.assertEqual(original.to_bytes(), restored.to_bytes())
+
+    def test_of_racing_equal_numbers_one_wins_and_the_other_learns_who(self):
+        """Two operators expect the same revision."""
+        self.assertTrue(self.apply(change("op-1", 0, "ann")).accepted)
+        lost = self.apply(change("op-2", 0, "bob"))
+        self.assertFalse(lost.accepted)
+        self.assertEqual(
+            (lost.reason, lost.actor, lost.revision), ("conflict", "ann", 1)
+        )
+
+    def test_a_resent_operation_gets_its_first_answer(self):
+        """A resend after a lost answer changes nothing, however late it comes."""
+        first = self.apply(change("op-1", 0))
+        self.apply(change("op-2", 1, key="other"))
+        again = self.apply(change("op-1", 0))
+        self.assertEqual((again.accepted, again.revision), (True, first.revision))
+        self.assertEqual(self.machine.revision, 2)
+
+    @settings(max_examples=200)
+    @given(
+        steps=st.lists(
+            st.one_of(
+                st.tuples(st.just("claim"), NAMES),
+                st.tuples(st.just("answer"), NAMES),
+                st.tuples(st.just("release"), NAMES),
+            )
+        )
+    )
+    def test_a_claim_runs_at_most_once_unless_it_was_released_unrun(self, steps):
+        """At any time one holder at most may run, and none after an answer."""
+        machine = Machine()
+        holder = None
+        answered = False
+        for index, (what, name) in enumerate(steps, 1):
+            command = {
+                "claim": lambda: Command(claim=ClaimOnce("c", "d", name)),
+                "answer": lambda: Command(answer=AnswerOnce("c", name, ANSWER)),
+                "release": lambda: Command(release=ReleaseOnce("c", name)),
+            }[what]()
+            accepted = machine.apply(index, encode_struct(command)).accepted
+            if what == "claim":
+                self.assertEqual(accepted, holder is None)
+                holder = name if accepted else holder
+            elif what == "answer":
+                self.assertEqual(accepted, holder == name and not answered)
+                answered = answered or accepted
+            else:
+                self.assertEqual(accepted, holder == name and not answered)
+                holder = None if accepted else holder
+
+    def test_the_stored_answer_is_given_to_every_later_claim(self):
+        """A resend gets the answer and does not run."""
+        self.apply(Command(claim=ClaimOnce("c", "d", "first")))
+        self.apply(Command(answer=AnswerOnce("c", "first", ANSWER)))
+        again = self.apply(Command(claim=ClaimOnce("c", "d", "second")))
+        self.assertEqual((again.accepted, again.reason), (False, "answered"))
+        self.assertEqual(again.claim.answer.body, b"done")
+
+    def test_another_body_under_the_same_key_is_refused(self):
+        """The claim names the body it was made for."""
+        self.apply(Command(claim=ClaimOnce("c", "d", "first")))
+        other = self.apply(Command(claim=ClaimOnce("c", "e", "second")))
+        self.assertEqual((other.accepted, other.reason), (False, "other-body"))
+
+    def test_settled_claims_expire_but_unknown_ones_stay(self):
+        """Only an operator settles a claim whose outcome is unknown."""
+        self.apply(Command(claim=ClaimOnce("done", "d", "h")))
+        self.apply(Command(answer=AnswerOnce("done", "h", ANSWER)))
+        self.apply(Command(claim=ClaimOnce("open", "d", "h")))
+        self.apply(Command(expire=ExpireClaims(100)))
+        self.assertEqual(list(self.machine.claims), ["open"])
+
+    def test_fencing_numbers_rise_with_each_new_holder_only(self):
+        """A grant repeated after a lost answer still names who held it before."""
+        numbers = []
+        for holder in ("a", "a", "b", "a"):
+            result = self.apply(Command(fence=GrantFence("engine", holder)))
+            numbers.append((result.fence.number, result.fence.previous_holder))
+        self.assertEqual(numbers, [(1, ""), (1, ""), (2, "a"), (3, "b")])
+
+    def test_only_a_crash_without_neighbours_quarantines(self):
+        """A request that ran beside the guilty one is never quarantined."""
+        for number in range(5):
+            crash = ReportCrash("innocent", f"r{number}", False)
+            result = self.apply(Command(crash=crash))
+            self.assertFalse(result.suspect.quarantined)
+        self.apply(Command(crash=ReportCrash("guilty", "x1", False)))
+        result = self.apply(Command(crash=ReportCrash("guilty", "x2", True)))
+        self.assertTrue(result.suspect.quarantined)
+
+    def test_a_repeated_crash_report_counts_once(self):
+        """A report that is sent again after a lost answer changes nothing."""
+        for _ in range(3):
+            result = self.apply(Command(crash=ReportCrash("f", "same", True)))
+        self.assertEqual(result.suspect.crashes, 1)
+
+    def test_deferred_jobs_are_bounded_and_kept_until_dropped(self):
+        """A full list refuses; a finished job stays until it is fetched."""
+        for name in ("a", "b"):
+            submit = Command(submit=SubmitJob(name, "w", "/p", b"body", 2))
+            self.assertTrue(self.apply(submit).accepted)
+        full = self.apply(Command(submit=SubmitJob("c", "w", "/p", b"body", 2)))
+        self.assertEqual((full.accepted, full.reason), (False, "full"))
+        self.assertFalse(self.apply(Command(drop=DropJob("a"))).accepted)
+        self.apply(Command(finish=FinishJob("a", ANSWER)))
+        self.assertTrue(self.apply(Command(drop=DropJob("a"))).accepted)
+
+    @settings(max_examples=60)
+    @given(count=st.integers(1, 60), since=st.integers(0, 60), width=st.integers(1, 3))
+    def test_deltas_bring_a_subscriber_to_the_same_rows(self, count, since, width):
+        """Old rows plus the delta equal the full configuration."""
+        machine = Machine()
+        held = {}
+        for number in range(count):
+            if machine.revision == since:
+                held = dict(machine.table("workspace"))
+            rows = [
+                Row("workspace", f"k{(number * width + i) % 7}", None if i else "{}", 0)
+                for i in range(width)
+            ]
+            body = ChangeConfiguration(f"op{number}", number, "ann", rows, 0.0)
+            machine.apply(number + 1, encode_struct(Command(change=body)))
+        delta = machine.rows_since(since)
+        if since > machine.revision:
+            self.assertIsNone(delta)
+            return
+        if since == machine.revision:
+            held = dict(machine.table("workspace"))
+        for row in delta:
+            if row.value is None:
+                held.pop(row.key, None)
+            else:
+                held[row.key] = row
+        self.assertEqual(held, dict(machine.table("workspace")))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damaskvalve/damaskvalve/_admin.py
+++ b/packages/damaskvalve/damaskvalve/_admin.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from damaskvalve._configuration import check_rows, key_digest
+from damaskvalve._configuration import check_rows
 from damaskvalve._exchange import JSON, Exchange, Reply
-from damaskvalve._filters._authorise import require_lease, take_key
+from damaskvalve._filters._authorise import require_lease
 from damaskvalve._subscription import Subscription
 from damaskvalve._view import ConfigurationView
 from damaskvalve_core import (
@@ -64,9 +64,8 @@
 
     def answer(self, exchange: Exchange) -> Reply:
         """Answer one operator's request."""
-        key = take_key(exchange)
         require_lease(self._view)
-        operator = self._view.operator(key_digest(key)) if key else None
+        operator = self._view.operator(exchange.presented_digest)
         if operator is None:
             raise RefusedError(401, "not_an_operator", "an operator's key is needed")
         what = exchange.path[len(ADMIN_PATH) :]
--- a/packages/damaskvalve/damaskvalve/_exchange.py
+++ b/packages/damaskvalve/damaskvalve/_exchange.py
@@ -22,6 +22,7 @@
         "body",
         "received_at_s",
         "deadline_s",
+        "presented_digest",
         "key_digest",
         "route",
         "workspace",
@@ -55,6 +56,9 @@
         self.body = body
         self.received_at_s = received_at_s
         self.deadline_s = float("inf")
+        # Digest of the key that came with the request; the key itself is gone.
+        self.presented_digest = ""
+        # Digest of the key once it was found valid.
         self.key_digest = ""
         self.route: Route | None = None
         self.workspace: Workspace | None = None
--- a/packages/damaskvalve/damaskvalve/_filters/_authorise.py
+++ b/packages/damaskvalve/damaskvalve/_filters/_authorise.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from damaskvalve._configuration import OPEN, AdapterGrant, key_digest
+from damaskvalve._configuration import OPEN, AdapterGrant
 from damaskvalve._exchange import Exchange, Filter, Next, Reply
 from damaskvalve._view import ConfigurationView
 from damaskvalve_core import RefusedError
@@ -16,30 +16,6 @@
 LEASE_RETRY_S = 1.0
 
 
-def take_key(exchange: Exchange) -> str:
-    """Take the caller's key off the request, and refuse it anywhere else."""
-    value = exchange.headers.pop("authorization", "")
-    scheme, _, key = value.partition(" ")
-    if not value:
-        key = exchange.headers.pop("x-api-key", "")
-    elif scheme.lower() != "bearer":
-        key = ""
-    key = key.strip()
-    if key and _holds_key(exchange, key):
-        raise RefusedError(
-            400, "key_in_request", "the key may stand in the Authorization header only"
-        )
-    return key
-
-
-def _holds_key(exchange: Exchange, key: str) -> bool:
-    if key in exchange.path or key in exchange.query:
-        return True
-    if any(key in value for value in exchange.headers.values()):
-        return True
-    return key.encode() in exchange.body
-
-
 def require_lease(view: ConfigurationView) -> None:
     """Refuse while the configuration is not known to be in force."""
     if not view.is_leased(time.monotonic()):
@@ -71,13 +47,12 @@
     """Return the filter that finds the workspace from the key alone."""
 
     def authenticate(exchange: Exchange, following: Next) -> Reply:
-        key = take_key(exchange)
         if exchange.the_route().kind == OPEN:
             return following(exchange)
-        if not key:
+        digest = exchange.presented_digest
+        if not digest:
             raise RefusedError(401, "no_key", "a key is needed")
         require_lease(view)
-        digest = key_digest(key)
         grant = view.key(digest)
         workspace = view.workspace(grant.workspace) if grant else None
         if workspace is None:
--- a/packages/damaskvalve/damaskvalve/_http.py
+++ b/packages/damaskvalve/damaskvalve/_http.py
@@ -9,10 +9,10 @@
 import logbook
 
 from damaskvalve._admin import ADMIN_PATH, AdminApi
-from damaskvalve._configuration import key_digest
 from damaskvalve._exchange import JSON, Exchange, Next, Reply, error_reply
-from damaskvalve._filters._authorise import require_lease, take_key
+from damaskvalve._filters._authorise import require_lease
 from damaskvalve._jobs import JOBS_PATH, JobDesk
+from damaskvalve._key import take_key
 from damaskvalve._metrics import Metrics
 from damaskvalve._settings import EntrySettings
 from damaskvalve._subscription import Subscription
@@ -81,6 +81,7 @@
         request_id = new_request_id()
         try:
             exchange = self._exchange(environ, request_id)
+            take_key(exchange)
             reply = self._answer(exchange)
         except RefusedError as error:
             reply = error_reply(error, request_id)
@@ -182,11 +183,10 @@
         return Reply(200, JSON, b'{"status": "ready"}')
 
     def _workspace(self, exchange: Exchange) -> str:
-        key = take_key(exchange)
-        if not key:
+        if not exchange.presented_digest:
             raise RefusedError(401, "no_key", "a key is needed")
         require_lease(self._view)
-        grant = self._view.key(key_digest(key))
+        grant = self._view.key(exchange.presented_digest)
         if grant is None:
             raise RefusedError(401, "unknown_key", "the key is not valid")
         return grant.workspace
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/tests/test_view.py
@@ -0,0 +1,138 @@
+"""The configuration view: leases, order of revisions, key withdrawal."""
+
+import json
+import random
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from damaskvalve import ConfigurationView, key_digest
+from damaskvalve._view import CONFIGURATION_LEASE_S
+from damaskvalve_core.messages import BackendReport, PollReply, Row
+
+DIGEST = key_digest("secret")
+KEY_VALUE = json.dumps({"workspace": "w", "label": "caller"})
+
+
+def reply(revision, rows=(), *, fresh=True, age_s=0.0, full=False, **more):
+    values = {
+        "fresh": fresh,
+        "age_s": age_s,
+        "revision": revision,
+        "full": full,
+        "rows": list(rows),
+        "evicted_adapters": [],
+        "backends_version": 1,
+        "suspects_version": 0,
+        "control_id": "c1",
+        **more,
+    }
+    return PollReply(**values)
+
+
+def key_row(revision, value=KEY_VALUE):
+    return Row("key", DIGEST, value, revision)
+
+
+class ViewTests(unittest.TestCase):
+    @settings(max_examples=200)
+    @given(seed=st.integers(0, 2**32))
+    def test_a_withdrawn_key_is_dead_within_the_lease_on_every_host(self, seed):
+        """Hosts are cut off, frozen, skewed and served stale answers."""
+        rng = random.Random(seed)
+        rate = rng.choice([0.97, 1.0, 1.03])
+        view = ConfigurationView()
+        withdrawn_at_s = 20 + rng.random() * 5
+        cut_from_s = rng.random() * 30
+        now_s = 10.0
+        while now_s < withdrawn_at_s + 10:
+            now_s += 0.1
+            if now_s < cut_from_s and rng.random() < 0.5:
+                age_s = rng.random() * CONFIGURATION_LEASE_S
+                known_at_s = now_s - age_s
+                withdrawn = known_at_s >= withdrawn_at_s
+                row = key_row(2, None) if withdrawn else key_row(1)
+                answer = reply(2 if withdrawn else 1, [row], age_s=age_s, full=True)
+                view.take(answer, now_s * rate)
+            accepts = view.is_leased(now_s * rate) and view.key(DIGEST) is not None
+            limit_s = withdrawn_at_s + CONFIGURATION_LEASE_S * 1.1
+            if accepts:
+                self.assertLessEqual(now_s, limit_s)
+
+    def test_an_older_answer_never_takes_the_configuration_back(self):
+        """A late answer of a lower revision is dropped whole."""
+        view = ConfigurationView()
+        view.take(reply(5, [key_row(5, None)], full=True), 0.0)
+        self.assertFalse(view.take(reply(4, [key_row(4)], full=True), 1.0))
+        self.assertIsNone(view.key(DIGEST))
+        self.assertEqual(view.revision, 5)
+
+    def test_an_answer_that_is_not_fresh_renews_no_lease(self):
+        """A control host that is cut off cannot keep keys alive."""
+        view = ConfigurationView()
+        view.take(reply(1, [key_row(1)], fresh=False), 0.0)
+        self.assertFalse(view.is_leased(0.1))
+
+    def test_adapter_grants_are_dropped_when_they_change(self):
+        """A delta evicts the row; an older lookup does not come back."""
+        view = ConfigurationView()
+        value = json.dumps({"model": "m", "versions": ["1"], "current": "1"})
+        view.take(reply(3), 0.0)
+        view.cache_adapter("w/a", Row("adapter", "w/a", value, 3), 3)
+        self.assertEqual(view.cached_adapter("w/a")[1].current, "1")
+        view.take(reply(4, evicted_adapters=["w/a"]), 1.0)
+        self.assertEqual(view.cached_adapter("w/a"), (False, None))
+        view.cache_adapter("w/a", Row("adapter", "w/a", value, 3), 3)
+        self.assertEqual(view.cached_adapter("w/a"), (False, None))
+
+    def test_a_drained_or_removed_backend_server_gets_no_work(self):
+        """Both the operator's drain and the agent's leaving count."""
+        view = ConfigurationView()
+        reports = [
+            BackendReport(backend_server=name, resident=[], served={}, counters={})
+            for name in ("e1", "e2", "e3")
+        ]
+        drain = Row("drain", "e1", json.dumps({"reason": "repair"}), 1)
+        view.take(reply(1, [drain], backends=reports), 0.0)
+        names = [item.backend_server for item in view.backends()]
+        self.assertEqual(names, ["e2", "e3"])
+        view.take(reply(1, removed_backends=["e2"]), 1.0)
+        names = [item.backend_server for item in view.backends()]
+        self.assertEqual(names, ["e3"])
+
+    def test_a_row_that_is_not_usable_does_not_stop_the_others(self):
+        """A bad row is logged and left out."""
+        view = ConfigurationView()
+        rows = [Row("workspace", "w", "{}", 1), key_row(1)]
+        view.take(reply(1, rows), 0.0)
+        self.assertIsNone(view.workspace("w"))
+        self.assertIsNotNone(view.key(DIGEST))
+
+    def test_the_longest_route_wins(self):
+        """A route under another one is found first."""
+        view = ConfigurationView()
+        base = {
+            "backend_kind": "service",
+            "serves": "s",
+            "cost_tokens": 0,
+            "weight": 1,
+            "deadline_s": 5,
+        }
+        rows = [
+            Row("route", "/services", json.dumps({**base, "kind": "open"}), 1),
+            Row("route", "/services/desk", json.dumps({**base, "kind": "once"}), 1),
+        ]
+        view.take(reply(1, rows), 0.0)
+        cases = {
+            "/services/desk/loans": "once",
+            "/services/deskx": "open",
+            "/v1/completions": "repeatable",
+        }
+        for path, kind in cases.items():
+            with self.subTest(path=path):
+                self.assertEqual(view.route(path).kind, kind)
+        self.assertIsNone(view.route("/other"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/testing/damaskvalve-standins/damaskvalve_standins/_server.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/_server.py
@@ -19,8 +19,11 @@
     wbufsize = 16 * 1024
     routes: Mapping[str, Route] = {}
     fallback: Route | None = None
+    body: bytes = b""
 
     def _dispatch(self) -> None:
+        length = int(self.headers.get("Content-Length") or 0)
+        self.body = self.rfile.read(length)
         route = self.routes.get(self.path.partition("?")[0], self.fallback)
         if route is None:
             self.send_json(404, {"error": "no such path"})
@@ -31,7 +34,7 @@
 
     def read_body(self) -> bytes:
         """Return the request's body."""
-        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        return self.body
 
     def send_whole(
         self, status: int, content_type: str, body: bytes, **headers: str
--- a/testing/damaskvalve-standins/damaskvalve_standins/run_tests.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/run_tests.py
@@ -38,6 +38,7 @@
         derandomize=True,
         deadline=None,
         database=None,
+        phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
         suppress_health_check=list(hypothesis.HealthCheck),
     )
     hypothesis.settings.load_profile("fixed")
--- a/testing/damaskvalve-standins/damaskvalve_standins/service.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/service.py
@@ -3,6 +3,7 @@
 import argparse
 import json
 import os
+import socket
 import threading
 import time
 import uuid
@@ -30,7 +31,7 @@
             number = self.runs[text]
         time.sleep(self.faults.get("delay_s", 0.0))
         if self.faults.pop("lose_answer", 0):
-            handler.connection.close()
+            handler.connection.shutdown(socket.SHUT_RDWR)
             return
         if self.faults.pop("crash", 0):
             os._exit(1)
