--- a/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
@@ -48,7 +48,6 @@
         self._counters = counters
         self._sequence = 0
         self._start_id: str | None = None
-        self._healthy = False
         self._lock = threading.Lock()
         self._elsewhere: dict[str, float] = {}
 
@@ -59,7 +58,8 @@
         with self._lock:
             self._sequence += 1
             sequence = self._sequence
-        unavailable = not self._healthy or self._fence.number(time.monotonic()) is None
+        unfenced = self._fence.number(time.monotonic()) is None
+        unavailable = unfenced or not self._service.backend_up
         return BackendReport(
             settings.name,
             self._address,
@@ -118,14 +118,14 @@
         try:
             start_id = self._backend.start_id()
         except (BackendError, ValueError):
-            self._healthy = False
+            self._service.backend_up = False
             return
         if self._start_id not in (None, start_id):
             _log.warning("the backend server has restarted with nothing loaded")
             self._counters.add("backend_restarts")
             self._room.run(lambda scheduler, now_s: scheduler.engine_restarted())
         self._start_id = start_id
-        self._healthy = True
+        self._service.backend_up = True
 
 
 class _State:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -103,6 +103,8 @@
         self._counters = counters
         self._record = record
         self.leaving = False
+        # False from a failed contact until the backend server answers again.
+        self.backend_up = False
 
     def handle(self, request: Any, connection: Connection) -> Iterator[Any]:
         """Answer one message of another process."""
@@ -116,11 +118,11 @@
             self._counters.leave()
 
     def _work(self, work: WorkRequest, connection: Connection) -> Iterator[Any]:
-        refusal = self._refuse_early(work)
-        if refusal is not None:
-            yield refusal
-            return
         for _ in range(RESTART_RETRIES):
+            refusal = self._refuse_early(work)
+            if refusal is not None:
+                yield refusal
+                return
             ticket = self._ticket(work, time.monotonic())
             future = self._room.submit(ticket)
             outcome = yield from self._await_turn(work, ticket, future, connection)
@@ -136,6 +138,8 @@
     def _refuse_early(self, work: WorkRequest) -> WorkRefused | None:
         if self.leaving:
             return _refused(work, "backend_leaving", NOT_RUN, 0.0)
+        if not self.backend_up:
+            return _refused(work, "backend_down", NOT_RUN, 1.0)
         if self._fence.number(time.monotonic()) is None:
             return _refused(work, "not_fenced", NOT_RUN, 1.0)
         if work.kind != self._settings.kind or work.model != self._settings.serves:
@@ -210,6 +214,8 @@
             return False
         except BackendError as error:
             crashed = error.crashed
+            if crashed or not error.sent:
+                self.backend_up = False
             yield self._failed(work, error, delivered_tokens)
         finally:
             self._note_end(work, ticket, delivered=delivered, crashed=crashed)
--- a/packages/damaskvalve/damaskvalve/_backend_table.py
+++ b/packages/damaskvalve/damaskvalve/_backend_table.py
@@ -160,7 +160,8 @@
 
 
 def _renew(known: _Known, report: BackendReport, now_s: float) -> None:
-    if known.expired or report.incarnation != known.report.incarnation:
+    restarted = report.incarnation != known.report.incarnation
+    if (known.expired or restarted) and not known.report.leaving:
         recent = [at for at in known.returns_s if now_s - at < FLAP_WINDOW_S]
         known.returns_s = [*recent, now_s]
         if len(known.returns_s) >= FLAP_LIMIT:
--- a/packages/damaskvalve/damaskvalve/_control_service.py
+++ b/packages/damaskvalve/damaskvalve/_control_service.py
@@ -188,13 +188,13 @@
     # ---- backend servers ----
 
     def _report(self, report: BackendReport, connection: Connection) -> ReportReply:
-        self.backends.take(report, time.monotonic())
-
         def read(node: GroupNode, now_s: float) -> tuple[int, str]:
             fence = node.machine.fences.get(report.backend_server)
             return (fence.number, fence.holder) if fence else (0, "")
 
         number, holder = self._group.run(read)
+        if holder in ("", report.incarnation):
+            self.backends.take(report, time.monotonic())
         age_s = self._freshness.age_s(time.monotonic())
         served = dict(self.backends.served_elsewhere(report.backend_server))
         return ReportReply(number, holder, self._is_fresh(age_s), age_s, served)
--- a/packages/damaskvalve/damaskvalve/_credit_pool.py
+++ b/packages/damaskvalve/damaskvalve/_credit_pool.py
@@ -37,6 +37,7 @@
         self.short_tokens = 0.0
         self.demand_tokens_per_s = 0.0
         self.demand_at_s = 0.0
+        # When the leader expects what it could not grant; 0 if it granted all.
         self.retry_after_s = 0.0
 
     def usable_tokens(self, now_s: float) -> float:
--- a/packages/damaskvalve/damaskvalve/_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/_dispatch.py
@@ -35,7 +35,15 @@
 )
 
 FORWARDED_HEADERS = ("accept", "accept-language", "content-type", "traceparent")
-MAX_ATTEMPTS = 3
+MAX_REFUSALS = 4
+MAX_INTERRUPTIONS = 2
+# Trying another backend server does not help against these.
+FINAL_CODES = ("deadline", "adapter_held_back")
+# How long a request that lost its backend server waits for one to return.
+RETURN_WAIT_S = 6.0
+RETURN_STEP_S = 0.2
+# A request that was kept this long begins to wait anew.
+LONG_ATTEMPT_S = 1.0
 REPORT_TIMEOUT_S = 2.0
 
 _log = logbook.Logger("dispatch")
@@ -64,6 +72,56 @@
             return dict(self._counts)
 
 
+class _Attempts:
+    """What one request has tried; decides whether it may try again.
+
+    A request that no backend server has begun tries each one once. A request
+    that was interrupted also waits a little for a backend server to return.
+    """
+
+    def __init__(self, deadline_s: float) -> None:
+        self.excluded: set[str] = set()
+        # Since when no backend server has kept this request for a while.
+        self._homeless_since_s = 0.0
+        self._deadline_s = deadline_s
+        self._refusals = 0
+        self._interruptions = 0
+
+    def note(
+        self, error: AttemptError, backend_server: str, began_at_s: float, now_s: float
+    ) -> None:
+        """Count an attempt that began at ``began_at_s`` and has failed now."""
+        self.excluded.add(backend_server)
+        if error.ran == NOT_RUN:
+            self._refusals += 1
+        else:
+            self._interruptions += 1
+        if error.ran != NOT_RUN or now_s - began_at_s > LONG_ATTEMPT_S:
+            self._homeless_since_s = now_s
+
+    def count(self) -> int:
+        """Return how many attempts have failed."""
+        return self._refusals + self._interruptions
+
+    def was_interrupted(self) -> bool:
+        """Return whether some attempt may have run."""
+        return self._interruptions > 0
+
+    def may_wait(self, now_s: float) -> bool:
+        """Return whether to wait for a backend server to return."""
+        if not self.was_interrupted() or now_s >= self._deadline_s:
+            return False
+        return now_s - self._homeless_since_s < RETURN_WAIT_S
+
+    def may_go_on(self, error: AttemptError, now_s: float) -> bool:
+        """Return whether another attempt makes sense after ``error``."""
+        if error.code in FINAL_CODES or now_s >= self._deadline_s:
+            return False
+        if self._interruptions > MAX_INTERRUPTIONS:
+            return False
+        return self._refusals < MAX_REFUSALS or self.may_wait(now_s)
+
+
 class Dispatcher:
     """Holds what all dispatched requests share."""
 
@@ -102,6 +160,21 @@
         key = exchange.adapter_key()
         return choose(key, backends, counts, self._data_centre, excluded)
 
+    def _find_backend(
+        self, exchange: Exchange, attempts: _Attempts
+    ) -> BackendReport | None:
+        """Return a backend server; an interrupted request waits a little for one.
+
+        It goes back to one where it failed only if no other one turns up. A
+        request that was not interrupted does not wait.
+        """
+        backend = self.choose(exchange, attempts.excluded)
+        while backend is None and attempts.may_wait(time.monotonic()):
+            time.sleep(RETURN_STEP_S)
+            backend = self.choose(exchange, attempts.excluded)
+            backend = backend or self.choose(exchange, set())
+        return backend
+
     @staticmethod
     def _isolation_home(
         backends: Sequence[BackendReport], excluded: set[str]
@@ -118,18 +191,19 @@
     def events(self, exchange: Exchange) -> Iterator[WorkChunk | WorkEnd]:
         """Yield chunks and the end of one answer, over as many attempts as needed."""
         self._budget.earn()
-        excluded: set[str] = set()
+        attempts = _Attempts(exchange.deadline_s)
         text = ""
         tokens = 0
-        for attempt in range(MAX_ATTEMPTS):
-            backend = self.choose(exchange, excluded)
+        while True:
+            backend = self._find_backend(exchange, attempts)
             if backend is None:
-                raise _no_backend(tokens)
+                raise _no_backend(attempts)
             body = continue_body(exchange.body, text, tokens)
             if body is None:
                 yield _length_end(exchange, tokens)
                 return
             work = self._work(exchange, backend, body)
+            began_at_s = time.monotonic()
             try:
                 for message in self._attempt(exchange, backend, work):
                     if isinstance(message, WorkChunk):
@@ -139,8 +213,10 @@
                 self._clear_suspect(exchange)
                 return
             except AttemptError as error:
-                excluded.add(backend.backend_server)
-                self._after_failure(exchange, error, attempt)
+                attempts.note(
+                    error, backend.backend_server, began_at_s, time.monotonic()
+                )
+                self._after_failure(exchange, error, attempts)
 
     def _attempt(
         self, exchange: Exchange, backend: BackendReport, work: WorkRequest
@@ -181,7 +257,7 @@
         return check
 
     def _after_failure(
-        self, exchange: Exchange, error: AttemptError, attempt: int
+        self, exchange: Exchange, error: AttemptError, attempts: _Attempts
     ) -> None:
         """Return if the request may be tried again, else raise its final answer."""
         _log.info(
@@ -199,10 +275,8 @@
             ran=error.ran,
         )
         if error.crashed and exchange.the_route().backend_kind == "engine":
-            self._report_crash(exchange)
-        if error.code in ("deadline", "adapter_held_back"):
-            raise _final(error)
-        if attempt + 1 >= MAX_ATTEMPTS or time.monotonic() >= exchange.deadline_s:
+            self._report_crash(exchange, attempts.count())
+        if not attempts.may_go_on(error, time.monotonic()):
             raise _final(error)
         if error.ran == NOT_RUN:
             return
@@ -212,8 +286,8 @@
 
     # ---- requests that crash backend servers ----
 
-    def _report_crash(self, exchange: Exchange) -> None:
-        report_id = f"{exchange.request_id}/{exchange.backend_server}"
+    def _report_crash(self, exchange: Exchange, attempt: int) -> None:
+        report_id = f"{exchange.request_id}/{attempt}"
         command = Command(
             crash=ReportCrash(exchange.fingerprint, report_id, exchange.isolated)
         )
@@ -284,8 +358,8 @@
     return "/v1/chat/completions" if b'"messages":' in body else "/v1/completions"
 
 
-def _no_backend(tokens: int) -> RefusedError:
-    ran = UNKNOWN if tokens else NOT_RUN
+def _no_backend(attempts: _Attempts) -> RefusedError:
+    ran = UNKNOWN if attempts.was_interrupted() else NOT_RUN
     return RefusedError(
         503, "no_backend", "no backend server is free", ran=ran, retry_after_s=1.0
     )
--- a/packages/damaskvalve/damaskvalve/_ledger.py
+++ b/packages/damaskvalve/damaskvalve/_ledger.py
@@ -11,7 +11,7 @@
 
 ASK_TIMEOUT_S = 1.5
 REPORT_S = 0.1
-ASK_ATTEMPTS = 2
+MAX_EXCHANGES = 20
 NO_LEADER_RETRY_S = 1.0
 
 _log = logbook.Logger("ledger")
@@ -39,12 +39,15 @@
             now_s = time.monotonic()
             if self._pool.spend(workspace, tokens, now_s):
                 return now_s
-        for _ in range(ASK_ATTEMPTS):
+        for _ in range(MAX_EXCHANGES):
             self._exchange()
             with self._lock:
                 now_s = time.monotonic()
                 if self._pool.retry_spend(workspace, tokens, now_s):
                     return now_s
+                # Others may have spent what came; only the leader's word counts.
+                if self._unreachable or self._pool.retry_after_s(workspace) > 0:
+                    break
         raise self._refusal(workspace)
 
     def _refusal(self, workspace: str) -> RefusedError:
--- a/packages/damaskvalve/damaskvalve/_operator.py
+++ b/packages/damaskvalve/damaskvalve/_operator.py
@@ -8,6 +8,7 @@
 
 from damaskvalve._configuration import check_rows, encode_value
 from damaskvalve._settings import OperatorSettings
+from damaskvalve._view import CONFIGURATION_LEASE_S
 from damaskvalve_core import (
     ChannelError,
     Dialer,
@@ -29,6 +30,8 @@
 COMMIT_ATTEMPTS = 10
 RETRY_S = 0.5
 IN_FORCE_S = 30.0
+# Longer than a lease, so a host not heard of since has stopped acting.
+LAPSED_S = CONFIGURATION_LEASE_S * 1.5
 
 #: A row to write: table, key and value; None deletes it.
 RowChange = tuple[str, str, Mapping[str, object] | None]
@@ -129,14 +132,21 @@
             time.sleep(0.1)
 
     def behind(self, revision: int) -> Sequence[str]:
-        """Return the subscribers that still have an older revision."""
+        """Return the subscribers that still act on an older revision.
+
+        One that was not heard of for longer than a lease acts on none.
+        """
         newest: dict[str, tuple[float, int]] = {}
         for reply in self.read_each("status").values():
             for item in reply.subscribers if reply else ():
                 known = newest.get(item.subscriber)
                 if known is None or item.age_s < known[0]:
                     newest[item.subscriber] = (item.age_s, item.revision)
-        return sorted(name for name, (_, held) in newest.items() if held < revision)
+        return sorted(
+            name
+            for name, (age_s, held) in newest.items()
+            if held < revision and age_s < LAPSED_S
+        )
 
 
 @contextlib.contextmanager
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/fleet_case.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/fleet_case.py
@@ -16,7 +16,7 @@
     """Starts three control and entry hosts, two engines and a service."""
 
     engines = ("engine-1", "engine-2")
-    engine_options = ("--token-s", "0.005")
+    engine_options: tuple[str, ...] = ("--token-s", "0.005")
     rate = "20000"
     burst = "100000"
 
