Load permits are shared by workspace

Cause: with permits in order of waiting time, a workspace at five times its requests held up everybody's loads, since its waiters were always the oldest; the run queue's fairness did not help, because the others' adapters never came.

Ruled out: the run queue (fair within one request), slots (pins and wanted adapters are spared).

--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -16,7 +16,7 @@
     Ticket,
 )
 from damaskvalve_core.messages import BackendReport
-from damaskvalve_state import LoadBudget, LoadLimit
+from damaskvalve_state import LoadBudget, LoadLimit, Waiter
 
 STEP_S = 0.02
 BATCH_COST = 0.01
@@ -262,7 +262,16 @@
         token = (agent, action.adapter, life)
         gives_up_at_s = self.now_s + PERMIT_WAIT_S
         self.budget.ask(
-            agent.name, action.adapter, 0, gives_up_at_s, token, action.since_s
+            Waiter(
+                agent.name,
+                action.adapter,
+                action.workspace,
+                action.share,
+                0,
+                action.since_s,
+                gives_up_at_s,
+                token,
+            )
         )
         self._grant()
         self.at(gives_up_at_s, self._grant)
--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -257,7 +257,7 @@
 struct CreditGrant { 1: string workspace  2: i64 grant_id  3: double tokens  4: double retry_after_s }
 struct CreditReply { 1: bool done  2: string leader_address  3: list<CreditGrant> grants  4: double lifetime_s }
 
-struct PermitRequest { 1: string agent_id  2: string adapter  3: i32 urgency  4: double wait_s  5: string finished_permit_id  6: double waited_s }
+struct PermitRequest { 1: string agent_id  2: string adapter  3: i32 urgency  4: double wait_s  5: string finished_permit_id  6: double waited_s  7: string workspace  8: double share }
 struct PermitReply { 1: bool granted  2: string leader_address  3: string permit_id  4: double retry_after_s  5: double valid_s }
 
 struct LeaseJobRequest { 1: string entry_id  2: i32 max_jobs }
--- a/packages/damaskvalve-agent/damaskvalve_agent/_engine_room.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_engine_room.py
@@ -130,7 +130,14 @@
     def _ask_permit(self, ask: AskPermit) -> str | None:
         waited_s = max(0.0, time.monotonic() - ask.since_s)
         request = PermitRequest(
-            self._agent_id, ask.adapter, ask.urgency, PERMIT_WAIT_S, "", waited_s
+            self._agent_id,
+            ask.adapter,
+            ask.urgency,
+            PERMIT_WAIT_S,
+            "",
+            waited_s,
+            ask.workspace,
+            ask.share,
         )
         try:
             reply = self._control.ask_permit(request)
--- a/packages/damaskvalve-agent/damaskvalve_agent/_scheduler.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_scheduler.py
@@ -26,13 +26,15 @@
 class AskPermit:
     """A load permit is to be asked for; lower urgency goes first."""
 
-    __slots__ = ("adapter", "urgency", "since_s")
+    __slots__ = ("adapter", "urgency", "since_s", "workspace", "share")
 
-    def __init__(self, adapter: str, urgency: int, since_s: float) -> None:
-        self.adapter = adapter
-        self.urgency = urgency
+    def __init__(self, ticket: Ticket) -> None:
+        self.adapter = ticket.adapter
+        self.urgency = 1 if ticket.deferred else 0
         # Since when a request has waited for this adapter.
-        self.since_s = since_s
+        self.since_s = ticket.arrived_at_s
+        self.workspace = ticket.workspace
+        self.share = ticket.share
 
 
 class Load:
@@ -284,8 +286,7 @@
             if self._may_ask(ticket, now_s):
                 self._asked.add(ticket.adapter)
                 ticket.load_started_at_s = now_s
-                urgency = 1 if ticket.deferred else 0
-                asks.append(AskPermit(ticket.adapter, urgency, ticket.arrived_at_s))
+                asks.append(AskPermit(ticket))
         return asks
 
     def _may_ask(self, ticket: Ticket, now_s: float) -> bool:
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -1458,6 +1458,8 @@
      - wait_s
      - finished_permit_id
      - waited_s
+     - workspace
+     - share
 
     """
 
@@ -1468,16 +1470,20 @@
         'wait_s',
         'finished_permit_id',
         'waited_s',
+        'workspace',
+        'share',
     )
 
 
-    def __init__(self, agent_id=None, adapter=None, urgency=None, wait_s=None, finished_permit_id=None, waited_s=None,):
+    def __init__(self, agent_id=None, adapter=None, urgency=None, wait_s=None, finished_permit_id=None, waited_s=None, workspace=None, share=None,):
         self.agent_id = agent_id
         self.adapter = adapter
         self.urgency = urgency
         self.wait_s = wait_s
         self.finished_permit_id = finished_permit_id
         self.waited_s = waited_s
+        self.workspace = workspace
+        self.share = share
 
 
 class PermitReply(TBase):
@@ -2357,6 +2363,8 @@
     (4, TType.DOUBLE, 'wait_s', None, None, ),  # 4
     (5, TType.STRING, 'finished_permit_id', 'UTF8', None, ),  # 5
     (6, TType.DOUBLE, 'waited_s', None, None, ),  # 6
+    (7, TType.STRING, 'workspace', 'UTF8', None, ),  # 7
+    (8, TType.DOUBLE, 'share', None, None, ),  # 8
 )
 all_structs.append(PermitReply)
 PermitReply.thrift_spec = (
--- a/packages/damaskvalve-state/damaskvalve_state/__init__.py
+++ b/packages/damaskvalve-state/damaskvalve_state/__init__.py
@@ -14,6 +14,7 @@
     Decision,
     LoadBudget,
     LoadLimit,
+    Waiter,
 )
 from damaskvalve_state._log import Log, empty_snapshot
 from damaskvalve_state._machine import (
@@ -50,6 +51,7 @@
     "NodeSettings",
     "Output",
     "Timing",
+    "Waiter",
     "empty_snapshot",
     "next_members",
     "open_journal",
--- a/packages/damaskvalve-state/damaskvalve_state/_load_budget.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_load_budget.py
@@ -1,11 +1,12 @@
 """The fleet-wide budget of adapter loads, kept by the leader.
 
 Permits come from a token bucket at the weight store's rate with a bounded
-number in flight, and go to the most urgent waiter first. A new leader starts
-with an empty bucket, so no window ever holds more than the store allows.
+number in flight. The most urgent waiter goes first, then the one whose workspace
+got the fewest loads for its share, then the one that has waited longest. A new
+leader starts with an empty bucket, so no window ever holds more than the store
+allows.
 """
 
-import heapq
 from collections.abc import Sequence
 
 PERMIT_VALID_S = 3.0
@@ -25,29 +26,42 @@
 
 
 class Waiter:
-    """One agent that waits for a permit: by urgency, then by how long it waits."""
-
-    __slots__ = ("urgency", "since_s", "agent_id", "adapter", "gives_up_at_s", "token")
+    """One agent that waits for a permit in a workspace's name."""
+
+    __slots__ = (
+        "agent_id",
+        "adapter",
+        "workspace",
+        "share",
+        "urgency",
+        "since_s",
+        "gives_up_at_s",
+        "token",
+    )
 
     def __init__(
         self,
-        urgency: int,
-        since_s: float,
         agent_id: str,
         adapter: str,
+        workspace: str,
+        share: float,
+        urgency: int,
+        since_s: float,
         gives_up_at_s: float,
         token: object,
     ) -> None:
-        self.urgency = urgency
-        self.since_s = since_s
         self.agent_id = agent_id
         self.adapter = adapter
+        self.workspace = workspace
+        self.share = share
+        # Lower goes first.
+        self.urgency = urgency
+        # One that asks again keeps its place by this time.
+        self.since_s = since_s
         self.gives_up_at_s = gives_up_at_s
+        # Whatever the caller needs to answer the waiter.
         self.token = token
 
-    def __lt__(self, other: "Waiter") -> bool:
-        return (self.urgency, self.since_s) < (other.urgency, other.since_s)
-
 
 class Decision:
     """A waiter's answer: a permit id, or none once it has waited its time."""
@@ -73,20 +87,17 @@
             for number in range(limit.max_in_flight)
         }
         self._waiting: list[Waiter] = []
+        # Loads that each workspace got, over its share.
+        self._loads: dict[str, float] = {}
+        self._floor = 0.0
         self._count = 0
 
-    def ask(
-        self,
-        agent_id: str,
-        adapter: str,
-        urgency: int,
-        gives_up_at_s: float,
-        token: object,
-        since_s: float,
-    ) -> None:
-        """Queue a waiter; one that asks again keeps its place by ``since_s``."""
-        waiter = Waiter(urgency, since_s, agent_id, adapter, gives_up_at_s, token)
-        heapq.heappush(self._waiting, waiter)
+    def ask(self, waiter: Waiter) -> None:
+        """Queue a waiter; a workspace without waiters gets no credit for that."""
+        if not any(item.workspace == waiter.workspace for item in self._waiting):
+            loads = self._loads.get(waiter.workspace, 0.0)
+            self._loads[waiter.workspace] = max(loads, self._floor)
+        self._waiting.append(waiter)
 
     def finish(self, permit_id: str) -> None:
         """Take note that the load of a permit has ended."""
@@ -97,14 +108,19 @@
         self._refill(now_s)
         late = [item for item in self._waiting if item.gives_up_at_s <= now_s]
         if late:
-            kept = [item for item in self._waiting if item.gives_up_at_s > now_s]
-            heapq.heapify(kept)
-            self._waiting = kept
+            self._waiting = [
+                item for item in self._waiting if item.gives_up_at_s > now_s
+            ]
         decisions = [Decision(item, None) for item in late]
         while self._waiting and self._may_grant():
-            decisions.append(self._grant(heapq.heappop(self._waiting), now_s))
+            waiter = min(self._waiting, key=self._order)
+            self._waiting.remove(waiter)
+            decisions.append(self._grant(waiter, now_s))
         return decisions
 
+    def _order(self, waiter: Waiter) -> tuple[int, float, float]:
+        return waiter.urgency, self._loads[waiter.workspace], waiter.since_s
+
     def retry_after_s(self) -> float:
         """Return about when a waiter of low urgency gets its turn."""
         ahead = len(self._waiting) + 1 - self._level_loads
@@ -124,6 +140,8 @@
 
     def _grant(self, waiter: Waiter, now_s: float) -> Decision:
         self._level_loads -= 1
+        self._floor = max(self._floor, self._loads[waiter.workspace])
+        self._loads[waiter.workspace] += 1 / waiter.share
         self._count += 1
         permit_id = f"{self._term}-{self._count}"
         self._in_flight[permit_id] = now_s + PERMIT_VALID_S
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_load_budget.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_load_budget.py
@@ -4,11 +4,15 @@
 
 from hypothesis import given, settings, strategies as st
 
-from damaskvalve_state import LoadBudget, LoadLimit
+from damaskvalve_state import LoadBudget, LoadLimit, Waiter
 
 LIMIT = LoadLimit(rate_loads_per_s=2.0, burst_loads=2.0, max_in_flight=8)
 
 
+def waiter(agent, urgency, gives_up_at_s, since_s, workspace="w"):
+    return Waiter(agent, "a", workspace, 1.0, urgency, since_s, gives_up_at_s, None)
+
+
 def granted(decisions):
     return [item for item in decisions if item.permit_id is not None]
 
@@ -34,7 +38,7 @@
                 budget = LoadBudget(LIMIT, term, now_s)
             elif what == "ask":
                 for _ in range(3):
-                    budget.ask("agent", "a", 0, now_s + 5, None, now_s)
+                    budget.ask(waiter("agent", 0, now_s + 5, now_s))
             decisions = granted(budget.decide(now_s))
             times.extend([now_s] * len(decisions))
             if what == "finish":
@@ -51,7 +55,7 @@
         limit = LoadLimit(1000.0, 1000.0, 8)
         budget = LoadBudget(limit, 1, 0.0)
         for _ in range(20):
-            budget.ask("agent", "a", 0, 100.0, None, 0.0)
+            budget.ask(waiter("agent", 0, 100.0, 0.0))
         self.assertEqual(len(granted(budget.decide(0.5))), 0)
         self.assertEqual(len(granted(budget.decide(5.0))), 8)
         self.assertEqual(len(granted(budget.decide(5.1))), 0)
@@ -59,23 +63,34 @@
     def test_the_most_urgent_waiter_goes_first(self):
         """Interactive requests come before prefetch and deferred work."""
         budget = LoadBudget(LIMIT, 1, 0.0)
-        budget.ask("late", "a", 2, 100.0, None, 0.0)
-        budget.ask("soon", "b", 0, 100.0, None, 1.0)
+        budget.ask(waiter("late", 2, 100.0, 0.0))
+        budget.ask(waiter("soon", 0, 100.0, 1.0))
         first = granted(budget.decide(4.0))[0]
         self.assertEqual(first.waiter.agent_id, "soon")
 
     def test_a_waiter_that_asks_again_keeps_its_place(self):
         """Who has waited longest goes first, also after a lost answer."""
         budget = LoadBudget(LIMIT, 1, 0.0)
-        budget.ask("new", "a", 0, 100.0, None, 2.0)
-        budget.ask("old", "b", 0, 100.0, None, 1.0)
+        budget.ask(waiter("new", 0, 100.0, 2.0))
+        budget.ask(waiter("old", 0, 100.0, 1.0))
         first = granted(budget.decide(4.0))[0]
         self.assertEqual(first.waiter.agent_id, "old")
 
+    def test_a_workspace_with_many_waiters_does_not_hold_up_another(self):
+        """The one with fewer loads goes first, however long the others wait."""
+        budget = LoadBudget(LIMIT, 1, 0.0)
+        for _ in range(20):
+            budget.ask(waiter("a", 0, 100.0, 0.0, workspace="greedy"))
+        now_s = 4.0
+        budget.decide(now_s)
+        budget.ask(waiter("b", 0, 100.0, now_s, workspace="modest"))
+        first = granted(budget.decide(now_s + 0.5))[0]
+        self.assertEqual(first.waiter.workspace, "modest")
+
     def test_a_waiter_is_answered_once_it_has_waited_its_time(self):
         """No agent waits longer than it said."""
         budget = LoadBudget(LIMIT, 1, 0.0)
-        budget.ask("agent", "a", 0, 0.3, None, 0.0)
+        budget.ask(waiter("agent", 0, 0.3, 0.0))
         answers = budget.decide(0.3)
         self.assertEqual([item.permit_id for item in answers], [None])
 
--- a/packages/damaskvalve/damaskvalve/_leader_desk.py
+++ b/packages/damaskvalve/damaskvalve/_leader_desk.py
@@ -29,6 +29,7 @@
     Limit,
     LoadBudget,
     LoadLimit,
+    Waiter,
 )
 
 JOB_LEASE_S = 30.0
@@ -141,12 +142,16 @@
         else:
             gives_up_at_s = now_s + request.wait_s
             self._loads.ask(
-                request.agent_id,
-                request.adapter,
-                request.urgency,
-                gives_up_at_s,
-                resolve,
-                now_s - (request.waited_s or 0.0),
+                Waiter(
+                    request.agent_id,
+                    request.adapter,
+                    request.workspace,
+                    request.share or 1.0,
+                    request.urgency,
+                    now_s - request.waited_s,
+                    gives_up_at_s,
+                    resolve,
+                )
             )
         self.tick(now_s)
 
