--- a/packages/damaskvalve/damaskvalve/_cli/_inspect.py
+++ b/packages/damaskvalve/damaskvalve/_cli/_inspect.py
@@ -14,6 +14,7 @@
 )
 from damaskvalve._operator import operator_client, print_table
 from damaskvalve._settings import read_operator_settings
+from damaskvalve_core import NOT_RUN, RAN
 from damaskvalve_core.messages import ClearSuspect, Command, ResolveOnce
 
 
@@ -117,14 +118,16 @@
 def resolve_claim(
     operator: OperatorPath,
     claim_id: Annotated[str, cappa.Arg(help="the claim")],
-    ran: Annotated[bool, cappa.Arg(long=["--ran", "--not-run"], help="whether it ran")],
+    outcome: Annotated[str, cappa.Arg(help="ran or not-run", choices=[RAN, NOT_RUN])],
 ) -> int:
     """Settle an unknown claim after looking at the backend server."""
 
     def work() -> int:
         settings = read_operator_settings(operator)
         with operator_client(settings) as client:
-            command = Command(resolve=ResolveOnce(claim_id, ran, settings.name))
+            command = Command(
+                resolve=ResolveOnce(claim_id, outcome == RAN, settings.name)
+            )
             result = client.commit(command)
         print("settled" if result.accepted else f"refused: {result.reason}")
         return EXIT_OK if result.accepted else EXIT_FAILED
--- a/testing/damaskvalve-standins/damaskvalve_standins/fleet.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/fleet.py
@@ -109,7 +109,9 @@
 
     # ---- files ----
 
-    def _python(self, module: str, *arguments: str) -> list[str]:
+    @staticmethod
+    def python(module: str, *arguments: str) -> list[str]:
+        """Return the command line that runs a module."""
         return [sys.executable, "-m", module, *arguments]
 
     def make_identities(self, names: Sequence[str]) -> None:
@@ -117,7 +119,7 @@
         fresh = [name for name in names if name not in self._identity_names]
         if not fresh:
             return
-        command = self._python(
+        command = self.python(
             "damaskvalve", "make-identity", "--folder", str(self._identities), *fresh
         )
         subprocess.run(command, check=True, capture_output=True)
@@ -183,7 +185,7 @@
                 }
             path = self.write_settings(name, document)
             self.start(
-                name, self._python("damaskvalve", "serve", "--settings", str(path))
+                name, self.python("damaskvalve", "serve", "--settings", str(path))
             )
         self.write_settings(
             "operator",
@@ -209,14 +211,14 @@
             "log": {"level": "info"},
         }
         path = self.write_settings(name, document)
-        self.start(name, self._python("damaskvalve", "serve", "--settings", str(path)))
+        self.start(name, self.python("damaskvalve", "serve", "--settings", str(path)))
 
     def start_engine(self, name: str, *options: str, **agent: Any) -> None:
         """Start a stand-in engine and its agent."""
         self.backends[name] = free_address()
         self.start(
             f"{name}-engine",
-            self._python(
+            self.python(
                 "damaskvalve_standins.engine", "--listen", self.backends[name], *options
             ),
         )
@@ -231,7 +233,7 @@
         self.backends[name] = free_address()
         self.start(
             f"{name}-service",
-            self._python(
+            self.python(
                 "damaskvalve_standins.service", "--listen", self.backends[name]
             ),
         )
@@ -251,17 +253,17 @@
             "log": {"level": "debug"},
         }
         path = self.write_settings(f"agent-{process}", document)
-        self.start(process, self._python("damaskvalve_agent", "--settings", str(path)))
+        self.start(process, self.python("damaskvalve_agent", "--settings", str(path)))
 
     # ---- using ----
 
     def operate(self, *arguments: str, check: bool = True) -> str:
         """Run an operator's command and return what it prints."""
-        position = 2 if arguments[0] in ("config", "key", "backend", "work") else 1
+        position = 2
         operator = ["--operator", str(self.folder / "operator.yaml")]
         words = [*arguments[:position], *operator, *arguments[position:]]
         done = subprocess.run(
-            self._python("damaskvalve", *words),
+            self.python("damaskvalve", *words),
             capture_output=True,
             text=True,
             timeout=60,
--- a/testing/damaskvalve-standins/damaskvalve_standins/run_tests.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/run_tests.py
@@ -5,12 +5,13 @@
 """
 
 import sys
-import unittest
 from pathlib import Path
 
 import hypothesis
 from nose2.main import PluggableTestProgram
 
+from damaskvalve_standins import tally
+
 ROOT = Path(__file__).resolve().parents[3]
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 PACKAGES = (
@@ -45,22 +46,20 @@
     hypothesis.settings.load_profile("fixed")
 
 
-def _run(package: str, names: list[str]) -> unittest.TestResult:
+def _run(package: str, names: list[str]) -> None:
     arguments = ["nose2", "-s", package, "-t", package, *names]
-    program = PluggableTestProgram(module=None, argv=arguments, exit=False)
-    return program.result
+    plugins = [tally.__name__]
+    PluggableTestProgram(module=None, argv=arguments, exit=False, plugins=plugins)
 
 
 def main(names: list[str]) -> int:
     """Run all tests, or the named ones; return 1 if one failed that may not."""
     use_fixed_profile()
     allowed = known_red()
-    failed: list[str] = []
-    count = 0
     for package in PACKAGES:
-        result = _run(str(ROOT / package), names)
-        count += result.testsRun
-        failed.extend(test.id() for test, _ in (*result.failures, *result.errors))
+        _run(str(ROOT / package), names)
+    count = len(tally.RAN)
+    failed = sorted(tally.FAILED)
     red = [name for name in failed if name in allowed]
     for name in red:
         print(f"known red: {name}: {allowed[name]}")
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/fleet_case.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/fleet_case.py
@@ -15,7 +15,7 @@
 class FleetCase(unittest.TestCase):
     """Starts three control and entry hosts, two engines and a service."""
 
-    engines = ("engine-1", "engine-2")
+    engines: tuple[str, ...] = ("engine-1", "engine-2")
     engine_options: tuple[str, ...] = ("--token-s", "0.005")
     rate = "20000"
     burst = "100000"
