--- a/bench/run.py
+++ b/bench/run.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-PARTS = ("policy", "claims", "path")
+PARTS = ("policy", "limits", "claims", "path")
 
 
 def main() -> int:
--- a/packages/damaskvalve-state/damaskvalve_state/_credit.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_credit.py
@@ -22,7 +22,7 @@
 )
 
 # How long an entry host may spend a grant, from when it asked.
-GRANT_LIFETIME_S = 2.0
+GRANT_LIFETIME_S = 3.0
 # Clocks of two hosts run at rates that differ by at most this factor.
 CLOCK_DRIFT = 1.1
 # The part of a second's tokens that one reservation covers at least.
--- a/packages/damaskvalve-state/damaskvalve_state/_machine.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_machine.py
@@ -207,7 +207,7 @@
         )
 
     def expire(self, index: int, body: ExpireClaims) -> CommandResult:
-        """Forget settled claims that are older than their retention."""
+        """Forget settled claims and finished jobs older than their retention."""
         old = [
             item.claim_id
             for item in self.claims.values()
@@ -215,6 +215,13 @@
         ]
         for claim_id in old:
             del self.claims[claim_id]
+        finished = [
+            item.job_id
+            for item in self.jobs.values()
+            if item.answer is not None and item.index <= body.through_index
+        ]
+        for job_id in finished:
+            del self.jobs[job_id]
         return self._result(accepted=True)
 
     # ---- deferred jobs ----
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_machine.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_machine.py
@@ -148,13 +148,17 @@
         other = self.apply(Command(claim=ClaimOnce("c", "e", "second")))
         self.assertEqual((other.accepted, other.reason), (False, "other-body"))
 
-    def test_settled_claims_expire_but_unknown_ones_stay(self):
-        """Only an operator settles a claim whose outcome is unknown."""
+    def test_settled_work_expires_but_unknown_and_waiting_work_stays(self):
+        """Only an operator settles a claim whose outcome is unknown; jobs must run."""
         self.apply(Command(claim=ClaimOnce("done", "d", "h")))
         self.apply(Command(answer=AnswerOnce("done", "h", ANSWER)))
         self.apply(Command(claim=ClaimOnce("open", "d", "h")))
+        for name in ("finished", "waiting"):
+            self.apply(Command(submit=SubmitJob(name, "w", "/p", b"body", 9)))
+        self.apply(Command(finish=FinishJob("finished", ANSWER)))
         self.apply(Command(expire=ExpireClaims(100)))
         self.assertEqual(list(self.machine.claims), ["open"])
+        self.assertEqual(list(self.machine.jobs), ["waiting"])
 
     def test_fencing_numbers_rise_with_each_new_holder_only(self):
         """A grant repeated after a lost answer still names who held it before."""
--- a/packages/damaskvalve/damaskvalve/_control_service.py
+++ b/packages/damaskvalve/damaskvalve/_control_service.py
@@ -78,12 +78,14 @@
         dialer: Dialer,
         load_limit: LoadLimit,
         lease_s: float,
+        retention_s: float,
     ) -> None:
         self._control_id = control_id
         self._group = group
         self._dialer = dialer
         self._load_limit = load_limit
         self._lease_s = lease_s
+        self._retention_s = retention_s
         self._news = threading.Condition()
         self._seen_versions = (-1, -1)
         self.backends = BackendTable(self._wake_polls)
@@ -292,7 +294,7 @@
         if not node.agreement.may_serve(now_s):
             return None
         if self._desk is None or self._desk.term != node.agreement.term:
-            self._desk = LeaderDesk(node, self._load_limit, now_s)
+            self._desk = LeaderDesk(node, self._load_limit, self._retention_s, now_s)
         return self._desk
 
     def _tick(self, node: GroupNode, now_s: float) -> None:
--- a/packages/damaskvalve/damaskvalve/_credit_pool.py
+++ b/packages/damaskvalve/damaskvalve/_credit_pool.py
@@ -10,10 +10,12 @@
 )
 
 # How far ahead credit is kept, in seconds of the recent demand.
-AHEAD_S = 0.4
+AHEAD_S = 2.0
+# One entry host holds at most this part of the burst ahead.
+AHEAD_BURST_SHARE = 0.25
 DEMAND_HALF_LIFE_S = 1.0
 # Idle credit is returned when this much of its life is left.
-RETURN_BEFORE_S = 0.5
+RETURN_BEFORE_S = 0.6
 
 
 class _Held:
@@ -35,6 +37,8 @@
         self.held: list[_Held] = []
         self.refunds: list[tuple[float, float]] = []
         self.short_tokens = 0.0
+        # Credit held ahead counts against the burst, so it is bounded by it.
+        self.most_ahead_tokens = 0.0
         self.demand_tokens_per_s = 0.0
         self.demand_at_s = 0.0
         # When the leader expects what it could not grant; 0 if it granted all.
@@ -66,9 +70,12 @@
     def _account(self, workspace: str) -> _Account:
         return self._accounts.setdefault(workspace, _Account())
 
-    def spend(self, workspace: str, tokens: float, now_s: float) -> bool:
+    def spend(
+        self, workspace: str, tokens: float, burst_tokens: float, now_s: float
+    ) -> bool:
         """Spend tokens if there is enough credit; else remember the shortage."""
         account = self._account(workspace)
+        account.most_ahead_tokens = burst_tokens * AHEAD_BURST_SHARE
         account.note_demand(tokens, now_s)
         return self._take(account, tokens, now_s)
 
@@ -116,7 +123,8 @@
 
     def _build_ask(self, workspace: str, account: _Account, now_s: float) -> CreditAsk:
         account.decay_demand(now_s)
-        target = account.demand_tokens_per_s * AHEAD_S
+        wished = account.demand_tokens_per_s * AHEAD_S
+        target = min(wished, account.most_ahead_tokens)
         surplus = account.usable_tokens(now_s) - target - account.short_tokens
         reports = []
         for held in account.held:
--- a/packages/damaskvalve/damaskvalve/_filters/_admission.py
+++ b/packages/damaskvalve/damaskvalve/_filters/_admission.py
@@ -94,7 +94,7 @@
         try:
             if exchange.cost_tokens > 0:
                 exchange.charged_at_s = ledger.charge(
-                    workspace.name, exchange.cost_tokens
+                    workspace.name, exchange.cost_tokens, workspace.burst_tokens
                 )
             reply = following(exchange)
             if reply.chunks is not None:
--- a/packages/damaskvalve/damaskvalve/_host.py
+++ b/packages/damaskvalve/damaskvalve/_host.py
@@ -103,6 +103,7 @@
             dialer,
             load_limit,
             CONFIGURATION_LEASE_S,
+            control.retention_s,
         )
         stack.enter_context(
             listening(control.listen, settings.identity, service.handle)
--- a/packages/damaskvalve/damaskvalve/_leader_desk.py
+++ b/packages/damaskvalve/damaskvalve/_leader_desk.py
@@ -8,12 +8,14 @@
 from typing import Any
 
 from damaskvalve._configuration import WORKSPACE, parse_row
+from damaskvalve._retention import Retention
 from damaskvalve_core.messages import (
     Command,
     CommandResult,
     CreditAsk,
     CreditReply,
     CreditRequest,
+    ExpireClaims,
     JobRecord,
     LeaseJobReply,
     LeaseJobRequest,
@@ -41,11 +43,18 @@
 class LeaderDesk:
     """The leader's soft state of one term."""
 
-    def __init__(self, node: GroupNode, load_limit: LoadLimit, now_s: float) -> None:
+    def __init__(
+        self,
+        node: GroupNode,
+        load_limit: LoadLimit,
+        retention_s: float,
+        now_s: float,
+    ) -> None:
         self.term = node.agreement.term
         self._node = node
         self._book = CreditBook(node.machine.credits, now_s)
         self._loads = LoadBudget(load_limit, self.term, now_s)
+        self._retention = Retention(retention_s)
         self._reserving: set[str] = set()
         self._waiting: list[tuple[CreditRequest, Resolve]] = []
         self._job_leases: dict[str, float] = {}
@@ -156,7 +165,11 @@
         self.tick(now_s)
 
     def tick(self, now_s: float) -> None:
-        """Answer the agents whose turn or limit of waiting has come."""
+        """Answer the agents whose turn has come, and forget what is old."""
+        through = self._retention.through_index(self._node.applied_index, now_s)
+        if through is not None:
+            command = Command(expire=ExpireClaims(through))
+            self._node.propose(command, lambda result: None, now_s)
         for decision in self._loads.decide(now_s):
             answer: Any = decision.waiter.token
             answer(self._permit_reply(decision.permit_id))
--- a/packages/damaskvalve/damaskvalve/_ledger.py
+++ b/packages/damaskvalve/damaskvalve/_ledger.py
@@ -10,7 +10,7 @@
 from damaskvalve_core.messages import CreditRequest
 
 ASK_TIMEOUT_S = 1.5
-REPORT_S = 0.1
+REPORT_S = 0.25
 MAX_EXCHANGES = 20
 NO_LEADER_RETRY_S = 1.0
 
@@ -33,11 +33,11 @@
         self._unreachable = False
         self.exchanges = 0
 
-    def charge(self, workspace: str, tokens: float) -> float:
+    def charge(self, workspace: str, tokens: float, burst_tokens: float) -> float:
         """Spend tokens and return when that was; refuse at once if over the rate."""
         with self._lock:
             now_s = time.monotonic()
-            if self._pool.spend(workspace, tokens, now_s):
+            if self._pool.spend(workspace, tokens, burst_tokens, now_s):
                 return now_s
         for _ in range(MAX_EXCHANGES):
             self._exchange()
--- a/packages/damaskvalve/damaskvalve/_settings.py
+++ b/packages/damaskvalve/damaskvalve/_settings.py
@@ -78,6 +78,9 @@
     ),
     "load_burst": Field(number(1, 1000), default=2.0, help="loads at once"),
     "max_loads_in_flight": Field(whole(1, 1000), default=8, help="loads at a time"),
+    "retention_s": Field(
+        number(60, 31_536_000), default=86_400.0, help="how long answers are kept"
+    ),
 }
 _LOG = {
     "level": Field(
@@ -119,6 +122,7 @@
     load_rate_per_s: float
     load_burst: float
     max_loads_in_flight: int
+    retention_s: float
 
     def __init__(self, **values: Any) -> None:
         for name in self.__slots__:
--- a/packages/damaskvalve/damaskvalve/tests/test_credit_pool.py
+++ b/packages/damaskvalve/damaskvalve/tests/test_credit_pool.py
@@ -29,7 +29,7 @@
                 granted += grant.tokens
             elif what == "spend":
                 tokens = rng.random() * 30
-                if pool.spend("w", tokens, now_s):
+                if pool.spend("w", tokens, 100.0, now_s):
                     spent += tokens
             else:
                 for ask in pool.build_asks(now_s):
@@ -42,14 +42,14 @@
         """Its life is counted from when the request for it was sent."""
         pool = CreditPool()
         pool.take_grants([CreditGrant("w", 1, 10.0, 0.0)], LIFETIME_S, 5.0)
-        self.assertFalse(pool.spend("w", 1.0, 7.0))
-        self.assertTrue(pool.spend("w", 1.0, 6.9))
+        self.assertFalse(pool.spend("w", 1.0, 100.0, 7.0))
+        self.assertTrue(pool.spend("w", 1.0, 100.0, 6.9))
 
     def test_every_waiting_request_is_counted_in_what_is_asked(self):
         """Forty requests that are short at once ask for forty times the tokens."""
         pool = CreditPool()
         for _ in range(40):
-            pool.spend("w", 21.0, 1.0)
+            pool.spend("w", 21.0, 10_000.0, 1.0)
         self.assertGreaterEqual(pool.build_asks(1.0)[0].wanted_tokens, 40 * 21.0)
 
     def test_idle_credit_goes_back_before_it_expires(self):
@@ -58,7 +58,7 @@
         pool.take_grants([CreditGrant("w", 1, 10.0, 0.0)], LIFETIME_S, 0.0)
         ask = pool.build_asks(1.6)[0]
         self.assertEqual(ask.reports[0].returned_tokens, 10.0)
-        self.assertFalse(pool.spend("w", 1.0, 1.7))
+        self.assertFalse(pool.spend("w", 1.0, 100.0, 1.7))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/tests/test_retention.py
@@ -0,0 +1,33 @@
+"""How long settled work is kept."""
+
+import unittest
+
+from damaskvalve._retention import MARK_S, Retention
+
+
+class RetentionTests(unittest.TestCase):
+    def test_nothing_is_forgotten_before_its_retention(self):
+        """Work that was settled after a mark is kept when the mark expires."""
+        retention = Retention(3600.0)
+        now_s = 0.0
+        settled_at_s = {}
+        for index in range(1, 200):
+            now_s += MARK_S
+            settled_at_s[index] = now_s
+            through = retention.through_index(index, now_s)
+            if through is not None:
+                self.assertGreaterEqual(now_s - settled_at_s[through], 3600.0)
+
+    def test_old_work_is_forgotten_in_the_end(self):
+        """The index moves on with the time."""
+        retention = Retention(3600.0)
+        seen = [retention.through_index(n, n * MARK_S) for n in range(200)]
+        self.assertEqual(seen[-1], 199 - 3600 / MARK_S)
+
+    def test_a_new_leader_forgets_nothing_at_first(self):
+        """It does not know how old the log is."""
+        self.assertIsNone(Retention(3600.0).through_index(500, 1e6))
+
+
+if __name__ == "__main__":
+    unittest.main()
