Split the large files; test ports outside the ephemeral range

The fleet picked listening ports from the ephemeral range, so an outgoing connection of another process can take a killed agent's port before it starts again. Ports come from 12,000 to 32,000 now, a listener that cannot bind says so and ends with exit code 1, and a fleet prints every process that had ended by itself. That the port was the cause is inferred: the logs of the failing run were gone.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -15,12 +15,19 @@
 from damaskvalve_agent._engine_room import TICK_S, EngineRoom, Room, random_jitter
 from damaskvalve_agent._fair_queue import FairQueue
 from damaskvalve_agent._fence import Fence
-from damaskvalve_agent._registration import HEALTH_S, REPORT_S, Registration, repeat
+from damaskvalve_agent._registration import HEALTH_S, REPORT_S, Registration
 from damaskvalve_agent._scheduler import Scheduler, SchedulerLimits
 from damaskvalve_agent._service import Counters, WorkService
 from damaskvalve_agent._settings import AgentSettings
 from damaskvalve_agent._slots import Slots
-from damaskvalve_core import HybridClock, Recorder, dialing, listening, open_time_line
+from damaskvalve_core import (
+    HybridClock,
+    Recorder,
+    dialing,
+    listening,
+    open_time_line,
+    repeating,
+)
 
 DRAIN_LIMIT_S = 120.0
 GOODBYE_S = 1.0
@@ -56,22 +63,6 @@
         actor.stop()
 
 
-@contextlib.contextmanager
-def _background(steps: dict[float, list[Callable[[], None]]]) -> Iterator[None]:
-    stop = threading.Event()
-    threads = [
-        threading.Thread(target=repeat, args=(stop, period_s, step), daemon=True)
-        for period_s, group in steps.items()
-        for step in group
-    ]
-    for thread in threads:
-        thread.start()
-    try:
-        yield
-    finally:
-        stop.set()
-
-
 def _drain(
     service: WorkService, counters: Counters, reports: Sequence[Callable[[], None]]
 ) -> None:
@@ -128,15 +119,10 @@
             counters,
         )
         reports = [_report_step(registration, host) for host in settings.control_hosts]
-        stack.enter_context(
-            _background(
-                {
-                    REPORT_S: [*reports, registration.ensure_fence],
-                    HEALTH_S: [registration.check_health],
-                    TICK_S: [room.tick],
-                }
-            )
-        )
+        for step in (*reports, registration.ensure_fence):
+            stack.enter_context(repeating(REPORT_S, step))
+        stack.enter_context(repeating(HEALTH_S, registration.check_health))
+        stack.enter_context(repeating(TICK_S, room.tick))
         _log.info("agent {} listens on {}", settings.name, address)
         record("agent-start", backend_server=settings.name, incarnation=incarnation)
         stop.wait()
--- a/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import logbook
 
@@ -13,7 +13,7 @@
 from damaskvalve_agent._scheduler import Scheduler
 from damaskvalve_agent._service import Counters, WorkService
 from damaskvalve_agent._settings import AgentSettings
-from damaskvalve_core import ChannelError, RetryLaterError
+from damaskvalve_core import ChannelError
 from damaskvalve_core.messages import BackendReport, ReportReply
 
 REPORT_S = 0.5
@@ -152,16 +152,3 @@
         if before is not None and units > before:
             gained[workspace] = units - before
     return gained
-
-
-def repeat(stop: threading.Event, period_s: float, step: Callable[[], None]) -> None:
-    """Run a step every period until asked to stop; log what goes wrong."""
-    while not stop.is_set():
-        started_s = time.monotonic()
-        try:
-            step()
-        except RetryLaterError as error:
-            _log.info("will try again: {}", error)
-        except Exception:
-            _log.exception("a background step failed")
-        stop.wait(max(0.0, started_s + period_s - time.monotonic()))
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -1,5 +1,6 @@
 """What the host program and the agent share: settings, errors, messages, time line."""
 
+from damaskvalve_core._background import repeating
 from damaskvalve_core._channel import (
     Connection,
     Dialer,
@@ -73,6 +74,7 @@
     "listening",
     "logging_to",
     "open_time_line",
+    "repeating",
     "split_address",
     "stamp_to_wall_s",
 ]
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/_background.py
@@ -0,0 +1,36 @@
+"""Runs a step again and again in a thread of its own."""
+
+import contextlib
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import logbook
+
+from damaskvalve_core._exceptions import RetryLaterError
+
+_log = logbook.Logger("background")
+
+
+def _repeat(stop: threading.Event, period_s: float, step: Callable[[], None]) -> None:
+    while not stop.is_set():
+        started_s = time.monotonic()
+        try:
+            step()
+        except RetryLaterError as error:
+            _log.info("will try again: {}", error)
+        except Exception:
+            _log.exception("a background step failed")
+        stop.wait(max(0.0, started_s + period_s - time.monotonic()))
+
+
+@contextlib.contextmanager
+def repeating(period_s: float, step: Callable[[], None]) -> Iterator[None]:
+    """Run ``step`` every ``period_s`` until the end; what it raises is logged."""
+    stop = threading.Event()
+    thread = threading.Thread(target=_repeat, args=(stop, period_s, step), daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        stop.set()
--- a/packages/damaskvalve-core/damaskvalve_core/_channel.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_channel.py
@@ -21,6 +21,7 @@
 from damaskvalve_core._exceptions import (
     ChannelError,
     NotSentError,
+    OperatorError,
     ProtocolError,
     SilenceError,
 )
@@ -222,7 +223,10 @@
         self._lock = threading.Lock()
         self._open: set[Connection] = set()
         self._stopping = False
-        self._sock = socket.create_server(split_address(address), backlog=256)
+        try:
+            self._sock = socket.create_server(split_address(address), backlog=256)
+        except OSError as error:
+            raise OperatorError(f"cannot listen on {address}: {error}") from error
         self.address = "{}:{}".format(*self._sock.getsockname()[:2])
 
     def accept_forever(self) -> None:
--- a/packages/damaskvalve-state/damaskvalve_state/__init__.py
+++ b/packages/damaskvalve-state/damaskvalve_state/__init__.py
@@ -1,6 +1,6 @@
 """The replicated state of the control hosts."""
 
-from damaskvalve_state._agreement import LEADER, Agreement, Output, Timing
+from damaskvalve_state._agreement import LEADER, Agreement
 from damaskvalve_state._credit import (
     CLOCK_DRIFT,
     GRANT_LIFETIME_S,
@@ -8,6 +8,7 @@
     CreditBook,
     Limit,
 )
+from damaskvalve_state._group import Group, running_group
 from damaskvalve_state._journal import Journal, open_journal, recover
 from damaskvalve_state._load_budget import (
     PERMIT_VALID_S,
@@ -25,7 +26,8 @@
     Machine,
 )
 from damaskvalve_state._membership import next_members
-from damaskvalve_state._node import Group, GroupNode, NodeSettings, running_group
+from damaskvalve_state._node import GroupNode, NodeSettings
+from damaskvalve_state._timing import Output, Timing
 
 __all__ = [
     "ANSWERED",
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -2,16 +2,15 @@
 
 import contextlib
 import random
-import threading
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any, Generic, TypeVar
+from typing import Any
 
 import logbook
 import pykka
 
-from damaskvalve_core import DamagedJournalError, Dialer, RetryLaterError, encode_struct
+from damaskvalve_core import DamagedJournalError, Dialer, encode_struct
 from damaskvalve_core.messages import (
     Command,
     CommandResult,
@@ -38,55 +37,18 @@
 from damaskvalve_state._log import Log, empty_snapshot
 from damaskvalve_state._machine import Machine
 from damaskvalve_state._membership import is_founder, may_found, next_members
+from damaskvalve_state._node_messages import Answer, Flush, Request, Run, Tick
 from damaskvalve_state._peers import PeerSender
 
-TICK_S = 0.03
 HELLO_S = 0.3
 SNAPSHOT_ENTRIES = 5_000
 
 _log = logbook.Logger("group")
-T = TypeVar("T")
 
 #: Gets the result of a proposal, or None if its outcome is not known.
 ResultCallback = Callable[[CommandResult | None], None]
 
 
-class _Tick:
-    __slots__ = ()
-
-
-class _Flush:
-    __slots__ = ()
-
-
-class _Request:
-    __slots__ = ("message", "future")
-
-    def __init__(self, message: Any, future: "pykka.ThreadingFuture[Any]") -> None:
-        self.message = message
-        self.future = future
-
-
-class _Answer:
-    __slots__ = ("member", "reply")
-
-    def __init__(self, member: Member, reply: Any) -> None:
-        self.member = member
-        self.reply = reply
-
-
-class _Run(Generic[T]):
-    __slots__ = ("work", "future")
-
-    def __init__(
-        self,
-        work: Callable[["GroupNode", float], T],
-        future: "pykka.ThreadingFuture[T]",
-    ) -> None:
-        self.work = work
-        self.future = future
-
-
 class NodeSettings:
     """What a member has to know before it starts."""
 
@@ -176,21 +138,21 @@
         """Handle one message; everything written is synced in one batch later."""
         now_s = time.monotonic()
         self.step_at_s = now_s
-        if isinstance(message, _Flush):
+        if isinstance(message, Flush):
             self._flush_asked = False
             self._flush(now_s)
             return
-        if isinstance(message, _Tick):
+        if isinstance(message, Tick):
             self._on_tick(now_s)
-        elif isinstance(message, _Request):
+        elif isinstance(message, Request):
             self._on_request(message, now_s)
-        elif isinstance(message, _Answer):
+        elif isinstance(message, Answer):
             self._on_answer(message, now_s)
-        elif isinstance(message, _Run):
+        elif isinstance(message, Run):
             self._on_run(message, now_s)
         if not self._flush_asked:
             self._flush_asked = True
-            self.actor_ref.tell(_Flush())
+            self.actor_ref.tell(Flush())
 
     def _on_tick(self, now_s: float) -> None:
         self.agreement.tick(now_s)
@@ -203,13 +165,13 @@
         for hook in self.tick_hooks:
             hook(self, now_s)
 
-    def _on_run(self, message: "_Run[Any]", now_s: float) -> None:
+    def _on_run(self, message: "Run[Any]", now_s: float) -> None:
         try:
             message.future.set(message.work(self, now_s))
         except Exception:
             message.future.set_exception()
 
-    def _on_request(self, message: _Request, now_s: float) -> None:
+    def _on_request(self, message: Request, now_s: float) -> None:
         request = message.message
         reply: Any
         if isinstance(request, HelloRequest):
@@ -224,7 +186,7 @@
             reply = self.agreement.receive(request, now_s)
         self._replies.append((message.future, reply))
 
-    def _on_answer(self, message: _Answer, now_s: float) -> None:
+    def _on_answer(self, message: Answer, now_s: float) -> None:
         reply = message.reply
         if reply is None:
             self.agreement.request_failed(message.member)
@@ -357,7 +319,7 @@
 
     def _take_answer(self, member: Member, reply: Any) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
-            self.actor_ref.tell(_Answer(member, reply))
+            self.actor_ref.tell(Answer(member, reply))
 
     def _apply(self, entries: Sequence[LogEntry]) -> None:
         for entry in entries:
@@ -403,89 +365,3 @@
 
 def _member_order(member: Member) -> tuple[str, str]:
     return member.address, member.member_id
-
-
-class Group:
-    """The thread-safe face of a running member."""
-
-    def __init__(self, actor: "pykka.ActorRef[GroupNode]") -> None:
-        self._actor = actor
-
-    def _tell(self, message: Any) -> None:
-        try:
-            self._actor.tell(message)
-        except pykka.ActorDeadError as error:
-            raise RetryLaterError("the control host is stopping") from error
-
-    def ask_peer(self, message: Any, timeout_s: float) -> Any:
-        """Handle a message of another member and return the reply."""
-        future: pykka.ThreadingFuture[Any] = pykka.ThreadingFuture()
-        self._tell(_Request(message, future))
-        return _wait(future, timeout_s)
-
-    def run(self, work: Callable[[GroupNode, float], T], timeout_s: float = 2.0) -> T:
-        """Run a function inside the actor and return what it returns."""
-        future: pykka.ThreadingFuture[T] = pykka.ThreadingFuture()
-        self._tell(_Run(work, future))
-        return _wait(future, timeout_s)
-
-    def propose(self, command: Command, timeout_s: float) -> CommandResult | None:
-        """Commit a command as leader; None if this member is not the leader.
-
-        Raises :class:`RetryLaterError` when the outcome is not known.
-        """
-        future: pykka.ThreadingFuture[CommandResult | None] = pykka.ThreadingFuture()
-
-        def start(node: GroupNode, now_s: float) -> bool:
-            return node.propose(command, future.set, now_s)
-
-        if not self.run(start):
-            return None
-        result = _wait(future, timeout_s)
-        if result is None:
-            raise RetryLaterError("the leader changed; the outcome is not known")
-        return result
-
-    def tick(self) -> None:
-        """Let the member notice the passing of time."""
-        self._tell(_Tick())
-
-
-def _wait(future: "pykka.ThreadingFuture[T]", timeout_s: float) -> T:
-    try:
-        return future.get(timeout=timeout_s)
-    except pykka.Timeout as error:
-        raise RetryLaterError("the control host did not answer in time") from error
-
-
-def _tick_until(stop: threading.Event, group: Group) -> None:
-    while not stop.wait(TICK_S):
-        try:
-            group.tick()
-        except RetryLaterError:
-            return
-
-
-@contextlib.contextmanager
-def running_group(settings: NodeSettings, dialer: Dialer) -> Iterator[Group]:
-    """Run a member of the group; it is stopped at the end."""
-    settings.folder.mkdir(parents=True, exist_ok=True)
-    actor = GroupNode.start(settings, dialer)
-    group = Group(actor)
-    stop = threading.Event()
-    ticker = threading.Thread(target=_tick_until, args=(stop, group), daemon=True)
-    ticker.start()
-    try:
-        yield group
-    finally:
-        stop.set()
-        ticker.join()
-        actor.stop()
-
-
-__all__ = [
-    "Group",
-    "GroupNode",
-    "NodeSettings",
-    "running_group",
-]
--- a/packages/damaskvalve/damaskvalve/__main__.py
+++ b/packages/damaskvalve/damaskvalve/__main__.py
@@ -1,8 +1,23 @@
-"""Runs the command line with ``python -m damaskvalve``."""
+"""The ``damaskvalve`` binary."""
 
 import sys
+from pathlib import Path
+
+
+def main() -> int:
+    """Run one command and return its exit code.
+
+    A host that serves spares the memory of the command line's libraries.
+    """
+    words = sys.argv[1:]
+    if len(words) == 3 and words[:2] == ["serve", "--settings"]:
+        from damaskvalve._serve import serve_host
+
+        return serve_host(Path(words[2]))
+    from damaskvalve._cli._main import run_command
+
+    return run_command()
 
-from damaskvalve._cli._main import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/damaskvalve/damaskvalve/_cli/_main.py
+++ b/packages/damaskvalve/damaskvalve/_cli/_main.py
@@ -1,6 +1,5 @@
-"""The ``damaskvalve`` binary."""
+"""The tree of commands."""
 
-import sys
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Union
 
@@ -86,11 +85,7 @@
 )
 
 
-def main() -> int:
+def run_command() -> int:
     """Run one command and return its exit code."""
     code: int = cappa.invoke(Application)
     return code
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/packages/damaskvalve/damaskvalve/_cli/_processes.py
+++ b/packages/damaskvalve/damaskvalve/_cli/_processes.py
@@ -11,18 +11,9 @@
 
 def serve(settings: SettingsPath) -> int:
     """Run the roles that the settings name, until SIGTERM."""
+    from damaskvalve._serve import serve_host
 
-    def work() -> int:
-        from damaskvalve._host import run_host
-        from damaskvalve._settings import read_settings
-        from damaskvalve_core import logging_to
-
-        checked = read_settings(settings)
-        with logging_to(checked.log_level, checked.log_style, checked.log_destination):
-            run_host(checked)
-        return EXIT_OK
-
-    return run_reporting(work)
+    return serve_host(settings)
 
 
 def check_settings(settings: SettingsPath) -> int:
--- a/packages/damaskvalve/damaskvalve/_cli/_team.py
+++ b/packages/damaskvalve/damaskvalve/_cli/_team.py
@@ -11,12 +11,12 @@
 from damaskvalve._operator import OperatorClient, operator_client
 from damaskvalve._questionnaire import (
     Answers,
-    ask_all,
     build_rows,
     check_answers,
     difference,
     render_rows,
 )
+from damaskvalve._questions import ask_all
 from damaskvalve._settings import read_operator_settings
 from damaskvalve_core.messages import ReadReply
 from damaskvalve_core.settings import read_document
--- a/packages/damaskvalve/damaskvalve/_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/_dispatch.py
@@ -1,14 +1,15 @@
-"""The last step of the chain: choose a backend server, run, retry, resume."""
+"""Chooses a backend server for a request, runs it, retries and resumes."""
 
 import threading
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Generator, Iterator, Sequence
 
 import logbook
 
-from damaskvalve._completion import END_MARKER, CompletionForm, continue_body
+from damaskvalve._attempts import Attempts
+from damaskvalve._completion import continue_body
 from damaskvalve._configuration import DEFERRED, ONCE, TOKENS
-from damaskvalve._exchange import EVENT_STREAM, JSON, Exchange, Next, Reply, error_body
+from damaskvalve._exchange import Exchange
 from damaskvalve._metrics import Metrics
 from damaskvalve._placement import homes
 from damaskvalve._placements import Placements
@@ -36,15 +37,7 @@
 )
 
 FORWARDED_HEADERS = ("accept", "accept-language", "content-type", "traceparent")
-MAX_REFUSALS = 4
-MAX_INTERRUPTIONS = 2
-# Trying another backend server does not help against these.
-FINAL_CODES = ("deadline", "adapter_held_back")
-# How long a request that lost its backend server waits for one to return.
-RETURN_WAIT_S = 6.0
 RETURN_STEP_S = 0.2
-# A request that was kept this long begins to wait anew.
-LONG_ATTEMPT_S = 1.0
 REPORT_TIMEOUT_S = 2.0
 
 _log = logbook.Logger("dispatch")
@@ -73,56 +66,6 @@
             return dict(self._counts)
 
 
-class _Attempts:
-    """What one request has tried; decides whether it may try again.
-
-    A request that no backend server has begun tries each one once. A request
-    that was interrupted also waits a little for a backend server to return.
-    """
-
-    def __init__(self, deadline_s: float) -> None:
-        self.excluded: set[str] = set()
-        # Since when no backend server has kept this request for a while.
-        self._homeless_since_s = 0.0
-        self._deadline_s = deadline_s
-        self._refusals = 0
-        self._interruptions = 0
-
-    def note(
-        self, error: AttemptError, backend_server: str, began_at_s: float, now_s: float
-    ) -> None:
-        """Count an attempt that began at ``began_at_s`` and has failed now."""
-        self.excluded.add(backend_server)
-        if error.ran == NOT_RUN:
-            self._refusals += 1
-        else:
-            self._interruptions += 1
-        if error.ran != NOT_RUN or now_s - began_at_s > LONG_ATTEMPT_S:
-            self._homeless_since_s = now_s
-
-    def count(self) -> int:
-        """Return how many attempts have failed."""
-        return self._refusals + self._interruptions
-
-    def was_interrupted(self) -> bool:
-        """Return whether some attempt may have run."""
-        return self._interruptions > 0
-
-    def may_wait(self, now_s: float) -> bool:
-        """Return whether to wait for a backend server to return."""
-        if not self.was_interrupted() or now_s >= self._deadline_s:
-            return False
-        return now_s - self._homeless_since_s < RETURN_WAIT_S
-
-    def may_go_on(self, error: AttemptError, now_s: float) -> bool:
-        """Return whether another attempt makes sense after ``error``."""
-        if error.code in FINAL_CODES or now_s >= self._deadline_s:
-            return False
-        if self._interruptions > MAX_INTERRUPTIONS:
-            return False
-        return self._refusals < MAX_REFUSALS or self.may_wait(now_s)
-
-
 class Dispatcher:
     """Holds what all dispatched requests share."""
 
@@ -162,7 +105,7 @@
         return placement.choose(exchange.adapter_key(), counts, excluded)
 
     def _find_backend(
-        self, exchange: Exchange, attempts: _Attempts
+        self, exchange: Exchange, attempts: Attempts
     ) -> BackendReport | None:
         """Return a backend server; an interrupted request waits a little for one.
 
@@ -189,10 +132,10 @@
 
     # ---- running ----
 
-    def events(self, exchange: Exchange) -> Iterator[WorkChunk | WorkEnd]:
+    def events(self, exchange: Exchange) -> Generator[WorkChunk | WorkEnd, None, None]:
         """Yield chunks and the end of one answer, over as many attempts as needed."""
         self._budget.earn()
-        attempts = _Attempts(exchange.deadline_s)
+        attempts = Attempts(exchange.deadline_s)
         text = ""
         tokens = 0
         while True:
@@ -258,7 +201,7 @@
         return check
 
     def _after_failure(
-        self, exchange: Exchange, error: AttemptError, attempts: _Attempts
+        self, exchange: Exchange, error: AttemptError, attempts: Attempts
     ) -> None:
         """Return if the request may be tried again, else raise its final answer."""
         _log.info(
@@ -327,7 +270,7 @@
         by_requests = workspace is not None and workspace.service_unit != TOKENS
         target = exchange.path + (f"?{exchange.query}" if exchange.query else "")
         if route.backend_kind == "engine":
-            target = _engine_target(exchange.body)
+            target = engine_target(exchange.body)
         headers = [
             Header(name, exchange.headers[name])
             for name in FORWARDED_HEADERS
@@ -355,11 +298,12 @@
         )
 
 
-def _engine_target(body: bytes) -> str:
+def engine_target(body: bytes) -> str:
+    """Return the engine's path for a request of either form."""
     return "/v1/chat/completions" if b'"messages":' in body else "/v1/completions"
 
 
-def _no_backend(attempts: _Attempts) -> RefusedError:
+def _no_backend(attempts: Attempts) -> RefusedError:
     ran = UNKNOWN if attempts.was_interrupted() else NOT_RUN
     return RefusedError(
         503, "no_backend", "no backend server is free", ran=ran, retry_after_s=1.0
@@ -386,95 +330,3 @@
         tokens,
         "length",
     )
-
-
-def make_dispatch(dispatcher: Dispatcher, wall_s: Callable[[], float]) -> Next:
-    """Return the end of the chain, which answers whole or as a stream."""
-
-    def dispatch(exchange: Exchange) -> Reply:
-        events = dispatcher.events(exchange)
-        if exchange.the_route().backend_kind == "service":
-            return _service_reply(exchange, events)
-        model = exchange.grant.adapter if exchange.grant else ""
-        form = CompletionForm(
-            exchange.request_id,
-            f"{model}:{exchange.version}",
-            _engine_target(exchange.body),
-            int(wall_s()),
-        )
-        if exchange.streamed:
-            return _streamed_reply(exchange, events, form)
-        return _whole_reply(exchange, events, form)
-
-    return dispatch
-
-
-def _service_reply(exchange: Exchange, events: Iterator[WorkChunk | WorkEnd]) -> Reply:
-    for event in events:
-        if isinstance(event, WorkEnd):
-            exchange.used_tokens = exchange.cost_tokens
-            content_type = event.content_type or "application/octet-stream"
-            return Reply(event.status, content_type, event.body)
-    raise RefusedError(502, "no_answer", "the service did not answer", ran=UNKNOWN)
-
-
-def _note_use(exchange: Exchange, end: WorkEnd, tokens: int) -> None:
-    exchange.used_tokens = float((end.prompt_tokens or 0) + tokens)
-
-
-def _whole_reply(
-    exchange: Exchange, events: Iterator[WorkChunk | WorkEnd], form: CompletionForm
-) -> Reply:
-    texts = []
-    tokens = 0
-    for event in events:
-        if isinstance(event, WorkChunk):
-            texts.append(event.text)
-            tokens += event.tokens
-            continue
-        if event.status != 200:
-            exchange.used_tokens = 0.0
-            return Reply(event.status, event.content_type, event.body)
-        _note_use(exchange, event, tokens)
-        body = form.whole(
-            "".join(texts), event.finish_reason, event.prompt_tokens or 0, tokens
-        )
-        return Reply(200, JSON, body)
-    raise RefusedError(502, "no_answer", "the engine did not answer", ran=UNKNOWN)
-
-
-def _streamed_reply(
-    exchange: Exchange, events: Iterator[WorkChunk | WorkEnd], form: CompletionForm
-) -> Reply:
-    """Return a stream; what fails before the first token is a plain refusal."""
-    first = next(events)
-    if isinstance(first, WorkEnd) and first.status != 200:
-        exchange.used_tokens = 0.0
-        return Reply(first.status, first.content_type, first.body)
-    chunks = _stream(exchange, first, events, form)
-    return Reply(200, EVENT_STREAM, chunks=chunks)
-
-
-def _stream(
-    exchange: Exchange,
-    first: WorkChunk | WorkEnd,
-    events: Iterator[WorkChunk | WorkEnd],
-    form: CompletionForm,
-) -> Iterator[bytes]:
-    tokens = 0
-    event: WorkChunk | WorkEnd | None = first
-    try:
-        while event is not None:
-            if isinstance(event, WorkChunk):
-                tokens += event.tokens
-                yield form.chunk(event.text, None)
-            else:
-                _note_use(exchange, event, tokens)
-                yield form.chunk("", event.finish_reason)
-                yield form.usage(event.prompt_tokens or 0, tokens)
-                yield END_MARKER
-            event = next(events, None)
-    except RefusedError as error:
-        yield form.error(error_body(error, exchange.request_id))
-    finally:
-        events.close()  # type: ignore[attr-defined]
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_entry_role.py
@@ -0,0 +1,196 @@
+"""Puts the entry role of a host together."""
+
+import contextlib
+import math
+import threading
+import time
+import uuid
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any
+
+import logbook
+from cheroot import wsgi
+
+from damaskvalve._admin import AdminApi, wall_clock
+from damaskvalve._dispatch import Dispatcher
+from damaskvalve._exchange import compose
+from damaskvalve._filters import (
+    make_adapter_filter,
+    make_authenticate_filter,
+    make_claim_filter,
+    make_classify_filter,
+    make_limit_filter,
+    make_outer_filter,
+    make_quarantine_filter,
+)
+from damaskvalve._http import Application, new_request_id
+from damaskvalve._jobs import JobDesk, JobRunner, make_deferred_filter
+from damaskvalve._ledger import REPORT_S, Ledger
+from damaskvalve._metrics import Metrics
+from damaskvalve._replies import make_dispatch
+from damaskvalve._settings import HostSettings
+from damaskvalve._subscription import Subscription
+from damaskvalve._view import ConfigurationView
+from damaskvalve_core import (
+    Dialer,
+    LeaderClient,
+    Recorder,
+    repeating,
+    split_address,
+)
+
+STOP_STEP_S = 0.05
+DRAIN_LIMIT_S = 120.0
+GOODBYE_S = 0.5
+
+_log = logbook.Logger("entry")
+
+WsgiApplication = Callable[[Mapping[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+class _Requests:
+    """Counts requests under way, for a graceful shutdown."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.count = 0
+
+    def enter(self) -> None:
+        with self._lock:
+            self.count += 1
+
+    def leave(self) -> None:
+        with self._lock:
+            self.count -= 1
+
+
+@contextlib.contextmanager
+def running_entry(
+    settings: HostSettings, dialer: Dialer, record: Recorder
+) -> Iterator[None]:
+    """Run the entry role; at the end no request under way is cut off."""
+    metrics = Metrics(settings.name)
+    view = ConfigurationView()
+    entry_id = f"{settings.name}-{uuid.uuid4().hex[:8]}"
+    hosts = settings.control_hosts
+    subscription = Subscription(
+        settings.name, settings.data_centre, hosts, dialer, view
+    )
+    leader = LeaderClient(hosts, dialer)
+    ledger = Ledger(entry_id, leader)
+    dispatcher = Dispatcher(view, dialer, leader, settings.data_centre, metrics, record)
+    dispatch = make_dispatch(dispatcher, wall_clock)
+    adapters = make_adapter_filter(
+        subscription.adapter, settings.entry.max_output_tokens
+    )
+    inner = [
+        adapters,
+        make_quarantine_filter(view),
+        make_claim_filter(leader, subscription, record),
+        make_limit_filter(ledger),
+    ]
+    chain = compose(
+        [
+            make_outer_filter(metrics, record),
+            make_classify_filter(view),
+            make_authenticate_filter(view),
+            adapters,
+            make_deferred_filter(leader, record),
+            *inner[1:],
+        ],
+        dispatch,
+    )
+    application = Application(
+        settings.entry,
+        view,
+        subscription,
+        chain,
+        JobDesk(leader, subscription),
+        AdminApi(view, leader, subscription, wall_clock),
+        metrics,
+    )
+    runner = JobRunner(entry_id, leader, view, compose(inner, dispatch), new_request_id)
+    with contextlib.ExitStack() as stack:
+        stack.callback(metrics.close)
+        stack.enter_context(repeating(0.0, subscription.poll))
+        stack.enter_context(repeating(REPORT_S, ledger.report))
+        stack.enter_context(_running_jobs(runner, settings.entry.job_runners))
+        stack.enter_context(_serving(settings, application))
+        _log.info("entry role listens on {}", settings.entry.listen)
+        yield
+
+
+@contextlib.contextmanager
+def _running_jobs(runner: JobRunner, count: int) -> Iterator[None]:
+    stop = threading.Event()
+    threads = [
+        threading.Thread(target=runner.run_forever, args=(stop,), daemon=True)
+        for _ in range(count)
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        stop.set()
+        for thread in threads:
+            thread.join(DRAIN_LIMIT_S)
+
+
+@contextlib.contextmanager
+def _serving(settings: HostSettings, application: Application) -> Iterator[None]:
+    entry = settings.entry
+    requests = _Requests()
+    server = wsgi.Server(
+        split_address(entry.listen),
+        _counted(application, requests),
+        numthreads=entry.threads,
+        max=entry.threads,
+        timeout=math.ceil(entry.caller_timeout_s),
+        request_queue_size=512,
+        shutdown_timeout=math.ceil(DRAIN_LIMIT_S),
+    )
+    server.max_request_header_size = entry.max_header_bytes
+    server.max_request_body_size = entry.max_body_bytes
+    setattr(server, "error_log", _log_server_error)
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        application.stopping = True
+        _await_requests(requests)
+        server.stop()
+
+
+def _log_server_error(
+    message: str = "", level: int = 20, traceback: bool = False
+) -> None:
+    _log.debug("http server: {}", message)
+
+
+def _await_requests(requests: _Requests) -> None:
+    """Wait until no request was under way for a moment."""
+    give_up_s = time.monotonic() + DRAIN_LIMIT_S
+    quiet_since_s = time.monotonic()
+    while time.monotonic() < give_up_s:
+        if requests.count > 0:
+            quiet_since_s = time.monotonic()
+        elif time.monotonic() - quiet_since_s > GOODBYE_S:
+            return
+        time.sleep(STOP_STEP_S)
+    _log.error("stopping with {} requests unfinished", requests.count)
+
+
+def _counted(application: Application, requests: _Requests) -> WsgiApplication:
+    def run(
+        environ: Mapping[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        requests.enter()
+        try:
+            yield from application(environ, start_response)
+        finally:
+            requests.leave()
+
+    return run
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/_replies.py
@@ -0,0 +1,99 @@
+"""Turns the events of an answer into the reply that the caller gets."""
+
+from collections.abc import Callable, Generator, Iterator
+
+from damaskvalve._completion import END_MARKER, CompletionForm
+from damaskvalve._dispatch import Dispatcher, engine_target
+from damaskvalve._exchange import EVENT_STREAM, JSON, Exchange, Next, Reply, error_body
+from damaskvalve_core import UNKNOWN, RefusedError
+from damaskvalve_core.messages import WorkChunk, WorkEnd
+
+Events = Generator[WorkChunk | WorkEnd, None, None]
+
+
+def make_dispatch(dispatcher: Dispatcher, wall_s: Callable[[], float]) -> Next:
+    """Return the end of the chain, which answers whole or as a stream."""
+
+    def dispatch(exchange: Exchange) -> Reply:
+        events = dispatcher.events(exchange)
+        if exchange.the_route().backend_kind == "service":
+            return _service_reply(exchange, events)
+        model = exchange.grant.adapter if exchange.grant else ""
+        form = CompletionForm(
+            exchange.request_id,
+            f"{model}:{exchange.version}",
+            engine_target(exchange.body),
+            int(wall_s()),
+        )
+        if exchange.streamed:
+            return _streamed_reply(exchange, events, form)
+        return _whole_reply(exchange, events, form)
+
+    return dispatch
+
+
+def _service_reply(exchange: Exchange, events: Events) -> Reply:
+    for event in events:
+        if isinstance(event, WorkEnd):
+            exchange.used_tokens = exchange.cost_tokens
+            content_type = event.content_type or "application/octet-stream"
+            return Reply(event.status, content_type, event.body)
+    raise RefusedError(502, "no_answer", "the service did not answer", ran=UNKNOWN)
+
+
+def _note_use(exchange: Exchange, end: WorkEnd, tokens: int) -> None:
+    exchange.used_tokens = float((end.prompt_tokens or 0) + tokens)
+
+
+def _whole_reply(exchange: Exchange, events: Events, form: CompletionForm) -> Reply:
+    texts = []
+    tokens = 0
+    for event in events:
+        if isinstance(event, WorkChunk):
+            texts.append(event.text)
+            tokens += event.tokens
+            continue
+        if event.status != 200:
+            exchange.used_tokens = 0.0
+            return Reply(event.status, event.content_type, event.body)
+        _note_use(exchange, event, tokens)
+        body = form.whole(
+            "".join(texts), event.finish_reason, event.prompt_tokens or 0, tokens
+        )
+        return Reply(200, JSON, body)
+    raise RefusedError(502, "no_answer", "the engine did not answer", ran=UNKNOWN)
+
+
+def _streamed_reply(exchange: Exchange, events: Events, form: CompletionForm) -> Reply:
+    """Return a stream; what fails before the first token is a plain refusal."""
+    first = next(events)
+    if isinstance(first, WorkEnd) and first.status != 200:
+        exchange.used_tokens = 0.0
+        return Reply(first.status, first.content_type, first.body)
+    chunks = _stream(exchange, first, events, form)
+    return Reply(200, EVENT_STREAM, chunks=chunks)
+
+
+def _stream(
+    exchange: Exchange,
+    first: WorkChunk | WorkEnd,
+    events: Events,
+    form: CompletionForm,
+) -> Iterator[bytes]:
+    tokens = 0
+    event: WorkChunk | WorkEnd | None = first
+    try:
+        while event is not None:
+            if isinstance(event, WorkChunk):
+                tokens += event.tokens
+                yield form.chunk(event.text, None)
+            else:
+                _note_use(exchange, event, tokens)
+                yield form.chunk("", event.finish_reason)
+                yield form.usage(event.prompt_tokens or 0, tokens)
+                yield END_MARKER
+            event = next(events, None)
+    except RefusedError as error:
+        yield form.error(error_body(error, exchange.request_id))
+    finally:
+        events.close()
--- a/packages/damaskvalve/damaskvalve/tests/test_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/tests/test_dispatch.py
@@ -3,8 +3,8 @@
 import json
 import unittest
 
+from damaskvalve._attempts import RETURN_WAIT_S, Attempts
 from damaskvalve._completion import continue_body
-from damaskvalve._dispatch import RETURN_WAIT_S, _Attempts
 from damaskvalve._retry_budget import MAX_SAVED_RETRIES, RetryBudget
 from damaskvalve._work_call import AttemptError
 
@@ -15,7 +15,7 @@
 
 class AttemptTests(unittest.TestCase):
     def setUp(self):
-        self.attempts = _Attempts(deadline_s=100.0)
+        self.attempts = Attempts(deadline_s=100.0)
 
     def test_a_request_that_never_began_does_not_wait_for_a_backend_server(self):
         """It is refused at once when nobody is left."""
--- a/packages/damaskvalve/damaskvalve/tests/test_questionnaire.py
+++ b/packages/damaskvalve/damaskvalve/tests/test_questionnaire.py
@@ -6,12 +6,12 @@
 import yaml
 
 from damaskvalve._questionnaire import (
-    ask_all,
     build_rows,
     check_answers,
     difference,
     render_rows,
 )
+from damaskvalve._questions import ask_all
 from damaskvalve_core import SettingsError
 from damaskvalve_core.settings import parse_document, read_document
 
--- a/testing/damaskvalve-standins/damaskvalve_standins/fleet.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/fleet.py
@@ -1,6 +1,7 @@
 """Starts a whole fleet of processes on loopback, for tests, demo and benchmarks."""
 
 import contextlib
+import itertools
 import json
 import os
 import signal
@@ -17,13 +18,27 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+# Spread by process id, so that two test runs rarely try the same ports.
+_START = FIRST_PORT + os.getpid() * 97 % (LAST_PORT - FIRST_PORT)
+_PORTS = itertools.cycle([*range(_START, LAST_PORT), *range(FIRST_PORT, _START)])
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address whose port is free and stays so.
+
+    Ports below the ephemeral range are not taken by outgoing connections while
+    the process behind them is restarted.
+    """
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
 
 
 def wait_for(check: Callable[[], Any], timeout_s: float, what: str) -> Any:
@@ -81,6 +96,16 @@
         """Return whether it runs."""
         return self._popen is not None and self._popen.poll() is None
 
+    def has_failed(self) -> bool:
+        """Return whether it ended by itself with an error."""
+        if self._popen is None or self._popen.poll() is None:
+            return False
+        return self._popen.returncode > 0
+
+    def log_tail(self) -> str:
+        """Return the end of its log."""
+        return self.log_path.read_text(errors="replace")[-1500:]
+
     def resident_kb(self) -> int:
         """Return its resident memory."""
         status = Path(f"/proc/{self.pid}/status").read_text()
@@ -356,7 +381,10 @@
         raise AssertionError("there is no leader")
 
     def stop(self) -> None:
-        """End every process that this fleet started."""
+        """End every process that this fleet started; tell which had ended."""
+        for process in self.processes.values():
+            if process.has_failed():
+                print(f"{process.name} had ended by itself: {process.log_tail()}")
         for process in self.processes.values():
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
