Refusals before the claim, a failing disk, tests of the filters

Cause, found by reading: a resend of a once request that was refused before its claim was looked at (lease lapsed, no control host) said "not-run" although its first run may have succeeded; it says `unknown` now.

Ruled out: moving the claim to the front of the chain, since it needs the workspace.

Before: no test of the filters by themselves. After: 8 tests of the filters with a fake leader that loses answers, 3 of a running member.

--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -1,7 +1,9 @@
 """The actor that runs agreement on a control host: disk, peers and callers."""
 
 import contextlib
+import os
 import random
+import signal
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -355,6 +357,13 @@
             self._callbacks[index] = (self.agreement.term, callback)
         return bool(indexes)
 
+    def on_failure(self, *failure: Any) -> None:
+        """End the process: a member that cannot write must not go on."""
+        _log.critical("the control role failed and stops: {}", failure[1])
+        self._fail_callbacks()
+        self.journal.close()
+        os.kill(os.getpid(), signal.SIGTERM)
+
     def on_stop(self) -> None:
         """Close the peers and the journal."""
         for sender in self._senders.values():
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_group.py
@@ -0,0 +1,98 @@
+"""A running member: group commit, restart, and a disk that fails."""
+
+import signal
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from damaskvalve_core import ChannelError, RetryLaterError
+from damaskvalve_core.messages import ClaimOnce, Command
+from damaskvalve_state import Journal, NodeSettings, Timing, running_group
+
+ADDRESS = "127.0.0.1:1"
+
+
+class NoPeers:
+    """A dialer that reaches nobody."""
+
+    def call(self, address, message, timeout_s):
+        raise ChannelError("nobody there")
+
+
+def claim(name):
+    return Command(claim=ClaimOnce(name, "d", "h"))
+
+
+class GroupTests(unittest.TestCase):
+    def setUp(self):
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.settings = NodeSettings(
+            Path(scratch.name) / "group",
+            ADDRESS,
+            "dc",
+            [ADDRESS],
+            Timing(election_timeout_s=0.3, heartbeat_s=0.05),
+        )
+
+    def commit(self, group, name):
+        """Commit once the group of one has a leader."""
+        for _ in range(200):
+            result = group.propose(claim(name), 5.0)
+            if result is not None:
+                return result
+            time.sleep(0.05)
+        self.fail("a group of one has no leader")
+
+    def test_a_group_of_one_founds_itself_and_keeps_what_it_accepted(self):
+        """After a restart the claim is known."""
+        with running_group(self.settings, NoPeers()) as group:
+            self.assertTrue(self.commit(group, "a").accepted)
+        with running_group(self.settings, NoPeers()) as group:
+            self.assertFalse(self.commit(group, "a").accepted)
+
+    def test_proposals_that_wait_share_one_sync(self):
+        """Many threads need far fewer syncs than commits."""
+        syncs = []
+        original = Journal.append
+
+        def append(journal, records):
+            if records:
+                syncs.append(len(records))
+                time.sleep(0.005)
+            original(journal, records)
+
+        with running_group(self.settings, NoPeers()) as group:
+            self.commit(group, "first")
+            with mock.patch.object(Journal, "append", append):
+                threads = [
+                    threading.Thread(target=group.propose, args=(claim(f"c{n}"), 5.0))
+                    for n in range(60)
+                ]
+                for thread in threads:
+                    thread.start()
+                for thread in threads:
+                    thread.join()
+        self.assertEqual(sum(syncs), 60)
+        self.assertLess(len(syncs), 30)
+
+    def test_a_disk_that_fails_ends_the_process_and_acknowledges_nothing(self):
+        """The caller learns that the outcome is not known."""
+        with running_group(self.settings, NoPeers()) as group:
+            self.commit(group, "first")
+            broken = mock.patch.object(Journal, "append", side_effect=OSError("full"))
+            with mock.patch("os.kill") as kill, broken:
+                with self.assertRaises(RetryLaterError):
+                    group.propose(claim("second"), 2.0)
+                for _ in range(100):
+                    if kill.called:
+                        break
+                    time.sleep(0.02)
+            self.assertEqual(kill.call_args[0][1], signal.SIGTERM)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damaskvalve/damaskvalve/_exchange.py
+++ b/packages/damaskvalve/damaskvalve/_exchange.py
@@ -8,6 +8,7 @@
 
 JSON = "application/json"
 EVENT_STREAM = "text/event-stream"
+IDEMPOTENCY_HEADER = "idempotency-key"
 
 
 class Exchange:
--- a/packages/damaskvalve/damaskvalve/_filters/_claim.py
+++ b/packages/damaskvalve/damaskvalve/_filters/_claim.py
@@ -6,7 +6,7 @@
 import logbook
 
 from damaskvalve._configuration import ONCE
-from damaskvalve._exchange import Exchange, Filter, Next, Reply
+from damaskvalve._exchange import IDEMPOTENCY_HEADER, Exchange, Filter, Next, Reply
 from damaskvalve._subscription import Subscription
 from damaskvalve_core import (
     NOT_RUN,
@@ -154,7 +154,10 @@
             )
         if result.claim is not None and result.claim.answer is not None:
             return _replay(result.claim)
-        known = claims.await_answer(claim_id, exchange.deadline_s)
+        try:
+            known = claims.await_answer(claim_id, exchange.deadline_s)
+        except RefusedError as error:
+            raise _unknown("the earlier request cannot be looked up now") from error
         if known is None:
             raise _unknown("an earlier request with this key has not been answered")
         return _replay(known)
@@ -163,7 +166,7 @@
 
 
 def _claim_id(exchange: Exchange) -> str:
-    key = exchange.headers.pop("idempotency-key", "")
+    key = exchange.headers.pop(IDEMPOTENCY_HEADER, "")
     if not 1 <= len(key) <= MAX_KEY_LENGTH:
         raise RefusedError(
             400, "no_idempotency_key", "this route needs an Idempotency-Key header"
--- a/packages/damaskvalve/damaskvalve/_filters/_outer.py
+++ b/packages/damaskvalve/damaskvalve/_filters/_outer.py
@@ -5,13 +5,32 @@
 
 import logbook
 
-from damaskvalve._exchange import Exchange, Filter, Next, Reply, error_reply
+from damaskvalve._configuration import ONCE
+from damaskvalve._exchange import (
+    IDEMPOTENCY_HEADER,
+    Exchange,
+    Filter,
+    Next,
+    Reply,
+    error_reply,
+)
 from damaskvalve._metrics import Metrics
 from damaskvalve_core import UNKNOWN, DamaskvalveError, Recorder, RefusedError
 
 _log = logbook.Logger("request")
 
 
+def may_have_run_before(exchange: Exchange) -> bool:
+    """Return whether this may be a resend whose claim was not looked at.
+
+    The claim filter takes the Idempotency-Key off; what is refused before it
+    cannot say that the caller's request has not run.
+    """
+    route = exchange.route
+    is_once = route is not None and route.kind == ONCE
+    return is_once and IDEMPOTENCY_HEADER in exchange.headers
+
+
 def make_outer_filter(metrics: Metrics, record: Recorder) -> Filter:
     """Return the filter that turns refusals into replies and keeps the figures."""
 
@@ -46,6 +65,8 @@
         try:
             reply = following(exchange)
         except RefusedError as error:
+            if error.status != 400 and may_have_run_before(exchange):
+                error.ran = UNKNOWN
             finish(exchange, error.status, error.code, error.ran)
             return error_reply(error, exchange.request_id)
         except DamaskvalveError as error:
--- a/packages/damaskvalve/damaskvalve/_jobs.py
+++ b/packages/damaskvalve/damaskvalve/_jobs.py
@@ -9,7 +9,14 @@
 import logbook
 
 from damaskvalve._configuration import DEFERRED
-from damaskvalve._exchange import JSON, Exchange, Filter, Next, Reply
+from damaskvalve._exchange import (
+    IDEMPOTENCY_HEADER,
+    JSON,
+    Exchange,
+    Filter,
+    Next,
+    Reply,
+)
 from damaskvalve._subscription import Subscription
 from damaskvalve._view import ConfigurationView
 from damaskvalve_core import (
@@ -54,7 +61,7 @@
             return following(exchange)
         if len(exchange.body) > MAX_JOB_BYTES:
             raise RefusedError(413, "job_too_large", "the deferred body is too large")
-        key = exchange.headers.pop("idempotency-key", "")
+        key = exchange.headers.pop(IDEMPOTENCY_HEADER, "")
         workspace = exchange.workspace
         if workspace is None:
             raise RefusedError(403, "no_workspace", "deferred work needs a workspace")
--- /dev/null
+++ b/packages/damaskvalve/damaskvalve/tests/test_filters.py
@@ -0,0 +1,195 @@
+"""The filters, with small fakes for the leader and the control hosts."""
+
+import json
+import unittest
+
+from damaskvalve import key_digest
+from damaskvalve._configuration import Route, Workspace
+from damaskvalve._exchange import Exchange, Reply, compose
+from damaskvalve._filters import make_claim_filter, make_outer_filter
+from damaskvalve._filters._outer import may_have_run_before
+from damaskvalve._key import take_key
+from damaskvalve_core import (
+    RefusedError,
+    RetryLaterError,
+    copy_struct,
+    discard_event,
+    encode_struct,
+)
+from damaskvalve_core.messages import ReadReply
+from damaskvalve_state import Machine
+
+ROUTE = {
+    "backend_kind": "service",
+    "serves": "desk",
+    "cost_tokens": 1,
+    "weight": 1,
+    "deadline_s": 1,
+}
+WORKSPACE = Workspace(
+    "w",
+    {
+        "share": 1,
+        "rate_tokens_per_s": 1,
+        "burst_tokens": 1,
+        "service_unit": "tokens",
+        "max_concurrent": 1,
+        "max_jobs": 1,
+    },
+)
+
+
+class FakeLeader:
+    """Commits to a state machine; can lose answers or refuse to commit."""
+
+    def __init__(self):
+        self.machine = Machine()
+        self.index = 0
+        self.lose_answers = 0
+        self.is_down = False
+
+    def commit(self, command, timeout_s):
+        if self.is_down:
+            raise RetryLaterError("no leader")
+        self.index += 1
+        copied = copy_struct(command)
+        result = self.machine.apply(self.index, encode_struct(copied))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise RetryLaterError("the answer was lost")
+        return result
+
+    def read(self, request):
+        claim = self.machine.claims.get(request.key)
+        return ReadReply(True, 0, claims=[claim] if claim else [])
+
+
+class FakeMetrics:
+    def note_request(self, kind, status, took_s):
+        """Ignore the figure."""
+
+    def note_refusal(self, code):
+        """Ignore the figure."""
+
+    def note_first_token(self, took_s):
+        """Ignore the figure."""
+
+
+def make_exchange(number=1, body=b"loan", **headers):
+    exchange = Exchange(f"r{number}", "POST", "/x", "", headers, body, 0.0)
+    exchange.route = Route("/x", {**ROUTE, "kind": "once"})
+    exchange.workspace = WORKSPACE
+    exchange.deadline_s = 0.0
+    return exchange
+
+
+class ClaimFilterTests(unittest.TestCase):
+    def setUp(self):
+        self.leader = FakeLeader()
+        self.runs = 0
+        self.failure = None
+        claim = make_claim_filter(self.leader, self.leader, discard_event)
+        outer = make_outer_filter(FakeMetrics(), discard_event)
+        self.chain = compose([outer, claim], self.run_once)
+
+    def run_once(self, exchange):
+        if self.failure is not None and self.failure.ran == "not-run":
+            raise self.failure
+        self.runs += 1
+        if self.failure is not None:
+            raise self.failure
+        return Reply(200, "text/plain", b"certificate %d" % self.runs)
+
+    def send(self, number=1, body=b"loan", key="k"):
+        exchange = make_exchange(number, body, **{"idempotency-key": key})
+        return self.chain(exchange)
+
+    def ran(self, reply):
+        return json.loads(reply.body)["error"]["ran"]
+
+    def test_a_resend_gets_the_stored_answer(self):
+        """Also one that comes much later."""
+        first = self.send(1)
+        again = self.send(2)
+        self.assertEqual((first.body, self.runs), (again.body, 1))
+
+    def test_lost_answers_of_the_leader_double_nothing(self):
+        """The claim and the answer are committed again under the same holder."""
+        self.leader.lose_answers = 1
+        self.assertEqual(self.send(1).status, 200)
+        self.leader.lose_answers = 1
+        self.assertEqual(self.send(2).status, 200)
+        self.assertEqual(self.runs, 1)
+
+    def test_a_refusal_that_did_not_run_gives_the_claim_back(self):
+        """The resend runs."""
+        self.failure = RefusedError(503, "no_backend", "none", ran="not-run")
+        self.assertEqual(self.ran(self.send(1)), "not-run")
+        self.failure = None
+        self.assertEqual(self.send(2).status, 200)
+        self.assertEqual(self.runs, 1)
+
+    def test_an_unknown_outcome_is_never_run_again(self):
+        """Every resend is told so, and never that it has not run."""
+        self.failure = RefusedError(503, "agent_lost", "lost", ran="unknown")
+        self.assertEqual(self.ran(self.send(1)), "unknown")
+        self.failure = None
+        self.assertEqual(self.ran(self.send(2)), "unknown")
+        self.assertEqual(self.runs, 1)
+
+    def test_without_a_leader_nothing_runs_and_nothing_is_promised(self):
+        """A resend's first run may have succeeded."""
+        self.leader.is_down = True
+        self.assertEqual(self.ran(self.send(1)), "unknown")
+        self.assertEqual(self.runs, 0)
+
+    def test_what_is_refused_before_the_claim_does_not_say_not_run(self):
+        """Only a request without a key, or with a new claim, can say that."""
+        resend = make_exchange(**{"idempotency-key": "k"})
+        self.assertTrue(may_have_run_before(resend))
+        self.assertFalse(may_have_run_before(make_exchange()))
+
+        def refuse(exchange):
+            raise RefusedError(503, "configuration_not_leased", "not now")
+
+        outer = make_outer_filter(FakeMetrics(), discard_event)
+        self.assertEqual(self.ran(outer(resend, refuse)), "unknown")
+
+
+class KeyTests(unittest.TestCase):
+    def test_the_key_is_replaced_by_its_digest(self):
+        """Both usual headers are understood; other schemes are no key."""
+        cases = {
+            "Bearer secret": key_digest("secret"),
+            "bearer  secret ": key_digest("secret"),
+            "Basic secret": "",
+            "secret": "",
+        }
+        for value, digest in cases.items():
+            with self.subTest(value=value):
+                exchange = make_exchange(authorization=value)
+                take_key(exchange)
+                self.assertEqual(exchange.presented_digest, digest)
+                self.assertNotIn("authorization", exchange.headers)
+
+    def test_a_key_anywhere_else_is_refused(self):
+        """In path, query, another header or the body."""
+        places = {
+            "path": {"path": "/a/secret"},
+            "query": {"query": "k=secret"},
+            "body": {"body": b"my secret"},
+        }
+        for name, change in places.items():
+            with self.subTest(place=name):
+                exchange = make_exchange(authorization="Bearer secret")
+                for field, value in change.items():
+                    setattr(exchange, field, value)
+                with self.assertRaises(RefusedError):
+                    take_key(exchange)
+        exchange = make_exchange(authorization="Bearer secret", accept="secret")
+        with self.assertRaises(RefusedError):
+            take_key(exchange)
+
+
+if __name__ == "__main__":
+    unittest.main()
