One place for what every process's settings and start have in common

Cause: identity, log settings and the start from a settings file stood twice, in host and agent; a missing table was reported twice.

Ruled out: one settings class for both processes, which have little else in common.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_settings.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_settings.py
@@ -7,12 +7,16 @@
 from damaskvalve_core.settings import (
     Document,
     Field,
+    LogSettings,
     address,
+    check_identity,
+    check_log,
     flag,
     list_of,
     number,
     one_of,
     read_document,
+    settings_table,
     text,
     whole,
 )
@@ -25,15 +29,10 @@
     "control_hosts": Field(
         list_of(address, least=1, most=9), required=True, help="control addresses"
     ),
-    "identity": Field(lambda value: value, required=True, help="certificate files"),
-    "backend": Field(lambda value: value, required=True, help="the backend server"),
-    "queue": Field(lambda value: value, default={}, help="bounds of the queue"),
-    "log": Field(lambda value: value, default={}, help="level, style, destination"),
-}
-_IDENTITY = {
-    "certificate": Field(text, required=True, help="certificate file"),
-    "key": Field(text, required=True, help="private key file"),
-    "authority": Field(text, required=True, help="authority file"),
+    "identity": Field(settings_table, required=True, help="certificate files"),
+    "backend": Field(settings_table, required=True, help="the backend server"),
+    "queue": Field(settings_table, default={}, help="bounds of the queue"),
+    "log": Field(settings_table, default={}, help="level, style, destination"),
 }
 _BACKEND = {
     "address": Field(address, required=True, help="the backend server's IP:port"),
@@ -49,15 +48,6 @@
     "max_debt_units": Field(number(0, 1e9), default=2000.0, help="batching debt"),
     "max_loads": Field(whole(1, 64), default=2, help="loads at a time"),
 }
-_LOG = {
-    "level": Field(
-        one_of("debug", "info", "notice", "warning", "error"),
-        default="info",
-        help="least level that is written",
-    ),
-    "style": Field(one_of("human", "json"), default="human", help="form of a line"),
-    "destination": Field(text, default="stderr", help="stderr or a file"),
-}
 
 
 class BackendSettings:
@@ -106,9 +96,7 @@
         "max_waiting",
         "max_debt_units",
         "max_loads",
-        "log_level",
-        "log_style",
-        "log_destination",
+        "log",
     )
 
     def __init__(
@@ -123,9 +111,7 @@
         max_waiting: int,
         max_debt_units: float,
         max_loads: int,
-        log_level: str,
-        log_style: str,
-        log_destination: str,
+        log: LogSettings,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -137,19 +123,18 @@
         self.max_waiting = max_waiting
         self.max_debt_units = max_debt_units
         self.max_loads = max_loads
-        self.log_level = log_level
-        self.log_style = log_style
-        self.log_destination = log_destination
+        self.log = log
 
 
 def check_settings(document: Document) -> AgentSettings:
     """Return the settings of a parsed file, or raise with every finding."""
     top = document.check_table(_TOP, document.value)
-    identity = document.check_table(_IDENTITY, top["identity"], "identity")
+    identity = check_identity(document, top["identity"])
     backend = document.check_table(_BACKEND, top["backend"], "backend")
     queue = document.check_table(_QUEUE, top["queue"], "queue")
-    log = document.check_table(_LOG, top["log"], "log")
+    log = check_log(document, top["log"])
     document.finish()
+    assert identity is not None
     folder = Path(document.path).parent
     return AgentSettings(
         top["name"],
@@ -157,18 +142,12 @@
         folder / top["data_folder"],
         top["listen"],
         top["control_hosts"],
-        Identity(
-            folder / identity["certificate"],
-            folder / identity["key"],
-            folder / identity["authority"],
-        ),
+        identity,
         BackendSettings(**backend),
         queue["max_waiting"],
         queue["max_debt_units"],
         queue["max_loads"],
-        log["level"],
-        log["style"],
-        log["destination"],
+        log,
     )
 
 
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -35,6 +35,7 @@
 )
 from damaskvalve_core._leader_client import LeaderClient
 from damaskvalve_core._logs import logging_to
+from damaskvalve_core._process import run_from_settings
 from damaskvalve_core._time_line import (
     TIME_LINE_FILE,
     Recorder,
@@ -75,6 +76,7 @@
     "logging_to",
     "open_time_line",
     "repeating",
+    "run_from_settings",
     "split_address",
     "stamp_to_wall_s",
 ]
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/_common_settings.py
@@ -0,0 +1,52 @@
+"""Settings that every process has: its identity files and its log."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from damaskvalve_core._channel import Identity
+from damaskvalve_core._settings import Document, Field, one_of, text
+
+_IDENTITY: Mapping[str, Field] = {
+    "certificate": Field(text, required=True, help="certificate file"),
+    "key": Field(text, required=True, help="private key file"),
+    "authority": Field(text, required=True, help="authority file"),
+}
+_LOG: Mapping[str, Field] = {
+    "level": Field(
+        one_of("debug", "info", "notice", "warning", "error"),
+        default="info",
+        help="least level that is written",
+    ),
+    "style": Field(one_of("human", "json"), default="human", help="form of a line"),
+    "destination": Field(text, default="stderr", help="stderr or a file"),
+}
+
+
+class LogSettings:
+    """Where log records go and in which form."""
+
+    __slots__ = ("level", "style", "destination")
+
+    def __init__(self, level: str, style: str, destination: str) -> None:
+        self.level = level
+        self.style = style
+        self.destination = destination
+
+
+def check_identity(document: Document, value: Any) -> Identity | None:
+    """Return the identity; None if a file is not named, which is then reported."""
+    files = document.check_table(_IDENTITY, value, "identity")
+    if not all(files.values()):
+        return None
+    folder = Path(document.path).parent
+    return Identity(
+        folder / files["certificate"],
+        folder / files["key"],
+        folder / files["authority"],
+    )
+
+
+def check_log(document: Document, value: Any) -> LogSettings:
+    """Return the log settings with their defaults."""
+    return LogSettings(**document.check_table(_LOG, value, "log"))
--- a/packages/damaskvalve-core/damaskvalve_core/_settings.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_settings.py
@@ -60,6 +60,13 @@
     return value
 
 
+def settings_table(value: Any) -> Any:
+    """Accept a table; its own fields are checked apart."""
+    if not isinstance(value, dict):
+        raise ValueError("must be a table of settings")
+    return value
+
+
 def flag(value: Any) -> bool:
     """Accept true or false."""
     if not isinstance(value, bool):
@@ -129,9 +136,13 @@
     def check_table(
         self, fields: Mapping[str, Field], value: Any, *keys: object
     ) -> dict[str, Any]:
-        """Check one mapping against its fields and return it with defaults."""
+        """Check one mapping against its fields and return it with defaults.
+
+        A table inside another one was reported there if it is none.
+        """
         if not isinstance(value, dict):
-            self.report("must be a table of settings", *keys)
+            if not keys:
+                self.report("must be a table of settings")
             return {name: field.default for name, field in fields.items()}
         for name in value:
             if name not in fields:
--- a/packages/damaskvalve-core/damaskvalve_core/settings.py
+++ b/packages/damaskvalve-core/damaskvalve_core/settings.py
@@ -1,5 +1,10 @@
 """Public face of the settings checks; see :mod:`damaskvalve_core._settings`."""
 
+from damaskvalve_core._common_settings import (
+    LogSettings,
+    check_identity,
+    check_log,
+)
 from damaskvalve_core._settings import (
     Check,
     Document,
@@ -11,6 +16,7 @@
     one_of,
     parse_document,
     read_document,
+    settings_table,
     text,
     whole,
 )
@@ -19,13 +25,17 @@
     "Check",
     "Document",
     "Field",
+    "LogSettings",
     "address",
+    "check_identity",
+    "check_log",
     "flag",
     "list_of",
     "number",
     "one_of",
     "parse_document",
     "read_document",
+    "settings_table",
     "text",
     "whole",
 ]
--- a/packages/damaskvalve/damaskvalve/__main__.py
+++ b/packages/damaskvalve/damaskvalve/__main__.py
@@ -11,7 +11,7 @@
     """
     words = sys.argv[1:]
     if len(words) == 3 and words[:2] == ["serve", "--settings"]:
-        from damaskvalve._serve import serve_host
+        from damaskvalve._host import serve_host
 
         return serve_host(Path(words[2]))
     from damaskvalve._cli._main import run_command
--- a/packages/damaskvalve/damaskvalve/_cli/_processes.py
+++ b/packages/damaskvalve/damaskvalve/_cli/_processes.py
@@ -11,7 +11,7 @@
 
 def serve(settings: SettingsPath) -> int:
     """Run the roles that the settings name, until SIGTERM."""
-    from damaskvalve._serve import serve_host
+    from damaskvalve._host import serve_host
 
     return serve_host(settings)
 
--- a/packages/damaskvalve/damaskvalve/_host.py
+++ b/packages/damaskvalve/damaskvalve/_host.py
@@ -5,11 +5,19 @@
 import sys
 import threading
 import time
+from pathlib import Path
 
 import logbook
 
-from damaskvalve._settings import CONTROL, ENTRY, HostSettings
-from damaskvalve_core import Dialer, HybridClock, Recorder, dialing, open_time_line
+from damaskvalve._settings import CONTROL, ENTRY, HostSettings, read_settings
+from damaskvalve_core import (
+    Dialer,
+    HybridClock,
+    Recorder,
+    dialing,
+    open_time_line,
+    run_from_settings,
+)
 
 # Short, so that a thread back from a sync or a socket soon runs again.
 SWITCH_INTERVAL_S = 0.0005
@@ -52,3 +60,8 @@
         stop.wait()
         _log.info("shutting down")
         record("host-stop")
+
+
+def serve_host(path: Path) -> int:
+    """Run the host of a settings file and return the exit code."""
+    return run_from_settings(path, read_settings, run_host)
--- a/packages/damaskvalve/damaskvalve/_questionnaire.py
+++ b/packages/damaskvalve/damaskvalve/_questionnaire.py
@@ -28,6 +28,7 @@
     Document,
     Field,
     list_of,
+    settings_table,
 )
 
 GENERATOR = "damaskvalve questionnaire 1"
@@ -74,8 +75,10 @@
     """Return checked answers, or raise with every finding."""
     fields = {
         **_fields(TEAM_QUESTIONS),
-        "adapters": Field(list_of(_table), default=(), help="the team's adapters"),
-        "routes": Field(list_of(_table), default=(), help="the team's routes"),
+        "adapters": Field(
+            list_of(settings_table), default=(), help="the team's adapters"
+        ),
+        "routes": Field(list_of(settings_table), default=(), help="the team's routes"),
     }
     top = document.check_table(fields, document.value)
     adapters = _check_list(document, "adapters", ADAPTER_QUESTIONS, top["adapters"])
@@ -88,12 +91,6 @@
     return Answers(team, adapters, routes)
 
 
-def _table(value: Any) -> Any:
-    if not isinstance(value, dict):
-        raise ValueError("each item must be a table of answers")
-    return value
-
-
 def _check_list(
     document: Document, name: str, questions: Sequence[Question], items: Any
 ) -> Sequence[dict[str, Any]]:
--- a/packages/damaskvalve/damaskvalve/_settings.py
+++ b/packages/damaskvalve/damaskvalve/_settings.py
@@ -8,11 +8,15 @@
 from damaskvalve_core.settings import (
     Document,
     Field,
+    LogSettings,
     address,
+    check_identity,
+    check_log,
     list_of,
     number,
     one_of,
     read_document,
+    settings_table,
     text,
     whole,
 )
@@ -21,11 +25,6 @@
 CONTROL = "control"
 
 
-def _table(value: Any) -> Any:
-    """Accept any value; the table's own check reports what is wrong."""
-    return value
-
-
 _TOP = {
     "name": Field(text, required=True, help="the name of this host"),
     "data_centre": Field(text, required=True, help="where it stands"),
@@ -40,15 +39,10 @@
         required=True,
         help="every control address, the nearest first",
     ),
-    "identity": Field(_table, required=True, help="certificate files"),
-    "entry": Field(_table, default={}, help="the entry role"),
-    "control": Field(_table, default={}, help="the control role"),
-    "log": Field(_table, default={}, help="level, style, destination"),
-}
-_IDENTITY = {
-    "certificate": Field(text, required=True, help="certificate file"),
-    "key": Field(text, required=True, help="private key file"),
-    "authority": Field(text, required=True, help="authority file"),
+    "identity": Field(settings_table, required=True, help="certificate files"),
+    "entry": Field(settings_table, default={}, help="the entry role"),
+    "control": Field(settings_table, default={}, help="the control role"),
+    "log": Field(settings_table, default={}, help="level, style, destination"),
 }
 _ENTRY = {
     "listen": Field(address, default="127.0.0.1:8080", help="callers' IP:port"),
@@ -82,15 +76,6 @@
         number(60, 31_536_000), default=86_400.0, help="how long answers are kept"
     ),
 }
-_LOG = {
-    "level": Field(
-        one_of("debug", "info", "notice", "warning", "error"),
-        default="info",
-        help="least level that is written",
-    ),
-    "style": Field(one_of("human", "json"), default="human", help="form of a line"),
-    "destination": Field(text, default="stderr", help="stderr or a file"),
-}
 
 
 class EntrySettings:
@@ -141,9 +126,7 @@
         "identity",
         "entry",
         "control",
-        "log_level",
-        "log_style",
-        "log_destination",
+        "log",
     )
 
     def __init__(
@@ -156,9 +139,7 @@
         identity: Identity,
         entry: EntrySettings,
         control: ControlSettings,
-        log_level: str,
-        log_style: str,
-        log_destination: str,
+        log: LogSettings,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -168,20 +149,19 @@
         self.identity = identity
         self.entry = entry
         self.control = control
-        self.log_level = log_level
-        self.log_style = log_style
-        self.log_destination = log_destination
+        self.log = log
 
 
 def check_settings(document: Document) -> HostSettings:
     """Return the settings of a parsed file, or raise with every finding."""
     top = document.check_table(_TOP, document.value)
-    identity = document.check_table(_IDENTITY, top["identity"], "identity")
+    identity = check_identity(document, top["identity"])
     entry = document.check_table(_ENTRY, top["entry"], "entry")
     control = document.check_table(_CONTROL, top["control"], "control")
-    log = document.check_table(_LOG, top["log"], "log")
+    log = check_log(document, top["log"])
     _check_control(document, top, control)
     document.finish()
+    assert identity is not None
     folder = Path(document.path).parent
     return HostSettings(
         top["name"],
@@ -189,16 +169,10 @@
         folder / top["data_folder"],
         top["roles"],
         top["control_hosts"],
-        Identity(
-            folder / identity["certificate"],
-            folder / identity["key"],
-            folder / identity["authority"],
-        ),
+        identity,
         EntrySettings(**entry),
         ControlSettings(**control),
-        log["level"],
-        log["style"],
-        log["destination"],
+        log,
     )
 
 
@@ -244,15 +218,11 @@
     """Read and check an operator's settings file."""
     document = read_document(path)
     top = document.check_table(_OPERATOR, document.value)
-    identity = document.check_table(_IDENTITY, top["identity"], "identity")
+    identity = check_identity(document, top["identity"])
     document.finish()
-    folder = path.parent
+    assert identity is not None
     return OperatorSettings(
         top["name"],
         top["control_hosts"],
-        Identity(
-            folder / identity["certificate"],
-            folder / identity["key"],
-            folder / identity["authority"],
-        ),
+        identity,
     )
