Reports carry totals only now and then; the fleet's total is kept, not summed

Ruled out: reporting to one control host only, which would make membership depend on it.

Entry hosts get reports without totals.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -121,7 +121,7 @@
     return [Slope("control.memory_by_backend", "KB", memory)]
 
 
-def _report(name: str, sequence: int) -> BackendReport:
+def _report(name: str, sequence: int, *, full: bool = True) -> BackendReport:
     resident = [f"adapter-{n}@2026-11" for n in range(8)]
     served = {f"workspace-{n}": 1000.0 * n for n in range(50)}
     counters = {f"counter_{n}": 1.0 for n in range(8)}
@@ -139,14 +139,15 @@
         32,
         resident,
         8,
-        served,
-        counters,
+        served if full else None,
+        counters if full else None,
     )
 
 
 def message_sizes() -> Sequence[Row]:
     """Measure the bytes of the regular messages."""
     report = len(encode_message(_report("engine-1", 1)))
+    light = len(encode_message(_report("engine-1", 1, full=False)))
     poll = len(encode_message(PollRequest("edge-1", "dc-1", 9, 9, 9, 0.5, "host-1-x")))
     asks = [
         CreditAsk(f"workspace-{n}", 500.0, [CreditReport(n, 100.0, 0.0)], [])
@@ -155,6 +156,7 @@
     credit = len(encode_message(CreditRequest("edge-1-x", 1, asks)))
     return [
         Row("message.report_50_workspaces", report, "bytes"),
+        Row("message.light_report", light, "bytes"),
         Row("message.poll", poll, "bytes"),
         Row("message.credit_10_workspaces", credit, "bytes"),
     ]
@@ -217,7 +219,10 @@
     polls = []
     for callers in (10, 20, 40):
         rate, cores = _hammer(
-            fleet, callers, 0.1, lambda n, i: _report(f"engine-{n}", i + 1)
+            fleet,
+            callers,
+            0.1,
+            lambda n, i: _report(f"engine-{n}", i + 1, full=i % 4 == 0),
         )
         reports.append((int(rate), cores * 1e6))
     for callers in (15, 30, 60):
--- a/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
@@ -16,7 +16,9 @@
 from damaskvalve_core import ChannelError
 from damaskvalve_core.messages import BackendReport, ReportReply
 
-REPORT_S = 0.5
+REPORT_S = 0.75
+# The totals of service and counters are sent this often.
+FULL_REPORT_S = 3.0
 HEALTH_S = 1.0
 
 _log = logbook.Logger("registration")
@@ -49,10 +51,12 @@
         self._sequence = 0
         self._start_id: str | None = None
         self._lock = threading.Lock()
+        # When each control host got the totals last.
+        self._full_sent_s: dict[str, float] = {}
         self._elsewhere: dict[str, float] = {}
 
-    def build_report(self) -> BackendReport:
-        """Return the present state of this backend server."""
+    def build_report(self, *, full: bool) -> BackendReport:
+        """Return the present state; totals only in a full report."""
         settings = self._settings
         state = self._room.run(_read_state)
         with self._lock:
@@ -74,20 +78,23 @@
             settings.backend.max_running,
             state.resident,
             settings.backend.slots if settings.backend.kind == "engine" else 0,
-            self._counters.served(),
-            self._counters.values(),
+            self._counters.served() if full else None,
+            self._counters.values() if full else None,
         )
 
     def report_to(self, address: str) -> None:
         """Report to one control host and take over what it answers."""
         sent_at_s = time.monotonic()
+        full = sent_at_s - self._full_sent_s.get(address, 0.0) >= FULL_REPORT_S
         try:
-            reply = self._control.report(address, self.build_report())
+            reply = self._control.report(address, self.build_report(full=full))
         except ChannelError as error:
             _log.debug("report to {} failed: {}", address, error)
             return
         self._fence.renew(reply, sent_at_s)
-        self._take_served(reply)
+        if full:
+            self._full_sent_s[address] = sent_at_s
+            self._take_served(reply)
 
     def _take_served(self, reply: ReportReply) -> None:
         """Count what the rest of the fleet served since the last answer."""
--- a/packages/damaskvalve/damaskvalve/_backend_table.py
+++ b/packages/damaskvalve/damaskvalve/_backend_table.py
@@ -5,6 +5,7 @@
 what changed.
 """
 
+import copy
 import threading
 from collections.abc import Callable, Mapping, Sequence
 
@@ -60,16 +61,19 @@
         self._lock = threading.Lock()
         self._known: dict[str, _Known] = {}
         self._version = 1
+        # Service that the whole fleet has delivered, by workspace.
+        self._served: dict[str, float] = {}
 
     def take(self, report: BackendReport, now_s: float) -> None:
         """Take a report; reports of an older incarnation or order are dropped."""
         with self._lock:
             known = self._known.get(report.backend_server)
+            if known is not None and not _is_newer(report, known.report):
+                return
+            self._count_served(report, known)
             if known is None:
                 known = self._known[report.backend_server] = _Known(report, now_s)
                 differs = True
-            elif not _is_newer(report, known.report):
-                return
             else:
                 differs = _differs(known.report, report)
                 _renew(known, report, now_s)
@@ -79,6 +83,19 @@
         if urgent:
             self._on_urgent()
 
+    def _count_served(self, report: BackendReport, known: _Known | None) -> None:
+        """Add what was delivered since the last full report to the total."""
+        before = known.report.served if known is not None else {}
+        if report.served is None:
+            report.served = before
+            report.counters = known.report.counters if known is not None else {}
+            return
+        if known is not None and report.incarnation != known.report.incarnation:
+            before = {}
+        for workspace, units in report.served.items():
+            gained = max(0.0, units - before.get(workspace, 0.0))
+            self._served[workspace] = self._served.get(workspace, 0.0) + gained
+
     def expire(self, now_s: float) -> None:
         """Note the backend servers whose lease has ended."""
         urgent = False
@@ -110,7 +127,7 @@
             news = [item for item in self._known.values() if item.version > version]
             return TableChanges(
                 self._version,
-                [item.report for item in news if item.usable],
+                [_without_totals(item.report) for item in news if item.usable],
                 [item.report.backend_server for item in news if not item.usable],
             )
 
@@ -120,14 +137,13 @@
 
     def served_elsewhere(self, backend_server: str) -> Mapping[str, float]:
         """Return the service that all other backend servers have delivered."""
-        total: dict[str, float] = {}
         with self._lock:
-            for name, known in self._known.items():
-                if name == backend_server:
-                    continue
-                for workspace, units in (known.report.served or {}).items():
-                    total[workspace] = total.get(workspace, 0.0) + units
-        return total
+            known = self._known.get(backend_server)
+            own = known.report.served if known is not None else {}
+            return {
+                workspace: units - own.get(workspace, 0.0)
+                for workspace, units in self._served.items()
+            }
 
     def counters(self) -> Mapping[str, Mapping[str, float]]:
         """Return the totals that each live agent reported."""
@@ -139,6 +155,14 @@
             }
 
 
+def _without_totals(report: BackendReport) -> BackendReport:
+    """Return what routing needs of a report."""
+    light = copy.copy(report)
+    light.served = None
+    light.counters = None
+    return light
+
+
 def _is_newer(report: BackendReport, known: BackendReport) -> bool:
     if report.incarnation != known.incarnation:
         return True
--- a/packages/damaskvalve/damaskvalve/_control_service.py
+++ b/packages/damaskvalve/damaskvalve/_control_service.py
@@ -194,11 +194,14 @@
             fence = node.machine.fences.get(report.backend_server)
             return (fence.number, fence.holder) if fence else (0, "")
 
+        is_full = report.served is not None
         number, holder = self._group.run(read)
         if holder in ("", report.incarnation):
             self.backends.take(report, time.monotonic())
         age_s = self._freshness.age_s(time.monotonic())
-        served = dict(self.backends.served_elsewhere(report.backend_server))
+        served = None
+        if is_full:
+            served = dict(self.backends.served_elsewhere(report.backend_server))
         return ReportReply(number, holder, self._is_fresh(age_s), age_s, served)
 
     # ---- subscriptions ----
--- a/packages/damaskvalve/damaskvalve/tests/test_backend_table.py
+++ b/packages/damaskvalve/damaskvalve/tests/test_backend_table.py
@@ -81,8 +81,15 @@
         self.table.take(report(1, name="e1", served={"w": 5.0}), 0.0)
         self.table.take(report(1, name="e2", served={"w": 7.0, "v": 1.0}), 0.0)
         self.table.take(report(1, name="e3", served={"w": 1.0}), 0.0)
+        self.table.take(report(2, name="e3", served=None, counters=None), 0.5)
         self.assertEqual(self.table.served_elsewhere("e1"), {"w": 8.0, "v": 1.0})
 
+    def test_service_goes_on_after_an_agent_restarts_its_count(self):
+        """A new incarnation counts from nothing; the fleet's total never falls."""
+        self.table.take(report(1, name="e1", served={"w": 5.0}), 0.0)
+        self.table.take(report(1, "i2", name="e1", served={"w": 2.0}), 1.0)
+        self.assertEqual(self.table.served_elsewhere("e2"), {"w": 7.0})
+
 
 if __name__ == "__main__":
     unittest.main()
