--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -129,6 +129,7 @@
         _log.info("leaving")
         record("agent-leaving", backend_server=settings.name)
         _drain(service, counters, reports)
+        registration.release_fence()
 
 
 def _report_step(registration: Registration, host: str) -> Callable[[], None]:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_fence.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_fence.py
@@ -49,6 +49,11 @@
                 until_s = sent_at_s - reply.fence_age_s + FENCE_LEASE_S
                 self._lease_until_s = max(self._lease_until_s, until_s)
 
+    def give_up(self) -> None:
+        """Order nothing more, so that a successor need not wait."""
+        with self._lock:
+            self._lost = True
+
     def is_lost(self) -> bool:
         """Return whether another agent holds a newer number."""
         with self._lock:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
@@ -13,13 +13,14 @@
 from damaskvalve_agent._scheduler import Scheduler
 from damaskvalve_agent._service import Counters, WorkService
 from damaskvalve_agent._settings import AgentSettings
-from damaskvalve_core import ChannelError
+from damaskvalve_core import ChannelError, RetryLaterError
 from damaskvalve_core.messages import BackendReport, ReportReply
 
 REPORT_S = 0.75
 # The totals of service and counters are sent this often.
 FULL_REPORT_S = 3.0
 HEALTH_S = 1.0
+NO_HOLDER = ""
 
 _log = logbook.Logger("registration")
 
@@ -120,6 +121,16 @@
         self._fence.granted(fence.number, fence.previous_holder, asked_at_s, now_s)
         _log.info("holding fencing number {}", result.fence.number)
 
+    def release_fence(self) -> None:
+        """Give the fence back after the last order; a successor starts at once."""
+        if self._fence.is_lost() or self._fence.needs_grant():
+            return
+        self._fence.give_up()
+        try:
+            self._control.grant_fence(self._settings.name, NO_HOLDER)
+        except RetryLaterError as error:
+            _log.info("the fence was not released: {}", error)
+
     def check_health(self) -> None:
         """Notice a restart of the backend server by its start id."""
         try:
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_fence.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_fence.py
@@ -80,6 +80,16 @@
         self.assertIsNone(fence.number(1.1))
         self.assertTrue(fence.is_lost())
 
+    def test_an_agent_that_gave_up_orders_nothing_and_its_successor_need_not_wait(self):
+        """A planned restart costs no lease."""
+        old = Fence("a")
+        old.granted(1, "", 0.0, 0.0)
+        old.give_up()
+        self.assertIsNone(old.number(0.1))
+        new = Fence("b")
+        new.granted(3, "", 0.2, 0.3)
+        self.assertEqual(new.number(0.3), 3)
+
     def test_a_cut_off_agent_stops_when_its_lease_ends(self):
         """Without answers the right to order lapses by itself."""
         fence = Fence("a")
--- a/packages/damaskvalve/damaskvalve/_credit_pool.py
+++ b/packages/damaskvalve/damaskvalve/_credit_pool.py
@@ -37,6 +37,8 @@
         self.held: list[_Held] = []
         self.refunds: list[tuple[float, float]] = []
         self.short_tokens = 0.0
+        # What ended requests used beyond their charge; paid with the next one.
+        self.owed_tokens = 0.0
         # Credit held ahead counts against the burst, so it is bounded by it.
         self.most_ahead_tokens = 0.0
         self.demand_tokens_per_s = 0.0
@@ -84,10 +86,12 @@
         return self._take(self._account(workspace), tokens, now_s)
 
     def _take(self, account: _Account, tokens: float, now_s: float) -> bool:
-        if account.usable_tokens(now_s) < tokens:
-            account.short_tokens += tokens
+        needed = tokens + account.owed_tokens
+        if account.usable_tokens(now_s) < needed:
+            account.short_tokens += needed
             return False
-        left = tokens
+        account.owed_tokens = 0.0
+        left = needed
         for held in account.held:
             if held.expires_at_s <= now_s:
                 continue
@@ -100,9 +104,12 @@
         return True
 
     def refund(self, workspace: str, tokens: float, charged_at_s: float) -> None:
-        """Remember tokens that were charged but not used."""
+        """Remember tokens that were charged but not used; less than 0 is owed."""
+        account = self._account(workspace)
         if tokens > 0:
-            self._account(workspace).refunds.append((tokens, charged_at_s))
+            account.refunds.append((tokens, charged_at_s))
+        else:
+            account.owed_tokens -= tokens
 
     def retry_after_s(self, workspace: str) -> float:
         """Return when the leader expects the tokens that were asked for last."""
--- a/packages/damaskvalve/damaskvalve/tests/test_credit_pool.py
+++ b/packages/damaskvalve/damaskvalve/tests/test_credit_pool.py
@@ -52,6 +52,16 @@
             pool.spend("w", 21.0, 10_000.0, 1.0)
         self.assertGreaterEqual(pool.build_asks(1.0)[0].wanted_tokens, 40 * 21.0)
 
+    def test_what_a_request_used_beyond_its_charge_is_paid_with_the_next(self):
+        """A prompt that had more tokens than estimated is not free."""
+        pool = CreditPool()
+        pool.take_grants([CreditGrant("w", 1, 30.0, 0.0)], LIFETIME_S, 0.0)
+        self.assertTrue(pool.spend("w", 10.0, 100.0, 0.1))
+        pool.refund("w", -15.0, 0.1)
+        self.assertFalse(pool.spend("w", 10.0, 100.0, 0.2))
+        self.assertTrue(pool.spend("w", 5.0, 100.0, 0.3))
+        self.assertFalse(pool.spend("w", 1.0, 100.0, 0.4))
+
     def test_idle_credit_goes_back_before_it_expires(self):
         """Other hosts can use it."""
         pool = CreditPool()
--- a/packages/damaskvalve/damaskvalve/tests/test_filters.py
+++ b/packages/damaskvalve/damaskvalve/tests/test_filters.py
@@ -1,7 +1,11 @@
 """The filters, with small fakes for the leader and the control hosts."""
 
 import json
+import random
 import unittest
+from unittest import mock
+
+from hypothesis import given, settings, strategies as st
 
 from damaskvalve import key_digest
 from damaskvalve._configuration import Route, Workspace
@@ -156,6 +160,71 @@
         self.assertEqual(self.ran(outer(resend, refuse)), "unknown")
 
 
+class Killed(BaseException):
+    """The entry host dies here."""
+
+
+class FlakyLeader(FakeLeader):
+    """Fails before or after it commits, or takes the entry host with it."""
+
+    def __init__(self, rng):
+        super().__init__()
+        self.rng = rng
+
+    def commit(self, command, timeout_s):
+        fate = self.rng.choice(["fine"] * 5 + ["before", "after", "killed", "kills"])
+        if fate == "before":
+            raise RetryLaterError("not committed")
+        if fate == "killed":
+            raise Killed
+        result = super().commit(command, timeout_s)
+        if fate == "after":
+            raise RetryLaterError("the answer was lost")
+        if fate == "kills":
+            raise Killed
+        return result
+
+
+class OncePropertyTests(unittest.TestCase):
+    @settings(max_examples=400)
+    @given(seed=st.integers(0, 2**32))
+    def test_whatever_dies_a_request_runs_once_and_no_refusal_lies(self, seed):
+        """Entry hosts die at each step, answers are lost, callers send again."""
+        rng = random.Random(seed)
+        leader = FlakyLeader(rng)
+        runs = []
+
+        def run(exchange):
+            fate = rng.choice(["fine", "fine", "refused", "lost", "killed", "kills"])
+            if fate == "refused":
+                raise RefusedError(503, "no_backend", "none")
+            if fate == "killed":
+                raise Killed
+            runs.append(exchange.request_id)
+            if fate == "lost":
+                raise RefusedError(503, "agent_lost", "lost", ran="unknown")
+            if fate == "kills":
+                raise Killed
+            return Reply(200, "text/plain", exchange.request_id.encode())
+
+        claim = make_claim_filter(leader, leader, discard_event)
+        chain = compose([make_outer_filter(FakeMetrics(), discard_event), claim], run)
+        answers = set()
+        with mock.patch("time.sleep"):
+            for number in range(8):
+                exchange = make_exchange(number, **{"idempotency-key": "k"})
+                try:
+                    reply = chain(exchange)
+                except Killed:
+                    continue
+                if reply.status == 200:
+                    answers.add(reply.body)
+                elif json.loads(reply.body)["error"]["ran"] == "not-run":
+                    self.assertEqual(runs, [])
+        self.assertLessEqual(len(runs), 1)
+        self.assertLessEqual(len(answers), 1)
+
+
 class KeyTests(unittest.TestCase):
     def test_the_key_is_replaced_by_its_digest(self):
         """Both usual headers are understood; other schemes are no key."""
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -13,7 +13,9 @@
 from unittest import mock
 
 from damaskvalve import ConfigurationView, _view
+from damaskvalve._filters import _claim
 from damaskvalve_agent import Fence, Slots
+from damaskvalve_core import RefusedError
 from damaskvalve_standins.run_tests import use_fixed_profile
 from damaskvalve_state import (
     Agreement,
@@ -134,6 +136,10 @@
         yield
 
 
+def _says_not_run(message: str) -> RefusedError:
+    return RefusedError(409, "outcome_unknown", message)
+
+
 def _no_checksums() -> Any:
     return mock.patch.object(_journal.zlib, "crc32", lambda data: 0)
 
@@ -187,6 +193,18 @@
         f"{STATE}.test_machine.MachineTests."
         "test_a_claim_runs_at_most_once_unless_it_was_released_unrun",
     ),
+    Proof(
+        "the claim before the run",
+        _claims_always_granted,
+        f"{HOST}.test_filters.OncePropertyTests."
+        "test_whatever_dies_a_request_runs_once_and_no_refusal_lies",
+    ),
+    Proof(
+        "a resend refused before its claim says unknown",
+        _replace(_claim, "_unknown", _says_not_run),
+        f"{HOST}.test_filters.OncePropertyTests."
+        "test_whatever_dies_a_request_runs_once_and_no_refusal_lies",
+    ),
     Proof(
         "a new leader starts with an empty load budget",
         _full_budget,
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/test_faults.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/test_faults.py
@@ -350,6 +350,48 @@
         self.fleet.standin("desk", "faults", {"delay_s": 0})
         self.check_runs(answers, 40)
 
+    def test_deferred_work_survives_a_killed_leading_host(self):
+        """Every job that was accepted is answered with the right text."""
+        leader = self.fleet.leader()
+        others = [name for name in self.fleet.entries if name != leader]
+        jobs = []
+        for number in range(12):
+            if number == 6:
+                self.fleet.processes[leader].kill()
+            accepted = self.submit_job(others[number % 2], number)
+            if accepted is not None:
+                jobs.append(accepted)
+        self.fleet.processes[leader].start()
+        self.assertGreaterEqual(len(jobs), 6)
+        for job_id in jobs:
+            text = wait_for(lambda: self.job_text(others[0], job_id), 90.0, "a job")
+            self.assertEqual(text, expected_text("ink@1", 30))
+        self.fleet.wait_ready()
+
+    def submit_job(self, entry, number):
+        """Send until the job is accepted; the same key is the same job."""
+        body = {"model": "ink:1", "prompt": f"tape {number}", "max_tokens": 30}
+        give_up_s = time.monotonic() + 20
+        while time.monotonic() < give_up_s:
+            reply = self.fleet.request(
+                entry,
+                "POST",
+                "/v1/transcriptions",
+                key=self.key,
+                body=body,
+                headers={"Idempotency-Key": f"tape-{number}"},
+            )
+            if reply.status == 202:
+                return reply.json()["job_id"]
+            time.sleep(0.3)
+        return None
+
+    def job_text(self, entry, job_id):
+        reply = self.fleet.request(entry, "GET", f"/v1/jobs/{job_id}", key=self.key)
+        if reply.status != 200:
+            return None
+        return reply.json()["choices"][0]["text"]
+
     def test_a_terminated_host_cuts_off_no_request(self):
         """Streams and loans under way end whole; the exit code is 0."""
         self.fleet.standin("desk", "faults", {"delay_s": 1.0})
