--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -118,6 +118,7 @@
             service,
             counters,
         )
+        service.ask_backend = registration.check_health
         reports = [_report_step(registration, host) for host in settings.control_hosts]
         for step in (*reports, registration.ensure_fence):
             stack.enter_context(repeating(REPORT_S, step))
--- a/packages/damaskvalve-agent/damaskvalve_agent/_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Generator, Iterator
+from collections.abc import Callable, Generator, Iterator
 from typing import Any
 
 import logbook
@@ -84,6 +84,10 @@
             return self._active
 
 
+def _ask_nobody() -> None:
+    """Stand in until the registration is there."""
+
+
 class WorkService:
     """Takes work, waits for its turn, runs it and checks the answer."""
 
@@ -103,8 +107,10 @@
         self._counters = counters
         self._record = record
         self.leaving = False
-        # False from a failed contact until the backend server answers again.
+        # Whether the backend server answered when it was asked last.
         self.backend_up = False
+        # Asks it again; one broken connection does not mean that it is down.
+        self.ask_backend: Callable[[], None] = _ask_nobody
 
     def handle(self, request: Any, connection: Connection) -> Iterator[Any]:
         """Answer one message of another process."""
@@ -215,7 +221,7 @@
         except BackendError as error:
             crashed = error.crashed
             if crashed or not error.sent:
-                self.backend_up = False
+                self.ask_backend()
             yield self._failed(work, error, delivered_tokens)
         finally:
             self._note_end(work, ticket, delivered=delivered, crashed=crashed)
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/test_callers.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/test_callers.py
@@ -219,6 +219,15 @@
         self.assertEqual(self.fleet.standin("desk", "runs")["tape-3"], 1)
         self.assertNotEqual(self.fleet.operate("work", "claims").count("\n"), 1)
 
+    def test_one_broken_connection_does_not_take_a_service_away(self):
+        """Others are served at once while the service is up."""
+        self.fleet.standin("desk", "faults", {"lose_answer": 1})
+        self.loan("host-1", "tape-4")
+        for number in range(6):
+            entry = f"host-{number % 3 + 1}"
+            reply = self.loan(entry, f"tape-after-{number}")
+            self.assertEqual(reply.status, 200, reply.data)
+
     def test_deferred_work_is_accepted_run_and_kept_until_dropped(self):
         """202 with a place to fetch the answer from any host."""
         body = {"model": "ink:1", "prompt": "tape", "max_tokens": 4}
