--- a/packages/damaskvalve/damaskvalve/_host.py
+++ b/packages/damaskvalve/damaskvalve/_host.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import signal
-import sys
 import threading
 import time
 from pathlib import Path
@@ -19,9 +18,6 @@
     run_from_settings,
 )
 
-# Short, so that a thread back from a sync or a socket soon runs again.
-SWITCH_INTERVAL_S = 0.0005
-
 _log = logbook.Logger("host")
 
 
@@ -49,7 +45,7 @@
     signal.signal(signal.SIGTERM, lambda number, frame: stop.set())
     signal.signal(signal.SIGINT, lambda number, frame: stop.set())
     settings.data_folder.mkdir(parents=True, exist_ok=True)
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
+
     with contextlib.ExitStack() as stack:
         clock = HybridClock(time.time)
         record = stack.enter_context(
