--- a/packages/damaskvalve/damaskvalve/_control_service.py
+++ b/packages/damaskvalve/damaskvalve/_control_service.py
@@ -11,6 +11,7 @@
 from damaskvalve._backend_table import BackendTable
 from damaskvalve._configuration import ADAPTER
 from damaskvalve._leader_desk import LeaderDesk
+from damaskvalve._state_reader import read_state
 from damaskvalve_core import ChannelError, Connection, Dialer, RetryLaterError
 from damaskvalve_core.messages import (
     AppendRequest,
@@ -47,7 +48,6 @@
 CONFIRM_S = 0.25
 POLL_STEP_S = 0.02
 SUBSCRIBER_KEPT_S = 60.0
-MAX_LISTED = 1_000
 
 _log = logbook.Logger("control")
 
@@ -356,7 +356,7 @@
     # ---- reading for operators and entry hosts ----
 
     def _read(self, request: ReadRequest, connection: Connection) -> ReadReply:
-        reply = self._group.run(lambda node, now_s: _read_state(node, request))
+        reply = self._group.run(lambda node, now_s: read_state(node, request))
         age_s = self._freshness.age_s(time.monotonic())
         reply.fresh = self._is_fresh(age_s)
         reply.subscribers = self._subscriber_list() if request.what == "status" else []
@@ -372,38 +372,3 @@
             )
             for record, heard in known
         ]
-
-
-def _read_state(node: GroupNode, request: ReadRequest) -> ReadReply:
-    machine = node.machine
-    agreement = node.agreement
-    reply = ReadReply(
-        False,
-        machine.revision,
-        members=list(agreement.voters()),
-        leader_address=agreement.leader_address,
-        commit_index=agreement.commit_index,
-        last_index=agreement.log.last_index,
-        term=agreement.term,
-    )
-    if request.what == "rows":
-        tables = [request.key] if request.key else machine.tables()
-        reply.rows = [row for name in tables for row in machine.table(name).values()]
-    elif request.what == "adapters":
-        prefix = f"{request.key}/"
-        rows = machine.table(ADAPTER)
-        reply.rows = [rows[key] for key in rows if key.startswith(prefix)]
-    elif request.what == "claim":
-        claim = machine.claims.get(request.key)
-        reply.claims = [claim] if claim else []
-    elif request.what == "claims":
-        running = [item for item in machine.claims.values() if item.answer is None]
-        reply.claims = running[:MAX_LISTED]
-    elif request.what == "job":
-        job = machine.jobs.get(request.key)
-        reply.jobs = [job] if job else []
-    elif request.what == "suspects":
-        reply.suspects = list(machine.suspects.values())
-    elif request.what == "audit":
-        reply.audit = list(machine.audit)
-    return reply
