--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 PACKAGES = packages/damaskvalve-core packages/damaskvalve-state \
-  packages/damaskvalve-agent packages/damaskvalve testing/damaskvalve-standins
-CODE = packages testing bench
+  packages/damaskvalve-agent packages/damaskvalve packages/damaskvalve-gateway \
+  platform testing/damaskvalve-standins
+CODE = packages platform testing bench
 
 .PHONY: setup demo test prove lint bench capacity thrift
 
@@ -31,7 +32,8 @@
 	$(BIN)/flake8 $(CODE)
 	$(BIN)/mypy $(addprefix packages/,damaskvalve-core/damaskvalve_core \
 	  damaskvalve-state/damaskvalve_state damaskvalve-agent/damaskvalve_agent \
-	  damaskvalve/damaskvalve) testing/damaskvalve-standins/damaskvalve_standins
+	  damaskvalve/damaskvalve damaskvalve-gateway/damaskvalve_gateway) \
+	  platform/damaskvalve_platform testing/damaskvalve-standins/damaskvalve_standins
 
 bench: setup
 	$(BIN)/python bench/run.py
--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -8,6 +8,8 @@
   1: string member_id
   2: string address
   3: string data_centre
+  // Holds its copy in memory: replicated to, but never a voter.
+  4: optional bool memory_only
 }
 
 enum EntryKind { NOOP = 0, COMMAND = 1, MEMBERS = 2 }
@@ -129,8 +131,15 @@
   11: list<string> crash_reports
   12: i64 suspects_version
   13: i64 recent_floor
+  14: list<DocumentRecord> documents
+  15: list<VersionRecord> adapter_versions
 }
 
+// A whole configuration under one version number; the highest version is in force.
+struct DocumentRecord { 1: string name  2: i64 version  3: binary body }
+// The newest version of an adapter that an operator has named.
+struct VersionRecord { 1: string adapter  2: i64 version }
+
 struct SnapshotFile {
   1: i64 last_index
   2: i64 last_term
@@ -175,6 +184,8 @@
   11: optional ReportCrash crash
   12: optional ClearSuspect clear
   13: optional ExpireClaims expire
+  14: optional DocumentRecord document
+  15: optional VersionRecord name_version
 }
 
 struct CommandResult {
@@ -333,3 +344,61 @@
 
 struct Problem { 1: string code  2: string message }
 struct Ack { 1: i64 number }
+
+// ---- gateway hosts and the leader ----
+
+struct BackendNotice {
+  1: string instance_id
+  2: string service_name
+  3: string address
+  4: string data_centre
+  5: string state
+  6: i64 started_at_ms
+  7: i64 sequence
+  8: double age_s
+  9: list<string> resident
+  10: i32 slots
+}
+
+struct SyncRequest {
+  1: string host_address
+  2: string leader_id
+  3: i64 seen
+  4: list<BackendNotice> notices
+  5: list<CrashNotice> crashes
+  6: double share
+}
+struct SyncReply {
+  1: string leader_address
+  2: string leader_id
+  3: i64 seen
+  4: list<BackendNotice> notices
+  5: list<CrashNotice> crashes
+  6: double share
+  7: double share_s
+  8: i32 hosts
+}
+struct CrashNotice { 1: string fingerprint  2: string instance_id  3: double age_s }
+
+struct TokensRequest { 1: string host_address  2: string workspace  3: double tokens }
+struct TokensReply { 1: string leader_address  2: bool granted  3: double retry_after_s }
+
+// ---- admission by the agent beside a backend server ----
+
+struct EngineLimits { 1: i32 slots  2: i32 adapter_slots  3: i32 memory_tokens }
+struct AdmitRequest {
+  1: string request_id
+  2: string workspace
+  3: string model
+  4: string adapter
+  5: i64 version
+  6: i32 prompt_tokens
+  7: i32 output_tokens
+  8: i32 priority
+  9: double deadline_s
+  10: double wait_s
+  11: string instance_id
+  12: EngineLimits limits
+}
+struct AdmitReply { 1: bool granted  2: i64 version  3: double retry_after_s  4: string reason  5: double waited_s }
+struct AdmitEnd { 1: string request_id  2: string outcome }
--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -23,6 +23,7 @@
 from damaskvalve_core import (
     HybridClock,
     Recorder,
+    boot_clock_s,
     dialing,
     listening,
     open_time_line,
@@ -70,10 +71,10 @@
     service.leaving = True
     for report in reports:
         report()
-    give_up_s = time.monotonic() + DRAIN_LIMIT_S
-    announced_s = time.monotonic()
-    while time.monotonic() < give_up_s:
-        if counters.active() == 0 and time.monotonic() - announced_s > GOODBYE_S:
+    give_up_s = boot_clock_s() + DRAIN_LIMIT_S
+    announced_s = boot_clock_s()
+    while boot_clock_s() < give_up_s:
+        if counters.active() == 0 and boot_clock_s() - announced_s > GOODBYE_S:
             return
         time.sleep(TICK_S)
     _log.error("stopping with {} requests unfinished", counters.active())
--- a/packages/damaskvalve-agent/damaskvalve_agent/_engine_room.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_engine_room.py
@@ -15,7 +15,7 @@
 from damaskvalve_agent._fair_queue import Ticket
 from damaskvalve_agent._fence import Fence
 from damaskvalve_agent._scheduler import AskPermit, Load, Refuse, Scheduler, Start
-from damaskvalve_core import Recorder, RetryLaterError
+from damaskvalve_core import Recorder, RetryLaterError, boot_clock_s
 from damaskvalve_core.messages import PermitRequest
 
 TICK_S = 0.05
@@ -77,7 +77,7 @@
 
     def on_receive(self, message: _Call) -> None:
         """Run one call and perform what the scheduler then decides."""
-        now_s = time.monotonic()
+        now_s = boot_clock_s()
         try:
             result = message.work(self.scheduler, now_s)
             if message.future is not None:
@@ -128,7 +128,7 @@
             self._finish_permit(permit_id)
 
     def _ask_permit(self, ask: AskPermit) -> str | None:
-        waited_s = max(0.0, time.monotonic() - ask.since_s)
+        waited_s = max(0.0, boot_clock_s() - ask.since_s)
         request = PermitRequest(
             self._agent_id,
             ask.adapter,
@@ -159,14 +159,14 @@
         return None
 
     def _perform_load(self, load: Load) -> None:
-        started_s = time.monotonic()
+        started_s = boot_clock_s()
         loaded = self._order_load(load)
         self._record(
             "adapter-load",
             adapter=load.adapter,
             victim=load.victim,
             loaded=loaded,
-            took_s=round(time.monotonic() - started_s, 4),
+            took_s=round(boot_clock_s() - started_s, 4),
         )
 
         def end(scheduler: Scheduler, now_s: float) -> None:
@@ -175,7 +175,7 @@
         self._tell(end)
 
     def _order_load(self, load: Load) -> bool:
-        number = self._fence.number(time.monotonic())
+        number = self._fence.number(boot_clock_s())
         if number is None:
             return False
         try:
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_desk.py
@@ -0,0 +1,343 @@
+"""Decides which requests start at one engine, and which adapters it holds.
+
+A request starts when the engine has a slot and memory for it and holds its adapter in
+a version that is new enough. Asks wait in order of priority and arrival; one whose
+adapter is there may start before one whose adapter is still on its way, so a load
+holds up only those that need it. An ask that would wait longer than it accepts is
+turned down at once with the wait that is expected.
+"""
+
+from collections.abc import Sequence
+
+from damaskvalve_agent._permits._types import (
+    ACCEPTED,
+    CONFLICT,
+    HOLDS,
+    LOAD,
+    LOAD_MODEL,
+    NO_ANSWER,
+    UNLOAD,
+    Ask,
+    EngineReport,
+    Limits,
+    Order,
+)
+from damaskvalve_agent._slots import Slots
+
+# Loads that one agent keeps on their way. The store slows down beyond eight over all
+# engines, and the smallest deployment has five.
+MAX_LOADS = 2
+# From both users' sheets: the time of a load, of a base model and of reading prompts.
+LOAD_S = 0.25
+LOAD_MODEL_S = 2.9
+PREFILL_TOKENS_PER_S = 25_800.0
+# A load that the engine does not show as on its way after this has failed.
+LOST_LOAD_S = 1.0
+# The part of the engine's memory that admitted requests may come to need.
+MEMORY_PART = 0.95
+# Assumed until runs have been seen; then their mean with this weight.
+FIRST_RUN_S = 1.5
+RUN_WEIGHT = 0.05
+# A request that still waits with less than this left cannot end in time.
+LEAST_LEFT_S = 0.2
+NEVER_S = 60.0
+
+
+class _Run:
+    __slots__ = ("ask", "began_s", "started")
+
+    def __init__(self, ask: Ask, began_s: float) -> None:
+        self.ask = ask
+        self.began_s = began_s
+        # Whether its first event has come, so that its prompt is read.
+        self.started = False
+
+
+class Grant:
+    """An ask that may start, on a version of its adapter."""
+
+    __slots__ = ("ask", "version")
+
+    def __init__(self, ask: Ask, version: int) -> None:
+        self.ask = ask
+        self.version = version
+
+
+class Admission:
+    """The state of one engine as its agent knows it."""
+
+    def __init__(self) -> None:
+        self.limits = Limits(1, 1, 1)
+        self.slots = Slots(1)
+        self._versions: dict[str, int] = {}
+        # The newest version that any ask has named.
+        self._newest: dict[str, int] = {}
+        # When each load on its way was ordered.
+        self._loads: dict[str, float] = {}
+        # Adapters whose newer version waits for the runs on the older one.
+        self._replacing: dict[str, float] = {}
+        self._models: set[str] = set()
+        self._model_ordered_s: dict[str, float] = {}
+        self._runs: dict[str, _Run] = {}
+        self._queue: list[Ask] = []
+        self._run_s = FIRST_RUN_S
+        self._started_at_ms = 0
+        self.order_count = 0
+        self.reported = False
+
+    # ---- reading ----
+
+    def waiting(self) -> Sequence[Ask]:
+        """Return the asks that wait."""
+        return self._queue
+
+    def running(self) -> int:
+        """Return how many requests have a permit."""
+        return len(self._runs)
+
+    def loads(self) -> int:
+        """Return how many loads are on their way."""
+        return len(self._loads)
+
+    def is_busy(self) -> bool:
+        """Return whether an order's end is awaited."""
+        return bool(self._loads or self._replacing or self._model_ordered_s)
+
+    def _name(self, ask: Ask) -> str:
+        return f"{ask.model}/{ask.adapter}"
+
+    def _is_ready(self, ask: Ask) -> bool:
+        """Return whether the engine holds what an ask needs."""
+        if ask.model not in self._models:
+            return False
+        if not ask.adapter:
+            return True
+        name = self._name(ask)
+        if self.slots.state(name) != "resident" or name in self._replacing:
+            return False
+        return self._versions.get(name, 0) >= self._newest.get(name, 0)
+
+    def _has_place(self, ask: Ask) -> bool:
+        if len(self._runs) >= self.limits.slots:
+            return False
+        held = sum(run.ask.tokens() for run in self._runs.values())
+        most = MEMORY_PART * self.limits.memory_tokens
+        return not self._runs or held + ask.tokens() <= most
+
+    def predicted_wait_s(self, ask: Ask) -> float:
+        """Return how long an ask would wait before the engine reads its prompt."""
+        unread = sum(
+            run.ask.prompt_tokens for run in self._runs.values() if not run.started
+        )
+        wait_s = unread / PREFILL_TOKENS_PER_S
+        if ask.model not in self._models:
+            return wait_s + LOAD_MODEL_S
+        if not self._has_place(ask) or self._queue:
+            ahead = len(self._queue) + 1
+            if not self._has_place(ask):
+                wait_s += ahead * self._run_s / self.limits.slots
+        if not ask.adapter or self._is_ready(ask):
+            return wait_s
+        name = self._name(ask)
+        if name in self._loads:
+            return wait_s + LOAD_S
+        if self.slots.state(name) == "resident":
+            # A newer version waits for the runs on the older one.
+            return wait_s + LOAD_S + (self._run_s if self.slots.pins(name) else 0.0)
+        return wait_s + self._load_wait_s()
+
+    def _load_wait_s(self) -> float:
+        """Return how long until one more adapter would be here."""
+        wanted = {
+            self._name(ask)
+            for ask in self._queue
+            if ask.adapter and not self._is_ready(ask)
+        }
+        ahead = len(wanted | set(self._loads))
+        wait_s = LOAD_S * (1 + ahead // MAX_LOADS)
+        if not self.slots.has_room() and self.slots.victim(wanted, 0.0) is None:
+            wait_s += self._run_s * (1 + ahead) / max(1, self.limits.adapter_slots)
+        return wait_s
+
+    # ---- asks ----
+
+    def set_limits(self, limits: Limits) -> None:
+        """Take the engine's sizes as they are configured."""
+        self.limits = limits
+        self.slots.capacity = max(1, limits.adapter_slots)
+
+    def ask(self, ask: Ask, now_s: float) -> float:
+        """Queue an ask and return 0, or return the wait that it does not accept."""
+        if ask.adapter:
+            name = self._name(ask)
+            self._newest[name] = max(self._newest.get(name, 0), ask.version)
+        wait_s = self.predicted_wait_s(ask)
+        if wait_s > ask.wait_s:
+            self._want_model(ask, now_s)
+            return wait_s
+        self._queue.append(ask)
+        self._queue.sort(key=lambda item: (item.priority, item.arrived_s))
+        return 0.0
+
+    def _want_model(self, ask: Ask, now_s: float) -> None:
+        """An engine that holds nothing is given the model that is asked for."""
+        if self.reported and not self._models and not self._model_ordered_s:
+            self._model_ordered_s[ask.model] = 0.0
+
+    def cancel(self, request_id: str) -> None:
+        """Forget an ask whose caller has gone."""
+        self._queue = [item for item in self._queue if item.request_id != request_id]
+
+    def grants(self, now_s: float) -> Sequence[Grant]:
+        """Take the asks that may start now out of the queue."""
+        granted = []
+        for ask in list(self._queue):
+            if not self._is_ready(ask) or not self._has_place(ask):
+                continue
+            self._queue.remove(ask)
+            self._runs[ask.request_id] = _Run(ask, now_s)
+            name = self._name(ask)
+            if ask.adapter:
+                self.slots.pin(name, ask.request_id, now_s)
+            granted.append(Grant(ask, self._versions.get(name, 0)))
+        return granted
+
+    def expired(self, now_s: float) -> Sequence[Ask]:
+        """Take the asks that cannot end in time any more out of the queue."""
+        old = [ask for ask in self._queue if ask.deadline_s - now_s < LEAST_LEFT_S]
+        for ask in old:
+            self._queue.remove(ask)
+        return old
+
+    def started(self, request_id: str) -> None:
+        """Note that the first event of a request has come."""
+        run = self._runs.get(request_id)
+        if run is not None:
+            run.started = True
+
+    def release(self, request_id: str, now_s: float) -> None:
+        """Note that a request has ended."""
+        run = self._runs.pop(request_id, None)
+        if run is None:
+            return
+        if run.ask.adapter:
+            self.slots.unpin(self._name(run.ask), request_id)
+        self._run_s += RUN_WEIGHT * (now_s - run.began_s - self._run_s)
+
+    # ---- orders ----
+
+    def next_order(self, now_s: float) -> Order | None:
+        """Return the next order to give, or None; the caller reports its outcome."""
+        if not self.reported:
+            return None
+        for model, ordered_s in self._model_ordered_s.items():
+            if not ordered_s:
+                return Order(LOAD_MODEL, model, "", 0)
+        for ask in self._queue:
+            order = self._order_for(ask, now_s)
+            if order is not None:
+                return order
+        return None
+
+    def _order_for(self, ask: Ask, now_s: float) -> Order | None:
+        if ask.model not in self._models:
+            self._want_model(ask, now_s)
+            return None
+        name = self._name(ask)
+        if not ask.adapter or self._is_ready(ask) or name in self._loads:
+            return None
+        if len(self._loads) >= MAX_LOADS or name in self._replacing:
+            return None
+        newest = self._newest.get(name, 0)
+        if self.slots.state(name) == "resident":
+            return Order(LOAD, ask.model, ask.adapter, newest)
+        if self.slots.has_room():
+            return Order(LOAD, ask.model, ask.adapter, newest)
+        wanted = {self._name(item) for item in self._queue}
+        victim = self.slots.victim(wanted, now_s)
+        if victim is None:
+            return None
+        model, _, adapter = victim.partition("/")
+        return Order(UNLOAD, model, adapter, 0)
+
+    def order_ended(self, order: Order, outcome: str, now_s: float) -> None:
+        """Take note of the engine's answer to an order."""
+        name = f"{order.model}/{order.adapter}"
+        if order.kind == LOAD_MODEL:
+            if outcome in (ACCEPTED, HOLDS, NO_ANSWER):
+                self._model_ordered_s[order.model] = now_s
+            return
+        if order.kind == UNLOAD:
+            if outcome in (ACCEPTED, HOLDS):
+                self.slots.drop(name)
+                self._versions.pop(name, None)
+            return
+        if outcome == CONFLICT:
+            return
+        if outcome in (ACCEPTED, HOLDS, NO_ANSWER):
+            if self.slots.state(name) == "resident":
+                self._replacing[name] = now_s
+            elif self.slots.state(name) is None:
+                self.slots.start_load(name)
+                self._loads[name] = now_s
+
+    # ---- reports ----
+
+    def take_report(self, report: EngineReport, now_s: float) -> bool:
+        """Bring the state in line with the engine; True if it has restarted."""
+        restarted = self.reported and (
+            report.started_at_ms != self._started_at_ms
+            or report.order_count < self.order_count
+        )
+        if restarted:
+            self._forget()
+        self.reported = True
+        self._started_at_ms = report.started_at_ms
+        self.order_count = report.order_count
+        self._models = set(report.models)
+        for model in list(self._model_ordered_s):
+            ordered_s = self._model_ordered_s[model]
+            late = ordered_s and now_s - ordered_s > 3 * LOAD_MODEL_S
+            if model in self._models or late:
+                del self._model_ordered_s[model]
+        self._take_adapters(report, now_s)
+        return restarted
+
+    def _take_adapters(self, report: EngineReport, now_s: float) -> None:
+        held = {
+            f"{model}/{adapter}": version
+            for model, adapters in report.models.items()
+            for adapter, version in adapters.items()
+        }
+        pending = {item.partition("@")[0] for item in report.pending}
+        for name, version in held.items():
+            if name in self._loads:
+                del self._loads[name]
+                self.slots.end_load(name, loaded=True)
+            elif self.slots.state(name) is None:
+                self.slots.adopt(name)
+            self._versions[name] = version
+        for name, ordered_s in list(self._loads.items()):
+            if name not in pending and now_s - ordered_s > LOST_LOAD_S:
+                del self._loads[name]
+                self.slots.end_load(name, loaded=False)
+        for name, ordered_s in list(self._replacing.items()):
+            done = self._versions.get(name, 0) >= self._newest.get(name, 0)
+            lost = name not in pending and now_s - ordered_s > LOST_LOAD_S
+            if done or lost or name not in held:
+                del self._replacing[name]
+        for name in list(self.slots.resident()):
+            if name not in held and name not in self._replacing:
+                self.slots.drop(name)
+                self._versions.pop(name, None)
+
+    def _forget(self) -> None:
+        """Forget what was held before the engine restarted."""
+        self.slots.clear()
+        self._versions.clear()
+        self._loads.clear()
+        self._replacing.clear()
+        self._model_ordered_s = {model: 0.0 for model in self._models}
+
+
+__all__ = ["Admission", "Grant"]
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -0,0 +1,403 @@
+"""The permit desk as a process: calls of hosts, reports and orders of the engine."""
+
+import asyncio
+import contextlib
+import signal
+import uuid
+from collections.abc import Callable, Sequence
+
+from damaskvalve_agent._permits._desk import Admission, Grant
+from damaskvalve_agent._permits._types import (
+    NO_ANSWER,
+    REJECTED,
+    Ask,
+    EngineReport,
+    Limits,
+    Order,
+)
+from damaskvalve_core import (
+    Call,
+    ChannelError,
+    DecisionLog,
+    Identity,
+    LeaderClient,
+    RetryLaterError,
+    boot_clock_s,
+    decision_log,
+    dialing,
+    serving_calls,
+)
+from damaskvalve_core.http import BackendPool, Headers, pooled_backends
+from damaskvalve_core.messages import (
+    AdmitEnd,
+    AdmitReply,
+    AdmitRequest,
+    Command,
+    GrantFence,
+    Problem,
+)
+
+# While a load is on its way the engine is asked often, because a request waits for
+# it; otherwise only to notice a restart.
+BUSY_REPORT_S = 0.04
+CALM_REPORT_S = 0.5
+REPORT_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 1.0
+# After an order that the engine did not take.
+ORDER_PAUSE_S = 0.05
+FENCE_RETRY_S = 0.5
+FENCE_TIMEOUT_S = 1.0
+QUEUED = "queued"
+STARTED = "started"
+
+
+class EngineCall:
+    """One HTTP call to the engine."""
+
+    __slots__ = ("method", "target", "headers", "body")
+
+    def __init__(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+class OrderTerms:
+    """What goes with every order: who gives it, and on what state of the engine."""
+
+    __slots__ = ("holder", "fence_number", "order_count", "instance_id")
+
+    def __init__(
+        self, holder: str, fence_number: int, order_count: int, instance_id: str
+    ) -> None:
+        self.holder = holder
+        self.fence_number = fence_number
+        # The engine takes the order only if it has accepted so many before.
+        self.order_count = order_count
+        self.instance_id = instance_id
+
+
+class EngineDialect:
+    """The functions that translate the engine's wire format."""
+
+    __slots__ = ("report_call", "read_report", "order_call", "read_outcome")
+
+    def __init__(
+        self,
+        report_call: Callable[[], EngineCall],
+        read_report: Callable[[bytes], EngineReport],
+        order_call: Callable[[Order, OrderTerms], EngineCall],
+        read_outcome: Callable[[int], str],
+    ) -> None:
+        self.report_call = report_call
+        # Raises ValueError for a report that cannot be read.
+        self.read_report = read_report
+        self.order_call = order_call
+        # Returns one of the outcomes of an order for a status.
+        self.read_outcome = read_outcome
+
+
+class PermitSettings:
+    """What an agent is told before it starts."""
+
+    __slots__ = ("name", "address", "engine_address", "call_hosts", "identity")
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        engine_address: str,
+        call_hosts: Sequence[str],
+        identity: Identity | None = None,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.engine_address = engine_address
+        # Where hosts take calls, to find the leader from.
+        self.call_hosts = tuple(call_hosts)
+        self.identity = identity
+
+
+class PermitServer:
+    """Answers hosts, follows the engine's reports and gives it orders."""
+
+    def __init__(
+        self,
+        settings: PermitSettings,
+        dialect: EngineDialect,
+        pool: BackendPool,
+        log: DecisionLog,
+    ) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._pool = pool
+        self._log = log
+        self._admission = Admission()
+        self._waiting: dict[str, asyncio.Future[Grant | None]] = {}
+        self._changed = asyncio.Event()
+        self._holder = f"{settings.name}/{uuid.uuid4().hex[:8]}"
+        self._fence_number = 0
+        self._instance_id = ""
+        self._report_now = asyncio.Event()
+        # Reports that overtake each other would look like a restart.
+        self._reporting = asyncio.Lock()
+
+    # ---- calls of hosts ----
+
+    async def answer(self, request: object, call: Call) -> None:
+        """Answer one ask; the call stays open until the request has ended."""
+        if not isinstance(request, AdmitRequest):
+            call.send(Problem("unknown", f"no answer to {type(request).__name__}"))
+            return
+        now_s = boot_clock_s()
+        limits = request.limits
+        self._admission.set_limits(
+            Limits(limits.slots, limits.adapter_slots, limits.memory_tokens)
+        )
+        self._instance_id = request.instance_id
+        ask = Ask(
+            request.request_id,
+            request.model,
+            request.adapter,
+            request.version,
+            request.prompt_tokens,
+            request.output_tokens,
+            request.priority,
+            now_s + request.deadline_s,
+            request.wait_s,
+            now_s,
+        )
+        wait_s = self._admission.ask(ask, now_s)
+        if wait_s > 0:
+            self._changed.set()
+            call.send(AdmitReply(False, 0, wait_s, "busy", 0.0))
+            return
+        await self._wait_and_hold(ask, call)
+
+    async def _wait_and_hold(self, ask: Ask, call: Call) -> None:
+        future: asyncio.Future[Grant | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[ask.request_id] = future
+        self._settle(boot_clock_s())
+        ends = asyncio.ensure_future(call.receive())
+        try:
+            if not future.done():
+                call.send(AdmitReply(False, 0, 0.0, QUEUED, 0.0))
+                await asyncio.wait((future, ends), return_when=asyncio.FIRST_COMPLETED)
+            if not future.done():
+                # The caller has gone, or sends out of turn.
+                await ends
+                raise ChannelError(f"{call.peer} spoke out of turn")
+            grant = future.result()
+            waited_s = boot_clock_s() - ask.arrived_s
+            if grant is None:
+                call.send(AdmitReply(False, 0, 1.0, "expired", waited_s))
+                return
+            call.send(AdmitReply(True, grant.version, 0.0, "", waited_s))
+            if waited_s > ask.wait_s:
+                self._log.line(
+                    "waited_longer",
+                    request=ask.request_id,
+                    adapter=ask.adapter,
+                    waited_s=round(waited_s, 3),
+                    accepted_s=round(ask.wait_s, 3),
+                    running=self._admission.running(),
+                    waiting=len(self._admission.waiting()),
+                )
+            while True:
+                end = await ends
+                if not isinstance(end, AdmitEnd) or end.outcome != STARTED:
+                    return
+                self._admission.started(ask.request_id)
+                ends = asyncio.ensure_future(call.receive())
+        finally:
+            ends.cancel()
+            self._waiting.pop(ask.request_id, None)
+            self._admission.cancel(ask.request_id)
+            self._admission.release(ask.request_id, boot_clock_s())
+            self._settle(boot_clock_s())
+
+    def _settle(self, now_s: float) -> None:
+        """Hand out what can be granted, and let the order loop look again."""
+        for ask in self._admission.expired(now_s):
+            self._resolve(ask.request_id, None)
+        for grant in self._admission.grants(now_s):
+            self._resolve(grant.ask.request_id, grant)
+        self._changed.set()
+
+    def _resolve(self, request_id: str, grant: Grant | None) -> None:
+        future = self._waiting.get(request_id)
+        if future is not None and not future.done():
+            future.set_result(grant)
+
+    # ---- the engine ----
+
+    async def _call_engine(
+        self, call: EngineCall, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Make one call; raises :class:`ChannelError` or :class:`TimeoutError`."""
+        address = self._settings.engine_address
+        async with asyncio.timeout(timeout_s):
+            now_s = boot_clock_s()
+            connection = await self._pool.take(
+                address, address, now_s, CALM_REPORT_S * 4
+            )
+            try:
+                connection.send(call.method, call.target, call.headers, call.body)
+                head = await connection.head()
+                parts = []
+                while (piece := await connection.piece()) is not None:
+                    parts.append(piece)
+            except BaseException:
+                connection.close()
+                raise
+            connection.complete(head, boot_clock_s())
+            self._pool.give_back(address, connection, boot_clock_s())
+            return head.status, b"".join(parts)
+
+    async def follow_reports(self) -> None:
+        """Fetch reports for ever, often while a load is on its way."""
+        heard = True
+        while True:
+            try:
+                await self._fetch_report()
+                if not heard:
+                    self._log.line("engine_regained")
+                heard = True
+            except (ChannelError, TimeoutError, ValueError) as error:
+                if heard:
+                    self._log.line("engine_lost", reason=str(error))
+                heard = False
+            busy = self._admission.is_busy() and heard
+            pause_s = BUSY_REPORT_S if busy else CALM_REPORT_S
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._report_now.wait(), pause_s)
+            self._report_now.clear()
+
+    async def _fetch_report(self) -> None:
+        call = self._dialect.report_call()
+        async with self._reporting:
+            await self._take_report(call)
+
+    async def _take_report(self, call: EngineCall) -> None:
+        status, body = await self._call_engine(call, REPORT_TIMEOUT_S)
+        if status != 200:
+            raise ValueError(f"the report came with status {status}")
+        report = self._dialect.read_report(body)
+        now_s = boot_clock_s()
+        if self._admission.take_report(report, now_s):
+            self._log.line("engine_restarted", started_at_ms=report.started_at_ms)
+        self._settle(now_s)
+
+    async def give_orders(self) -> None:
+        """Give orders for ever, one at a time."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            while self._fence_number:
+                order = self._admission.next_order(boot_clock_s())
+                if order is None:
+                    break
+                if not await self._give(order):
+                    await asyncio.sleep(ORDER_PAUSE_S)
+                    break
+
+    async def _give(self, order: Order) -> bool:
+        """Give one order; return whether the engine's state is known after it."""
+        terms = OrderTerms(
+            self._holder,
+            self._fence_number,
+            self._admission.order_count,
+            self._instance_id,
+        )
+        try:
+            status, _ = await self._call_engine(
+                self._dialect.order_call(order, terms), ORDER_TIMEOUT_S
+            )
+            outcome = self._dialect.read_outcome(status)
+        except (ChannelError, TimeoutError):
+            status, outcome = 0, NO_ANSWER
+        self._admission.order_ended(order, outcome, boot_clock_s())
+        self._log.line(
+            "order",
+            order=order.kind,
+            adapter=order.adapter or order.model,
+            version=order.version,
+            order_count=terms.order_count,
+            status=status,
+            outcome=outcome,
+            running=self._admission.running(),
+            waiting=len(self._admission.waiting()),
+        )
+        # Every accepted order changes the count that the next one has to name.
+        try:
+            await self._fetch_report()
+        except (ChannelError, TimeoutError, ValueError) as error:
+            self._log.line("report_failed", reason=str(error))
+            return False
+        self._report_now.set()
+        return outcome not in (NO_ANSWER, REJECTED)
+
+    async def fetch_fence(self, leader: LeaderClient) -> None:
+        """Get this start's fencing number, however long that takes."""
+        command = Command(fence=GrantFence(self._settings.engine_address, self._holder))
+        while not self._fence_number:
+            try:
+                result = await asyncio.to_thread(
+                    leader.commit, command, FENCE_TIMEOUT_S
+                )
+                self._fence_number = result.fence.number
+                self._log.line("fence", number=self._fence_number, holder=self._holder)
+                self._changed.set()
+            except RetryLaterError as error:
+                self._log.line("fence_unknown", reason=str(error))
+                await asyncio.sleep(FENCE_RETRY_S)
+
+
+async def _serve(
+    settings: PermitSettings, dialect: EngineDialect, log: DecisionLog
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.line("reload"))
+    async with pooled_backends() as pool:
+        server = PermitServer(settings, dialect, pool, log)
+        with dialing(settings.identity) as dialer:
+            leader = LeaderClient(settings.call_hosts, dialer)
+            async with serving_calls(
+                settings.address, settings.identity, server.answer
+            ):
+                tasks = [
+                    loop.create_task(server.fetch_fence(leader)),
+                    loop.create_task(server.follow_reports()),
+                    loop.create_task(server.give_orders()),
+                ]
+                await stopping.wait()
+                for task in tasks:
+                    task.cancel()
+
+
+def run_permits(settings: PermitSettings, dialect: EngineDialect) -> None:
+    """Serve permits until SIGTERM.
+
+    Requests with a permit go on without the agent; hosts fall back on what the
+    engine is known to hold until it is back.
+    """
+    with decision_log(settings.name, boot_clock_s) as log:
+        log.line("start", engine=settings.engine_address)
+        asyncio.run(_serve(settings, dialect, log))
+        log.line("stop")
+
+
+__all__ = [
+    "EngineCall",
+    "EngineDialect",
+    "OrderTerms",
+    "PermitServer",
+    "PermitSettings",
+    "run_permits",
+]
--- a/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
@@ -1,7 +1,6 @@
 """Announces the backend server to every control host and keeps the fence."""
 
 import threading
-import time
 from collections.abc import Mapping
 
 import logbook
@@ -13,7 +12,7 @@
 from damaskvalve_agent._scheduler import Scheduler
 from damaskvalve_agent._service import Counters, WorkService
 from damaskvalve_agent._settings import AgentSettings
-from damaskvalve_core import ChannelError, RetryLaterError
+from damaskvalve_core import ChannelError, RetryLaterError, boot_clock_s
 from damaskvalve_core.messages import BackendReport, ReportReply
 
 REPORT_S = 0.75
@@ -63,7 +62,7 @@
         with self._lock:
             self._sequence += 1
             sequence = self._sequence
-        unfenced = self._fence.number(time.monotonic()) is None
+        unfenced = self._fence.number(boot_clock_s()) is None
         unavailable = unfenced or not self._service.backend_up
         return BackendReport(
             settings.name,
@@ -85,7 +84,7 @@
 
     def report_to(self, address: str) -> None:
         """Report to one control host and take over what it answers."""
-        sent_at_s = time.monotonic()
+        sent_at_s = boot_clock_s()
         full = sent_at_s - self._full_sent_s.get(address, 0.0) >= FULL_REPORT_S
         try:
             reply = self._control.report(address, self.build_report(full=full))
@@ -114,10 +113,10 @@
         """Get a fencing number, unless another agent has taken over."""
         if not self._fence.needs_grant():
             return
-        asked_at_s = time.monotonic()
+        asked_at_s = boot_clock_s()
         result = self._control.grant_fence(self._settings.name, self._incarnation)
         fence = result.fence
-        now_s = time.monotonic()
+        now_s = boot_clock_s()
         self._fence.granted(fence.number, fence.previous_holder, asked_at_s, now_s)
         _log.info("holding fencing number {}", result.fence.number)
 
--- a/packages/damaskvalve-agent/damaskvalve_agent/_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -1,7 +1,6 @@
 """Answers work requests of entry hosts."""
 
 import threading
-import time
 from collections.abc import Callable, Generator, Iterator
 from typing import Any
 
@@ -21,7 +20,7 @@
 from damaskvalve_agent._fair_queue import Ticket
 from damaskvalve_agent._fence import Fence
 from damaskvalve_agent._settings import BackendSettings
-from damaskvalve_core import NOT_RUN, UNKNOWN, Connection, Recorder
+from damaskvalve_core import NOT_RUN, UNKNOWN, Connection, Recorder, boot_clock_s
 from damaskvalve_core.messages import (
     Problem,
     WorkChunk,
@@ -129,7 +128,7 @@
             if refusal is not None:
                 yield refusal
                 return
-            ticket = self._ticket(work, time.monotonic())
+            ticket = self._ticket(work, boot_clock_s())
             future = self._room.submit(ticket)
             outcome = yield from self._await_turn(work, ticket, future, connection)
             if outcome is None:
@@ -146,7 +145,7 @@
             return _refused(work, "backend_leaving", NOT_RUN, 0.0)
         if not self.backend_up:
             return _refused(work, "backend_down", NOT_RUN, 1.0)
-        if self._fence.number(time.monotonic()) is None:
+        if self._fence.number(boot_clock_s()) is None:
             return _refused(work, "not_fenced", NOT_RUN, 1.0)
         if work.kind != self._settings.kind or work.model != self._settings.serves:
             return _refused(work, "wrong_backend", NOT_RUN, 0.0)
@@ -173,12 +172,12 @@
         connection: Connection,
     ) -> Generator[Any, None, Outcome | None]:
         """Yield signs of life until the request starts, is refused or is left."""
-        last_progress_s = time.monotonic()
+        last_progress_s = boot_clock_s()
         while True:
             try:
                 return future.get(timeout=WAIT_STEP_S)
             except pykka.Timeout:
-                now_s = time.monotonic()
+                now_s = boot_clock_s()
             if connection.peer_gone():
                 self._room.cancel(ticket)
                 self._counters.add("cancelled_requests")
@@ -197,7 +196,7 @@
         """Run a started request; return False if it is to be queued again."""
         delivered = False
         crashed = False
-        now_s = time.monotonic()
+        now_s = boot_clock_s()
         queued_s = now_s - ticket.arrived_at_s
         number = self._fence.number(now_s)
         self._note_start(work, outcome, queued_s)
--- a/packages/damaskvalve-agent/damaskvalve_agent/_slots.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_slots.py
@@ -121,6 +121,14 @@
         else:
             del self._states[adapter]
 
+    def adopt(self, adapter: str) -> None:
+        """Note that the engine holds an adapter that was not known to be there."""
+        self._states[adapter] = RESIDENT
+
+    def drop(self, adapter: str) -> None:
+        """Note that the engine does not hold an adapter any more."""
+        self._states.pop(adapter, None)
+
     def unload(self, adapter: str) -> None:
         """Give up an unpinned resident adapter."""
         if self.pins(adapter) or self._states.get(adapter) != RESIDENT:
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -1,12 +1,15 @@
 """What the host program and the agent share: settings, errors, messages, time line."""
 
 from damaskvalve_core._background import repeating
+from damaskvalve_core._boot_clock import boot_clock_s
+from damaskvalve_core._calls import Call, Caller, serving_calls
 from damaskvalve_core._channel import (
     Connection,
     Dialer,
     Identity,
     dialing,
     listening,
+    set_liveness,
     split_address,
 )
 from damaskvalve_core._clock import HybridClock, stamp_to_wall_s
@@ -17,6 +20,7 @@
     encode_message,
     encode_struct,
 )
+from damaskvalve_core._decision_log import DecisionLog, decision_log, is_sampled
 from damaskvalve_core._exceptions import (
     NOT_RUN,
     RAN,
@@ -48,10 +52,13 @@
     "RAN",
     "TIME_LINE_FILE",
     "UNKNOWN",
+    "Call",
+    "Caller",
     "ChannelError",
     "Connection",
     "DamagedJournalError",
     "DamaskvalveError",
+    "DecisionLog",
     "Dialer",
     "Finding",
     "HybridClock",
@@ -65,18 +72,23 @@
     "RetryLaterError",
     "SettingsError",
     "SilenceError",
+    "boot_clock_s",
     "copy_struct",
+    "decision_log",
     "decode_message",
     "decode_struct",
     "dialing",
     "discard_event",
     "encode_message",
     "encode_struct",
+    "is_sampled",
     "listening",
     "logging_to",
     "open_time_line",
     "repeating",
     "run_from_settings",
+    "serving_calls",
+    "set_liveness",
     "split_address",
     "stamp_to_wall_s",
 ]
--- a/packages/damaskvalve-core/damaskvalve_core/_background.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_background.py
@@ -2,11 +2,11 @@
 
 import contextlib
 import threading
-import time
 from collections.abc import Callable, Iterator
 
 import logbook
 
+from damaskvalve_core._boot_clock import boot_clock_s
 from damaskvalve_core._exceptions import RetryLaterError
 
 _log = logbook.Logger("background")
@@ -14,14 +14,14 @@
 
 def _repeat(stop: threading.Event, period_s: float, step: Callable[[], None]) -> None:
     while not stop.is_set():
-        started_s = time.monotonic()
+        started_s = boot_clock_s()
         try:
             step()
         except RetryLaterError as error:
             _log.info("will try again: {}", error)
         except Exception:
             _log.exception("a background step failed")
-        stop.wait(max(0.0, started_s + period_s - time.monotonic()))
+        stop.wait(max(0.0, started_s + period_s - boot_clock_s()))
 
 
 @contextlib.contextmanager
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/_calls.py
@@ -0,0 +1,190 @@
+"""The asyncio side of the channel: the same frames, for calls that wait long.
+
+A connection carries one call at a time. Closing it cancels the call, so that what
+a call holds at the other end is given back also when its caller dies.
+"""
+
+import asyncio
+import contextlib
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import logbook
+
+from damaskvalve_core._channel import (
+    MAX_FRAME_BYTES,
+    Identity,
+    set_liveness,
+    split_address,
+)
+from damaskvalve_core._codec import decode_message, encode_message
+from damaskvalve_core._exceptions import (
+    ChannelError,
+    NotSentError,
+    OperatorError,
+    ProtocolError,
+)
+from damaskvalve_core._messages import Problem
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CALLS = 64
+BACKLOG = 256
+_HEADER = struct.Struct(">I")
+
+_log = logbook.Logger("calls")
+
+
+class Call:
+    """One connection at the time of one call."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, peer: str
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self.peer = peer
+
+    def send(self, message: Any) -> None:
+        """Queue one message; a broken connection shows at the next receive."""
+        payload = encode_message(message)
+        self._writer.write(_HEADER.pack(len(payload)) + payload)
+
+    async def receive(self) -> Any:
+        """Return the next message; raise :class:`ChannelError` at the end."""
+        try:
+            header = await self._reader.readexactly(_HEADER.size)
+            (length,) = _HEADER.unpack(header)
+            if length > MAX_FRAME_BYTES:
+                raise ProtocolError(f"frame of {length} bytes is too large")
+            return decode_message(await self._reader.readexactly(length))
+        except (OSError, EOFError) as error:
+            raise ChannelError(f"{self.peer}: {error}") from error
+
+    def is_idle(self) -> bool:
+        """Return whether the connection is open and nothing came unasked."""
+        return not self._reader.at_eof() and not self._writer.is_closing()
+
+    def close(self) -> None:
+        """Close the connection, which cancels the call at the other end."""
+        self._writer.close()
+
+
+#: Answers one request over the call that brought it.
+CallHandler = Callable[[Any, Call], Awaitable[None]]
+
+
+class Caller:
+    """Keeps idle connections to peers and makes calls over them."""
+
+    def __init__(self, identity: Identity | None) -> None:
+        self._context = identity.context(server=False) if identity else None
+        self._idle: dict[str, list[Call]] = {}
+
+    async def _connect(self, address: str, timeout_s: float) -> Call:
+        ip, port = split_address(address)
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(ip, port, ssl=self._context), timeout_s
+            )
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(f"cannot connect to {address}: {error}") from error
+        set_liveness(writer.get_extra_info("socket"))
+        return Call(reader, writer, address)
+
+    @contextlib.asynccontextmanager
+    async def open(self, address: str, request: Any) -> AsyncIterator[Call]:
+        """Send a request and yield its call; it is reused if the body ends well."""
+        call = None
+        idle = self._idle.setdefault(address, [])
+        while idle and call is None:
+            candidate = idle.pop()
+            if candidate.is_idle():
+                call = candidate
+            else:
+                candidate.close()
+        if call is None:
+            call = await self._connect(address, CONNECT_TIMEOUT_S)
+        try:
+            call.send(request)
+            yield call
+        except BaseException:
+            call.close()
+            raise
+        if len(idle) < MAX_IDLE_CALLS and call.is_idle():
+            idle.append(call)
+        else:
+            call.close()
+
+    async def ask(self, address: str, request: Any, timeout_s: float) -> Any:
+        """Return the single reply to a request.
+
+        Raises :class:`ChannelError` when none came within ``timeout_s``.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self.open(address, request) as call:
+                    reply = await call.receive()
+        except TimeoutError as error:
+            raise ChannelError(f"{address} did not answer in time") from error
+        if isinstance(reply, Problem):
+            raise ChannelError(f"{address}: {reply.message}")
+        return reply
+
+    def drop_idle(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            while idle:
+                idle.pop().close()
+
+
+@contextlib.asynccontextmanager
+async def serving_calls(
+    address: str, identity: Identity | None, handler: CallHandler
+) -> AsyncIterator[None]:
+    """Serve calls on an address until the end."""
+    ip, port = split_address(address)
+    open_calls: set[Call] = set()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer = writer.get_extra_info("peername") or ("?", 0)
+        call = Call(reader, writer, f"{peer[0]}:{peer[1]}")
+        open_calls.add(call)
+        try:
+            set_liveness(writer.get_extra_info("socket"))
+            while True:
+                await _answer(await call.receive(), call, handler)
+        except ProtocolError as error:
+            _log.warning("{} sent garbage: {}", call.peer, error)
+        except (ChannelError, OSError):
+            _log.debug("{} went away", call.peer)
+        finally:
+            open_calls.discard(call)
+            call.close()
+
+    try:
+        server = await asyncio.start_server(
+            serve,
+            ip,
+            port,
+            ssl=identity.context(server=True) if identity else None,
+            backlog=BACKLOG,
+        )
+    except OSError as error:
+        raise OperatorError(f"cannot listen on {address}: {error}") from error
+    try:
+        yield
+    finally:
+        server.close()
+        for call in list(open_calls):
+            call.close()
+
+
+async def _answer(request: Any, call: Call, handler: CallHandler) -> None:
+    try:
+        await handler(request, call)
+    except (ChannelError, ProtocolError):
+        raise
+    except Exception as error:
+        _log.exception("handling {} failed", type(request).__name__)
+        call.send(Problem("internal", str(error)))
--- a/packages/damaskvalve-core/damaskvalve_core/_channel.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_channel.py
@@ -1,4 +1,7 @@
-"""Framed messages over TCP with mutual TLS between the system's processes.
+"""Framed messages over TCP between the system's processes.
+
+Mutual TLS is the rule; a process without an identity speaks plain TCP, for
+deployments whose network is trusted and whose settings can hold no secret.
 
 A frame is a four byte length and one encoded message. A connection carries one
 call at a time: the caller sends a request and reads replies until the one that
@@ -31,6 +34,9 @@
 CONNECT_TIMEOUT_S = 1.0
 HANDSHAKE_TIMEOUT_S = 3.0
 MAX_IDLE_CONNECTIONS = 64
+# A peer that acknowledges nothing for this long is treated as gone; it is the
+# shortest time-out that outlives a lost packet and its second transmission.
+SILENT_PEER_MS = 2_500
 _HEADER = struct.Struct(">I")
 _READ_BYTES = 64 * 1024
 
@@ -46,6 +52,21 @@
     return ip, int(port)
 
 
+def set_liveness(sock: socket.socket) -> None:
+    """Make a connection fail by itself when its peer is silently gone."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in (
+        ("TCP_KEEPIDLE", 1),
+        ("TCP_KEEPINTVL", 1),
+        ("TCP_KEEPCNT", 2),
+        ("TCP_USER_TIMEOUT", SILENT_PEER_MS),
+    ):
+        option = getattr(socket, name, None)
+        if option is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class Identity:
     """The files by which a process proves that it belongs to the system."""
 
@@ -73,7 +94,7 @@
 class Connection:
     """One authenticated connection that sends and receives whole messages."""
 
-    def __init__(self, sock: ssl.SSLSocket, peer: str) -> None:
+    def __init__(self, sock: socket.socket, peer: str) -> None:
         self._sock = sock
         self._buffer = bytearray()
         self.peer = peer
@@ -123,7 +144,7 @@
     def peer_gone(self) -> bool:
         """Return whether the peer has closed or sent out of turn."""
         try:
-            if self._sock.pending():
+            if isinstance(self._sock, ssl.SSLSocket) and self._sock.pending():
                 return True
             readable, _, _ = select.select([self._sock], [], [], 0)
         except (OSError, ValueError):
@@ -139,8 +160,8 @@
 class Dialer:
     """Keeps idle connections to peers and makes calls over them."""
 
-    def __init__(self, identity: Identity) -> None:
-        self._context = identity.context(server=False)
+    def __init__(self, identity: Identity | None) -> None:
+        self._context = identity.context(server=False) if identity else None
         self._lock = threading.Lock()
         self._idle: dict[str, list[Connection]] = {}
         self._closed = False
@@ -150,8 +171,10 @@
             raw = socket.create_connection(
                 split_address(address), timeout=min(timeout_s, CONNECT_TIMEOUT_S)
             )
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            return Connection(self._context.wrap_socket(raw), address)
+            set_liveness(raw)
+            if self._context is not None:
+                raw = self._context.wrap_socket(raw)
+            return Connection(raw, address)
         except (OSError, ValueError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
 
@@ -215,9 +238,13 @@
     """Accepts connections and answers each in a thread of its own."""
 
     def __init__(
-        self, address: str, identity: Identity, handler: Handler, max_connections: int
+        self,
+        address: str,
+        identity: Identity | None,
+        handler: Handler,
+        max_connections: int,
     ) -> None:
-        self._context = identity.context(server=True)
+        self._context = identity.context(server=True) if identity else None
         self._handler = handler
         self._slots = threading.BoundedSemaphore(max_connections)
         self._lock = threading.Lock()
@@ -254,8 +281,10 @@
     def _handshake(self, raw: socket.socket, name: str) -> Connection | None:
         try:
             raw.settimeout(HANDSHAKE_TIMEOUT_S)
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            wrapped = self._context.wrap_socket(raw, server_side=True)
+            set_liveness(raw)
+            wrapped = raw
+            if self._context is not None:
+                wrapped = self._context.wrap_socket(raw, server_side=True)
         except (OSError, ValueError) as error:
             _log.warning("{} failed to authenticate: {}", name, error)
             raw.close()
@@ -303,7 +332,11 @@
 
 @contextlib.contextmanager
 def listening(
-    address: str, identity: Identity, handler: Handler, *, max_connections: int = 1024
+    address: str,
+    identity: Identity | None,
+    handler: Handler,
+    *,
+    max_connections: int = 1024,
 ) -> Iterator[str]:
     """Serve calls in threads; yield the bound address; close at the end."""
     listener = _Listener(address, identity, handler, max_connections)
@@ -316,7 +349,7 @@
 
 
 @contextlib.contextmanager
-def dialing(identity: Identity) -> Iterator[Dialer]:
+def dialing(identity: Identity | None) -> Iterator[Dialer]:
     """Yield a dialer; its idle connections are closed at the end."""
     dialer = Dialer(identity)
     try:
--- a/packages/damaskvalve-core/damaskvalve_core/_codec.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_codec.py
@@ -18,7 +18,8 @@
     "ConfirmRequest ConfirmReply BackendReport ReportReply PollRequest PollReply "
     "LookupRequest LookupReply CreditRequest CreditReply PermitRequest PermitReply "
     "LeaseJobRequest LeaseJobReply ReadRequest ReadReply WorkRequest WorkStarted "
-    "WorkChunk WorkProgress WorkEnd WorkRefused"
+    "WorkChunk WorkProgress WorkEnd WorkRefused SyncRequest SyncReply TokensRequest "
+    "TokensReply AdmitRequest AdmitReply AdmitEnd"
 ).split()
 
 _CLASS_BY_NUMBER: dict[int, type] = {
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -41,6 +41,7 @@
      - member_id
      - address
      - data_centre
+     - memory_only
 
     """
 
@@ -48,13 +49,15 @@
         'member_id',
         'address',
         'data_centre',
+        'memory_only',
     )
 
 
-    def __init__(self, member_id=None, address=None, data_centre=None,):
+    def __init__(self, member_id=None, address=None, data_centre=None, memory_only=None,):
         self.member_id = member_id
         self.address = address
         self.data_centre = data_centre
+        self.memory_only = memory_only
 
 
 class LogEntry(TBase):
@@ -601,6 +604,8 @@
      - crash_reports
      - suspects_version
      - recent_floor
+     - documents
+     - adapter_versions
 
     """
 
@@ -618,10 +623,12 @@
         'crash_reports',
         'suspects_version',
         'recent_floor',
+        'documents',
+        'adapter_versions',
     )
 
 
-    def __init__(self, revision=None, rows=None, operations=None, claims=None, jobs=None, credits=None, fences=None, suspects=None, audit=None, recent=None, crash_reports=None, suspects_version=None, recent_floor=None,):
+    def __init__(self, revision=None, rows=None, operations=None, claims=None, jobs=None, credits=None, fences=None, suspects=None, audit=None, recent=None, crash_reports=None, suspects_version=None, recent_floor=None, documents=None, adapter_versions=None,):
         self.revision = revision
         self.rows = rows
         self.operations = operations
@@ -635,6 +642,49 @@
         self.crash_reports = crash_reports
         self.suspects_version = suspects_version
         self.recent_floor = recent_floor
+        self.documents = documents
+        self.adapter_versions = adapter_versions
+
+
+class DocumentRecord(TBase):
+    """
+    Attributes:
+     - name
+     - version
+     - body
+
+    """
+
+    __slots__ = (
+        'name',
+        'version',
+        'body',
+    )
+
+
+    def __init__(self, name=None, version=None, body=None,):
+        self.name = name
+        self.version = version
+        self.body = body
+
+
+class VersionRecord(TBase):
+    """
+    Attributes:
+     - adapter
+     - version
+
+    """
+
+    __slots__ = (
+        'adapter',
+        'version',
+    )
+
+
+    def __init__(self, adapter=None, version=None,):
+        self.adapter = adapter
+        self.version = version
 
 
 class SnapshotFile(TBase):
@@ -943,6 +993,8 @@
      - crash
      - clear
      - expire
+     - document
+     - name_version
 
     """
 
@@ -960,10 +1012,12 @@
         'crash',
         'clear',
         'expire',
+        'document',
+        'name_version',
     )
 
 
-    def __init__(self, change=None, claim=None, answer=None, release=None, resolve=None, submit=None, finish=None, drop=None, reserve=None, fence=None, crash=None, clear=None, expire=None,):
+    def __init__(self, change=None, claim=None, answer=None, release=None, resolve=None, submit=None, finish=None, drop=None, reserve=None, fence=None, crash=None, clear=None, expire=None, document=None, name_version=None,):
         self.change = change
         self.claim = claim
         self.answer = answer
@@ -977,6 +1031,8 @@
         self.crash = crash
         self.clear = clear
         self.expire = expire
+        self.document = document
+        self.name_version = name_version
 
 
 class CommandResult(TBase):
@@ -1901,12 +1957,308 @@
 
     def __init__(self, number=None,):
         self.number = number
+
+
+class BackendNotice(TBase):
+    """
+    Attributes:
+     - instance_id
+     - service_name
+     - address
+     - data_centre
+     - state
+     - started_at_ms
+     - sequence
+     - age_s
+     - resident
+     - slots
+
+    """
+
+    __slots__ = (
+        'instance_id',
+        'service_name',
+        'address',
+        'data_centre',
+        'state',
+        'started_at_ms',
+        'sequence',
+        'age_s',
+        'resident',
+        'slots',
+    )
+
+
+    def __init__(self, instance_id=None, service_name=None, address=None, data_centre=None, state=None, started_at_ms=None, sequence=None, age_s=None, resident=None, slots=None,):
+        self.instance_id = instance_id
+        self.service_name = service_name
+        self.address = address
+        self.data_centre = data_centre
+        self.state = state
+        self.started_at_ms = started_at_ms
+        self.sequence = sequence
+        self.age_s = age_s
+        self.resident = resident
+        self.slots = slots
+
+
+class SyncRequest(TBase):
+    """
+    Attributes:
+     - host_address
+     - leader_id
+     - seen
+     - notices
+     - crashes
+     - share
+
+    """
+
+    __slots__ = (
+        'host_address',
+        'leader_id',
+        'seen',
+        'notices',
+        'crashes',
+        'share',
+    )
+
+
+    def __init__(self, host_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None,):
+        self.host_address = host_address
+        self.leader_id = leader_id
+        self.seen = seen
+        self.notices = notices
+        self.crashes = crashes
+        self.share = share
+
+
+class SyncReply(TBase):
+    """
+    Attributes:
+     - leader_address
+     - leader_id
+     - seen
+     - notices
+     - crashes
+     - share
+     - share_s
+     - hosts
+
+    """
+
+    __slots__ = (
+        'leader_address',
+        'leader_id',
+        'seen',
+        'notices',
+        'crashes',
+        'share',
+        'share_s',
+        'hosts',
+    )
+
+
+    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None, share_s=None, hosts=None,):
+        self.leader_address = leader_address
+        self.leader_id = leader_id
+        self.seen = seen
+        self.notices = notices
+        self.crashes = crashes
+        self.share = share
+        self.share_s = share_s
+        self.hosts = hosts
+
+
+class CrashNotice(TBase):
+    """
+    Attributes:
+     - fingerprint
+     - instance_id
+     - age_s
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'instance_id',
+        'age_s',
+    )
+
+
+    def __init__(self, fingerprint=None, instance_id=None, age_s=None,):
+        self.fingerprint = fingerprint
+        self.instance_id = instance_id
+        self.age_s = age_s
+
+
+class TokensRequest(TBase):
+    """
+    Attributes:
+     - host_address
+     - workspace
+     - tokens
+
+    """
+
+    __slots__ = (
+        'host_address',
+        'workspace',
+        'tokens',
+    )
+
+
+    def __init__(self, host_address=None, workspace=None, tokens=None,):
+        self.host_address = host_address
+        self.workspace = workspace
+        self.tokens = tokens
+
+
+class TokensReply(TBase):
+    """
+    Attributes:
+     - leader_address
+     - granted
+     - retry_after_s
+
+    """
+
+    __slots__ = (
+        'leader_address',
+        'granted',
+        'retry_after_s',
+    )
+
+
+    def __init__(self, leader_address=None, granted=None, retry_after_s=None,):
+        self.leader_address = leader_address
+        self.granted = granted
+        self.retry_after_s = retry_after_s
+
+
+class EngineLimits(TBase):
+    """
+    Attributes:
+     - slots
+     - adapter_slots
+     - memory_tokens
+
+    """
+
+    __slots__ = (
+        'slots',
+        'adapter_slots',
+        'memory_tokens',
+    )
+
+
+    def __init__(self, slots=None, adapter_slots=None, memory_tokens=None,):
+        self.slots = slots
+        self.adapter_slots = adapter_slots
+        self.memory_tokens = memory_tokens
+
+
+class AdmitRequest(TBase):
+    """
+    Attributes:
+     - request_id
+     - workspace
+     - model
+     - adapter
+     - version
+     - prompt_tokens
+     - output_tokens
+     - priority
+     - deadline_s
+     - wait_s
+     - instance_id
+     - limits
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'workspace',
+        'model',
+        'adapter',
+        'version',
+        'prompt_tokens',
+        'output_tokens',
+        'priority',
+        'deadline_s',
+        'wait_s',
+        'instance_id',
+        'limits',
+    )
+
+
+    def __init__(self, request_id=None, workspace=None, model=None, adapter=None, version=None, prompt_tokens=None, output_tokens=None, priority=None, deadline_s=None, wait_s=None, instance_id=None, limits=None,):
+        self.request_id = request_id
+        self.workspace = workspace
+        self.model = model
+        self.adapter = adapter
+        self.version = version
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.priority = priority
+        self.deadline_s = deadline_s
+        self.wait_s = wait_s
+        self.instance_id = instance_id
+        self.limits = limits
+
+
+class AdmitReply(TBase):
+    """
+    Attributes:
+     - granted
+     - version
+     - retry_after_s
+     - reason
+     - waited_s
+
+    """
+
+    __slots__ = (
+        'granted',
+        'version',
+        'retry_after_s',
+        'reason',
+        'waited_s',
+    )
+
+
+    def __init__(self, granted=None, version=None, retry_after_s=None, reason=None, waited_s=None,):
+        self.granted = granted
+        self.version = version
+        self.retry_after_s = retry_after_s
+        self.reason = reason
+        self.waited_s = waited_s
+
+
+class AdmitEnd(TBase):
+    """
+    Attributes:
+     - request_id
+     - outcome
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'outcome',
+    )
+
+
+    def __init__(self, request_id=None, outcome=None,):
+        self.request_id = request_id
+        self.outcome = outcome
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'member_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'memory_only', None, None, ),  # 4
 )
 all_structs.append(LogEntry)
 LogEntry.thrift_spec = (
@@ -2093,6 +2445,21 @@
     (11, TType.LIST, 'crash_reports', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.I64, 'suspects_version', None, None, ),  # 12
     (13, TType.I64, 'recent_floor', None, None, ),  # 13
+    (14, TType.LIST, 'documents', (TType.STRUCT, [DocumentRecord, None], False), None, ),  # 14
+    (15, TType.LIST, 'adapter_versions', (TType.STRUCT, [VersionRecord, None], False), None, ),  # 15
+)
+all_structs.append(DocumentRecord)
+DocumentRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
+)
+all_structs.append(VersionRecord)
+VersionRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'adapter', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
 )
 all_structs.append(SnapshotFile)
 SnapshotFile.thrift_spec = (
@@ -2202,6 +2569,8 @@
     (11, TType.STRUCT, 'crash', [ReportCrash, None], None, ),  # 11
     (12, TType.STRUCT, 'clear', [ClearSuspect, None], None, ),  # 12
     (13, TType.STRUCT, 'expire', [ExpireClaims, None], None, ),  # 13
+    (14, TType.STRUCT, 'document', [DocumentRecord, None], None, ),  # 14
+    (15, TType.STRUCT, 'name_version', [VersionRecord, None], None, ),  # 15
 )
 all_structs.append(CommandResult)
 CommandResult.thrift_spec = (
@@ -2500,5 +2869,100 @@
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
 )
+all_structs.append(BackendNotice)
+BackendNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'data_centre', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'state', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'started_at_ms', None, None, ),  # 6
+    (7, TType.I64, 'sequence', None, None, ),  # 7
+    (8, TType.DOUBLE, 'age_s', None, None, ),  # 8
+    (9, TType.LIST, 'resident', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.I32, 'slots', None, None, ),  # 10
+)
+all_structs.append(SyncRequest)
+SyncRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'leader_id', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'seen', None, None, ),  # 3
+    (4, TType.LIST, 'notices', (TType.STRUCT, [BackendNotice, None], False), None, ),  # 4
+    (5, TType.LIST, 'crashes', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 5
+    (6, TType.DOUBLE, 'share', None, None, ),  # 6
+)
+all_structs.append(SyncReply)
+SyncReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'leader_address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'leader_id', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'seen', None, None, ),  # 3
+    (4, TType.LIST, 'notices', (TType.STRUCT, [BackendNotice, None], False), None, ),  # 4
+    (5, TType.LIST, 'crashes', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 5
+    (6, TType.DOUBLE, 'share', None, None, ),  # 6
+    (7, TType.DOUBLE, 'share_s', None, None, ),  # 7
+    (8, TType.I32, 'hosts', None, None, ),  # 8
+)
+all_structs.append(CrashNotice)
+CrashNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'instance_id', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'age_s', None, None, ),  # 3
+)
+all_structs.append(TokensRequest)
+TokensRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'workspace', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'tokens', None, None, ),  # 3
+)
+all_structs.append(TokensReply)
+TokensReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'leader_address', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'granted', None, None, ),  # 2
+    (3, TType.DOUBLE, 'retry_after_s', None, None, ),  # 3
+)
+all_structs.append(EngineLimits)
+EngineLimits.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'slots', None, None, ),  # 1
+    (2, TType.I32, 'adapter_slots', None, None, ),  # 2
+    (3, TType.I32, 'memory_tokens', None, None, ),  # 3
+)
+all_structs.append(AdmitRequest)
+AdmitRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'workspace', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'model', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'adapter', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.I32, 'prompt_tokens', None, None, ),  # 6
+    (7, TType.I32, 'output_tokens', None, None, ),  # 7
+    (8, TType.I32, 'priority', None, None, ),  # 8
+    (9, TType.DOUBLE, 'deadline_s', None, None, ),  # 9
+    (10, TType.DOUBLE, 'wait_s', None, None, ),  # 10
+    (11, TType.STRING, 'instance_id', 'UTF8', None, ),  # 11
+    (12, TType.STRUCT, 'limits', [EngineLimits, None], None, ),  # 12
+)
+all_structs.append(AdmitReply)
+AdmitReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'granted', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.DOUBLE, 'retry_after_s', None, None, ),  # 3
+    (4, TType.STRING, 'reason', 'UTF8', None, ),  # 4
+    (5, TType.DOUBLE, 'waited_s', None, None, ),  # 5
+)
+all_structs.append(AdmitEnd)
+AdmitEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'outcome', 'UTF8', None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
@@ -0,0 +1,31 @@
+"""HTTP/1.1 over asyncio for hosts and agents; h11 parses and frames."""
+
+from damaskvalve_core.http._client import (
+    BackendConnection,
+    BackendFailedError,
+    BackendPool,
+    ReplyHead,
+    pooled_backends,
+)
+from damaskvalve_core.http._server import (
+    Headers,
+    HttpServer,
+    Incoming,
+    Responder,
+    ServerLimits,
+    serving_http,
+)
+
+__all__ = [
+    "BackendConnection",
+    "BackendFailedError",
+    "BackendPool",
+    "Headers",
+    "HttpServer",
+    "Incoming",
+    "ReplyHead",
+    "Responder",
+    "ServerLimits",
+    "pooled_backends",
+    "serving_http",
+]
--- /dev/null
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -0,0 +1,402 @@
+"""Callers' HTTP connections: strict reading, answers whole or visibly cut.
+
+h11 parses and frames; it stands in for the house's cheroot because a stream has to
+be cut without its end mark, and a caller that leaves has to be noticed at once.
+"""
+
+import asyncio
+import contextlib
+import re
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+
+import h11
+
+from damaskvalve_core import OperatorError, RefusedError, set_liveness, split_address
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+# Bytes of a next request that are read ahead while one is being answered.
+READ_AHEAD_BYTES = 64 * 1024
+# A caller that takes in nothing fills this much before its stream is held back.
+WRITE_AHEAD_BYTES = 64 * 1024
+BACKLOG = 512
+_BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
+
+
+class ServerLimits:
+    """Bounds on what a caller may send; read anew for each request."""
+
+    __slots__ = ("header_bytes", "body_bytes", "header_timeout_s", "idle_timeout_s")
+
+    def __init__(
+        self,
+        header_bytes: int,
+        body_bytes: int,
+        header_timeout_s: float,
+        idle_timeout_s: float,
+    ) -> None:
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_timeout_s = header_timeout_s
+        self.idle_timeout_s = idle_timeout_s
+
+
+class Incoming:
+    """One request as it was read."""
+
+    __slots__ = ("method", "target", "headers", "body", "peer")
+
+    def __init__(
+        self, method: str, target: str, headers: Headers, body: bytes, peer: str
+    ) -> None:
+        self.method = method
+        self.target = target
+        # Names in lower case.
+        self.headers = headers
+        self.body = body
+        self.peer = peer
+
+
+class Responder:
+    """Sends the answer to one request."""
+
+    def __init__(self, connection: "_ServerConnection", framing: h11.Connection):
+        self._connection = connection
+        self._framing = framing
+        self.started = False
+        self.finished = False
+
+    async def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        kept = [(name, value) for name, value in headers if name != b"content-length"]
+        kept.append((b"content-length", str(len(body)).encode()))
+        self._head(status, kept)
+        self._write(self._framing.send(h11.Data(data=body)))
+        await self.finish()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose body follows in pieces."""
+        self._head(status, headers)
+        await self._connection.drained()
+
+    def _head(self, status: int, headers: Headers) -> None:
+        self.started = True
+        extra = [(b"connection", b"close")] if self._connection.closing else []
+        head = h11.Response(status_code=status, headers=[*headers, *extra])
+        self._write(self._framing.send(head))
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the body; wait while the caller does not read."""
+        self._write(self._framing.send(h11.Data(data=data)))
+        await self._connection.drained()
+
+    async def finish(self) -> None:
+        """End the answer as complete."""
+        self._write(self._framing.send(h11.EndOfMessage()))
+        self.finished = True
+        await self._connection.drained()
+
+    def cut(self) -> None:
+        """End the connection without the end of the answer."""
+        self._connection.closing = True
+
+    def _write(self, data: bytes | None) -> None:
+        if data:
+            self._connection.write(data)
+
+
+#: Answers one request.
+RequestHandler = Callable[[Incoming, Responder], Awaitable[None]]
+
+
+class _ServerConnection(asyncio.Protocol):
+    """One connection: a task reads requests and has them answered in turn."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._buffer = bytearray()
+        self._arrived = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._paused = False
+        self._ended = False
+        self._task: asyncio.Task[None] | None = None
+        self._answering = False
+        self.closing = False
+        self.idle = True
+        self.peer = ""
+
+    # ---- what the transport calls ----
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_AHEAD_BYTES)
+        with contextlib.suppress(OSError):
+            set_liveness(transport.get_extra_info("socket"))
+        peer = transport.get_extra_info("peername") or ("?",)
+        self.peer = str(peer[0])
+        self._server.connections.add(self)
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        self._arrived.set()
+        if self._answering and len(self._buffer) > READ_AHEAD_BYTES:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        self._end()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+        self._end()
+
+    def _end(self) -> None:
+        """The caller is gone: cancel what is being done for it."""
+        self._ended = True
+        self._arrived.set()
+        self._writable.set()
+        if self._answering and self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    # ---- writing ----
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes for the caller."""
+        self._transport.write(data)
+
+    async def drained(self) -> None:
+        """Wait until the caller has taken in enough."""
+        await self._writable.wait()
+
+    # ---- reading ----
+
+    async def _run(self) -> None:
+        try:
+            while not self.closing and await self._one_request():
+                pass
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self._transport.close()
+
+    async def _one_request(self) -> bool:
+        """Read and answer one request; False when the connection has to end."""
+        limits = self._server.limits()
+        framing = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes + 1024
+        )
+        responder = Responder(self, framing)
+        try:
+            incoming = await self._read(framing, limits, responder)
+        except RefusedError as error:
+            self.closing = True
+            headers, body = self._server.refusal(error)
+            # After a read error the framing may be unable to send an answer.
+            with contextlib.suppress(h11.LocalProtocolError):
+                await responder.send(error.status, headers, body)
+            return False
+        if incoming is None:
+            return False
+        await self._answer(incoming, responder)
+        if not responder.finished or framing.our_state is not h11.DONE:
+            return False
+        return framing.their_state is h11.DONE
+
+    async def _answer(self, incoming: Incoming, responder: Responder) -> None:
+        self._answering = True
+        self._server.active += 1
+        try:
+            if self._ended:
+                return
+            await self._server.handler(incoming, responder)
+        finally:
+            self._server.active -= 1
+            self._answering = False
+            if self._paused:
+                self._paused = False
+                self._transport.resume_reading()
+
+    async def _more(self, timeout_s: float | None) -> bool:
+        """Wait for more bytes; False at the end or when none come in time."""
+        if self._ended:
+            return False
+        self._arrived.clear()
+        try:
+            await asyncio.wait_for(self._arrived.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return not self._ended
+
+    async def _read(
+        self, framing: h11.Connection, limits: ServerLimits, responder: Responder
+    ) -> Incoming | None:
+        self.idle = True
+        while not self._buffer:
+            if not await self._more(limits.idle_timeout_s):
+                return None
+        self.idle = False
+        head = await self._read_head(limits)
+        if head is None:
+            return None
+        try:
+            framing.receive_data(head)
+            request = framing.next_event()
+        except h11.RemoteProtocolError as error:
+            raise RefusedError(400, "bad_request", str(error)) from error
+        if not isinstance(request, h11.Request):
+            raise RefusedError(400, "bad_request", "the request head is incomplete")
+        _check_framing(request)
+        body = await self._read_body(framing, limits)
+        return Incoming(
+            request.method.decode("ascii"),
+            request.target.decode("latin-1"),
+            list(request.headers),
+            body,
+            self.peer,
+        )
+
+    async def _read_head(self, limits: ServerLimits) -> bytes | None:
+        loop = asyncio.get_running_loop()
+        give_up_s = loop.time() + limits.header_timeout_s
+        while True:
+            if _BARE_LINE_FEED.search(self._buffer.partition(b"\r\n\r\n")[0]):
+                raise RefusedError(400, "bad_line_end", "a line ends without CR LF")
+            end = self._buffer.find(b"\r\n\r\n")
+            if end > limits.header_bytes or (
+                end < 0 and len(self._buffer) > limits.header_bytes
+            ):
+                message = f"the headers exceed {limits.header_bytes} bytes"
+                raise RefusedError(431, "headers_too_large", message)
+            if end >= 0:
+                head = bytes(self._buffer[: end + 4])
+                del self._buffer[: end + 4]
+                return head
+            if not await self._more(give_up_s - loop.time()):
+                if self._ended:
+                    return None
+                raise RefusedError(408, "headers_too_slow", "the headers did not come")
+
+    async def _read_body(self, framing: h11.Connection, limits: ServerLimits) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            try:
+                event = framing.next_event()
+            except h11.RemoteProtocolError as error:
+                raise RefusedError(400, "bad_body", str(error)) from error
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    message = f"the body exceeds {limits.body_bytes} bytes"
+                    raise RefusedError(413, "body_too_large", message)
+            elif isinstance(event, h11.EndOfMessage):
+                # Bytes behind the body belong to the next request.
+                self._buffer[:0] = framing.trailing_data[0]
+                return b"".join(parts)
+            else:
+                await self._feed(framing, limits)
+
+    async def _feed(self, framing: h11.Connection, limits: ServerLimits) -> None:
+        if framing.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self.write(framing.send(go_on) or b"")
+        if not self._buffer and not await self._more(limits.idle_timeout_s):
+            raise RefusedError(408, "body_too_slow", "the body did not come")
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        try:
+            framing.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise RefusedError(400, "bad_body", str(error)) from error
+
+
+def _check_framing(request: h11.Request) -> None:
+    """Refuse what two readers could frame in different ways."""
+    raw = [name.lower() for name, _ in request.headers.raw_items()]
+    lengths = raw.count(b"content-length")
+    codings = [value for name, value in request.headers if name == b"transfer-encoding"]
+    if lengths > 1 or len(codings) > 1 or (lengths and codings):
+        raise RefusedError(400, "ambiguous_length", "the body has two lengths")
+    if codings and codings[0].lower() != b"chunked":
+        raise RefusedError(400, "unknown_coding", "the only coding is chunked")
+    for name, value in request.headers:
+        if name == b"content-length" and not value.isdigit():
+            raise RefusedError(400, "bad_length", "the length is not a number")
+
+
+#: Returns the headers and the body that go with a refusal.
+RefusalWriter = Callable[[RefusedError], tuple[Headers, bytes]]
+
+
+class HttpServer:
+    """Accepts connections on an address until it is told to stop."""
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        limits: Callable[[], ServerLimits],
+        refusal: RefusalWriter,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.refusal = refusal
+        self.connections: set[_ServerConnection] = set()
+        # Requests that are being answered.
+        self.active = 0
+        self._listener: asyncio.Server | None = None
+
+    async def listen(self, address: str) -> None:
+        """Start accepting; raises :class:`OperatorError` if the address is taken."""
+        ip, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        try:
+            self._listener = await loop.create_server(
+                lambda: _ServerConnection(self), ip, port, backlog=BACKLOG
+            )
+        except OSError as error:
+            raise OperatorError(f"cannot listen on {address}: {error}") from error
+
+    def say_close(self) -> None:
+        """Let every answer from now on be the last of its connection."""
+        for connection in self.connections:
+            connection.closing = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for connection in list(self.connections):
+            if connection.idle:
+                connection._transport.close()
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket."""
+        if self._listener is not None:
+            self._listener.close()
+
+
+@contextlib.asynccontextmanager
+async def serving_http(
+    address: str,
+    handler: RequestHandler,
+    limits: Callable[[], ServerLimits],
+    refusal: RefusalWriter,
+) -> AsyncIterator[HttpServer]:
+    """Yield a server on an address; everything is closed at the end."""
+    server = HttpServer(handler, limits, refusal)
+    await server.listen(address)
+    try:
+        yield server
+    finally:
+        server.stop_accepting()
+        for connection in list(server.connections):
+            connection._transport.close()
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -0,0 +1,181 @@
+"""The backend servers that a host knows: announced, spread, tried and given up."""
+
+from collections.abc import Sequence
+
+from damaskvalve_gateway._model import GONE, LEAVING, READY, Announcement
+
+# An announcement comes about every second and may be seconds late; after four of them
+# a silent backend server is not sent new work.
+SILENT_S = 6.0
+# How long an end is remembered, so that late announcements do not bring it back.
+REMEMBER_GONE_S = 60.0
+# A backend server that broke a connection is tried again after this, then twice as
+# long after each further failure in a row, up to the longest pause.
+FIRST_PAUSE_S = 0.4
+LONGEST_PAUSE_S = 5.0
+# Outcomes are counted with this weight; a share of failures above the bound over at
+# least so many outcomes makes a backend server the last choice.
+OUTCOME_WEIGHT = 0.15
+BAD_SHARE = 0.35
+
+
+class Backend:
+    """One start of a backend server and what this host has seen of it."""
+
+    __slots__ = (
+        "announcement",
+        "heard_s",
+        "changed",
+        "active",
+        "failures",
+        "paused_until_s",
+        "bad_share",
+        "service_s",
+    )
+
+    def __init__(self, announcement: Announcement, heard_s: float) -> None:
+        self.announcement = announcement
+        # When the newest announcement was made, by this host's clock.
+        self.heard_s = heard_s
+        # The number of this host's table at the newest change.
+        self.changed = 0
+        # Requests that this host has running there.
+        self.active = 0
+        self.failures = 0
+        self.paused_until_s = 0.0
+        # Share of failed outcomes, newest weighted most.
+        self.bad_share = 0.0
+        # Recent time to the head of a reply.
+        self.service_s = 0.0
+
+    def is_live(self, now_s: float) -> bool:
+        """Return whether new work may go there by what it announced."""
+        fresh = now_s - self.heard_s < SILENT_S
+        return fresh and self.announcement.state == READY
+
+    def note_success(self, took_s: float) -> None:
+        """Count an answer that was the backend server's own."""
+        self.failures = 0
+        self.paused_until_s = 0.0
+        self.bad_share *= 1 - OUTCOME_WEIGHT
+        self.service_s += OUTCOME_WEIGHT * (took_s - self.service_s)
+
+    def note_error(self) -> None:
+        """Count an answer that was a failure."""
+        self.bad_share += OUTCOME_WEIGHT * (1 - self.bad_share)
+
+    def note_broken(self, now_s: float) -> None:
+        """Count a connection that failed, and pause sending there."""
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self.failures)
+        self.failures += 1
+        self.paused_until_s = now_s + pause_s
+        self.note_error()
+
+
+class BackendTable:
+    """Takes announcements in any order and keeps the newest of each instance."""
+
+    def __init__(self) -> None:
+        self._backends: dict[str, Backend] = {}
+        self.number = 0
+
+    def take(self, announcement: Announcement, heard_s: float) -> bool:
+        """Take an announcement made at ``heard_s``; False if a newer one is known."""
+        known = self._backends.get(announcement.instance_id)
+        if known is None:
+            self._set(Backend(announcement, heard_s))
+            return True
+        held = known.announcement
+        if announcement.started_at_ms < held.started_at_ms:
+            return False
+        if announcement.started_at_ms > held.started_at_ms:
+            self._set(Backend(announcement, heard_s))
+            return True
+        if _rank(announcement) <= _rank(held):
+            return False
+        known.announcement = announcement
+        known.heard_s = max(known.heard_s, heard_s)
+        self._set(known)
+        return True
+
+    def _set(self, backend: Backend) -> None:
+        self.number += 1
+        backend.changed = self.number
+        self._backends[backend.announcement.instance_id] = backend
+
+    def end(self, instance_id: str, now_s: float) -> None:
+        """Note that an instance has said that it is gone."""
+        known = self._backends.get(instance_id)
+        if known is None:
+            held = Announcement(instance_id, "", "", "", GONE, 0, 0, 0, ())
+            self._set(Backend(held, now_s))
+            return
+        held = known.announcement
+        known.announcement = Announcement(
+            instance_id,
+            held.service,
+            held.address,
+            held.data_centre,
+            GONE,
+            held.started_at_ms,
+            held.sequence,
+            held.slots,
+            (),
+        )
+        known.heard_s = now_s
+        self._set(known)
+
+    def find(self, instance_id: str) -> Backend | None:
+        """Return an instance that is known, whatever its state."""
+        return self._backends.get(instance_id)
+
+    def live(self, service: str, now_s: float, *, stale: bool) -> Sequence[Backend]:
+        """Return the backend servers of a service that take new work.
+
+        ``stale`` also returns silent ones: a host that is cut off hears nobody.
+        """
+        found = [
+            backend
+            for backend in self._backends.values()
+            if backend.announcement.service == service
+            and backend.announcement.state == READY
+            and (stale or now_s - backend.heard_s < SILENT_S)
+        ]
+        return _newest_by_address(found)
+
+    def changed_since(self, number: int) -> Sequence[Backend]:
+        """Return the backend servers that changed after a number of this table."""
+        return [item for item in self._backends.values() if item.changed > number]
+
+    def expire(self, now_s: float) -> Sequence[str]:
+        """Forget instances that have not been heard for long; return their ids."""
+        old = [
+            instance_id
+            for instance_id, backend in self._backends.items()
+            if now_s - backend.heard_s > REMEMBER_GONE_S
+        ]
+        for instance_id in old:
+            del self._backends[instance_id]
+        return old
+
+
+def _rank(announcement: Announcement) -> tuple[int, int]:
+    """Order the announcements of one start: an end is final, then by sequence."""
+    return int(announcement.state == GONE), announcement.sequence
+
+
+def _newest_by_address(backends: Sequence[Backend]) -> Sequence[Backend]:
+    """Keep the newest start at each address: an older one there cannot be running."""
+    newest: dict[str, Backend] = {}
+    for backend in backends:
+        held = newest.get(backend.announcement.address)
+        if held is None or _started(held) < _started(backend):
+            newest[backend.announcement.address] = backend
+    return list(newest.values())
+
+
+def _started(backend: Backend) -> tuple[int, float]:
+    return backend.announcement.started_at_ms, backend.heard_s
+
+
+__all__ = ["GONE", "LEAVING", "READY", "Backend", "BackendTable"]
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_control_desk.py
@@ -0,0 +1,79 @@
+"""What operators and backend servers ask of any host."""
+
+import zlib
+
+from damaskvalve_core import DecisionLog, boot_clock_s
+from damaskvalve_core.messages import Command, DocumentRecord, VersionRecord
+from damaskvalve_gateway._dialect import Dialect
+from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._model import READY, Announcement
+from damaskvalve_gateway._state_link import CONFIGURATION, StateLink
+from damaskvalve_gateway._sync import SyncController
+
+
+class ControlDesk:
+    """Takes configurations, adapter versions and announcements.
+
+    Each call either acknowledges what then holds on all hosts, or raises
+    :class:`RetryLaterError` so that the caller asks another host.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        link: StateLink,
+        sync: SyncController,
+        knowledge: Knowledge,
+        log: DecisionLog,
+    ) -> None:
+        self._dialect = dialect
+        self._link = link
+        self._sync = sync
+        self._knowledge = knowledge
+        self._log = log
+
+    async def put_configuration(self, body: bytes) -> int:
+        """Commit a whole configuration and return its version.
+
+        Raises :class:`SettingsError` with every finding if it is not valid. One
+        whose version is not the highest is acknowledged and changes nothing.
+        """
+        configuration = self._dialect.read_configuration(body)
+        version = configuration.version
+        record = DocumentRecord(CONFIGURATION, version, zlib.compress(body))
+        result = await self._link.commit(Command(document=record))
+        self._log.line(
+            "configuration_committed",
+            version=version,
+            accepted=result.accepted,
+            reason=result.reason,
+        )
+        return version
+
+    async def read_configuration(self) -> bytes:
+        """Return the newest configuration; empty if there is none yet."""
+        await self._link.catch_up()
+        return self._knowledge.configuration_body
+
+    async def name_version(self, adapter: str, version: int) -> None:
+        """Commit the newest version of an adapter."""
+        await self._link.commit(Command(name_version=VersionRecord(adapter, version)))
+        self._log.line("adapter_version", adapter=adapter, version=version)
+
+    async def announce(self, announcement: Announcement) -> None:
+        """Take an announcement; one that ends work holds on all hosts in time."""
+        self._sync.announce(announcement, boot_clock_s())
+        if announcement.state != READY:
+            await self._sync.sync_now()
+            self._log.line(
+                "backend_leaving",
+                backend=announcement.instance_id,
+                state=announcement.state,
+                sequence=announcement.sequence,
+            )
+
+    async def end(self, instance_id: str) -> None:
+        """Take the end of a backend server."""
+        self._sync.end(instance_id, boot_clock_s())
+        await self._sync.sync_now()
+        self._log.line("backend_gone", backend=instance_id)
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_dialect.py
@@ -0,0 +1,46 @@
+"""What a deployment's wire format has to be translated by.
+
+The gateway decides in its own types; functions of this shape, one set for each wire
+format, read and write the bytes.
+"""
+
+from collections.abc import Callable, Sequence
+
+from damaskvalve_core import RefusedError
+from damaskvalve_core.http import Headers, Incoming
+from damaskvalve_gateway._model import (
+    CallerRequest,
+    GatewayConfiguration,
+    ReplyMark,
+    SendPlan,
+)
+
+
+class Dialect:
+    """The functions that translate one wire format."""
+
+    __slots__ = (
+        "read_request",
+        "backend_headers",
+        "read_reply",
+        "refusal",
+        "read_configuration",
+    )
+
+    def __init__(
+        self,
+        read_request: Callable[[Incoming], CallerRequest],
+        backend_headers: Callable[
+            [CallerRequest, SendPlan], Sequence[tuple[bytes, bytes]]
+        ],
+        read_reply: Callable[[int, Headers], ReplyMark],
+        refusal: Callable[[RefusedError], tuple[Headers, bytes]],
+        read_configuration: Callable[[bytes], GatewayConfiguration],
+    ) -> None:
+        # Raises RefusedError for a request that cannot be understood.
+        self.read_request = read_request
+        self.backend_headers = backend_headers
+        self.read_reply = read_reply
+        self.refusal = refusal
+        # Raises SettingsError with every finding for one that is not valid.
+        self.read_configuration = read_configuration
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
@@ -0,0 +1,95 @@
+"""One request on its way through the gateway."""
+
+from damaskvalve_core.http import Responder
+from damaskvalve_gateway._model import (
+    CallerRequest,
+    Route,
+    SendPlan,
+    Service,
+    Workspace,
+)
+
+
+class Exchange:
+    """A request, the terms that it is served on, and what was tried so far."""
+
+    __slots__ = (
+        "request",
+        "route",
+        "workspace",
+        "service",
+        "responder",
+        "arrived_s",
+        "deadline_s",
+        "fingerprint",
+        "tried",
+        "sends",
+        "runs",
+        "last_event_id",
+        "first_event_s",
+        "waited_s",
+        "backend",
+        "outcome",
+    )
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route: Route,
+        workspace: Workspace | None,
+        service: Service,
+        responder: Responder,
+        arrived_s: float,
+        fingerprint: str,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.workspace = workspace
+        self.service = service
+        self.responder = responder
+        self.arrived_s = arrived_s
+        left_s = route.timeout_s
+        if request.deadline_s is not None:
+            left_s = min(left_s, request.deadline_s)
+        self.deadline_s = arrived_s + left_s
+        # Empty if the request has nothing to be known again by.
+        self.fingerprint = fingerprint
+        # Instances that the request was sent to.
+        self.tried: set[str] = set()
+        self.sends = 0
+        # Sends that may have run.
+        self.runs = 0
+        # The newest event that the caller has.
+        self.last_event_id = request.last_event_id
+        self.first_event_s: float | None = None
+        self.waited_s = 0.0
+        self.backend = ""
+        self.outcome = ""
+
+    def left_s(self, now_s: float) -> float:
+        """Return how long the request may still take."""
+        return self.deadline_s - now_s
+
+    def may_run_again(self) -> bool:
+        """Return whether one more run is allowed after one that broke."""
+        return self.route.may_repeat() and self.runs < self.route.max_attempts
+
+    def plan(self, instance_id: str, adapter_version: int, now_s: float) -> SendPlan:
+        """Return what is added to the request for an instance."""
+        workspace = self.workspace
+        priority: int | None = None
+        if self.service.engine is not None:
+            priority = self.route.priority
+            if workspace is not None and workspace.priority is not None:
+                priority = workspace.priority
+        caller_left_s = self.request.deadline_s
+        if caller_left_s is None:
+            caller_left_s = self.route.timeout_s
+        return SendPlan(
+            instance_id,
+            max(0.001, self.arrived_s + caller_left_s - now_s),
+            workspace.name if workspace else "",
+            priority,
+            adapter_version,
+            self.last_event_id,
+        )
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -0,0 +1,381 @@
+"""The request path: a chain of steps from a caller's bytes to a backend server's."""
+
+import asyncio
+import contextlib
+import traceback
+from collections.abc import Awaitable, Callable, Sequence
+
+import xxhash
+
+from damaskvalve_core import (
+    UNKNOWN,
+    DecisionLog,
+    RefusedError,
+    boot_clock_s,
+    is_sampled,
+)
+from damaskvalve_core.http import BackendPool, Incoming, Responder
+from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._choice import order_engines, order_plain
+from damaskvalve_gateway._crashes import COME_BACK_S, fingerprint
+from damaskvalve_gateway._dialect import Dialect
+from damaskvalve_gateway._exchange import Exchange
+from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._model import (
+    CallerRequest,
+    GatewayConfiguration,
+    Route,
+    Workspace,
+)
+from damaskvalve_gateway._permits import Permit, PermitDesk
+from damaskvalve_gateway._quota import HostQuota
+from damaskvalve_gateway._retries import RetryAllowance
+from damaskvalve_gateway._send import (
+    ANSWERED,
+    BROKEN,
+    FAILED,
+    NOT_RUN,
+    Failure,
+    Send,
+    relay,
+)
+
+# A host without a configuration will have one within seconds of its start.
+NO_CONFIGURATION_RETRY_S = 1.0
+NO_BACKEND_RETRY_S = 0.5
+# A host that has heard no leader for so long keeps backend servers that it does not
+# hear of either.
+CUT_OFF_S = 2.5
+# Sends of one request that backend servers may turn down before it is refused.
+MAX_TURNED_DOWN = 3
+
+#: Asks the leader for tokens; returns 0 or how long until they are there.
+AskLeader = Callable[[Workspace, float], Awaitable[float]]
+#: Tells the other hosts of a broken run.
+TellCrash = Callable[[str, str], None]
+
+
+class Gateway:
+    """Serves callers' requests with what the host knows at the time."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        dialect: Dialect,
+        pool: BackendPool,
+        permits: PermitDesk,
+        quota: HostQuota,
+        retries: RetryAllowance,
+        ask_leader: AskLeader,
+        tell_crash: TellCrash,
+        data_centre: str,
+        log: DecisionLog,
+    ) -> None:
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._pool = pool
+        self._permits = permits
+        self._quota = quota
+        self._retries = retries
+        self._ask_leader = ask_leader
+        self._tell_crash = tell_crash
+        self._data_centre = data_centre
+        self._log = log
+
+    async def handle(self, incoming: Incoming, responder: Responder) -> None:
+        """Answer one request, whatever becomes of it."""
+        arrived_s = boot_clock_s()
+        request_id = ""
+        try:
+            request = self._dialect.read_request(incoming)
+            request_id = request.request_id
+            exchange = self._admit(request, responder, arrived_s)
+            await self._within_deadline(exchange)
+        except RefusedError as error:
+            await self._refuse(error, request_id, responder, arrived_s)
+        except Exception as error:
+            self._log.line(
+                "internal_error", request=request_id, trace=traceback.format_exc()
+            )
+            refused = RefusedError(502, "internal", repr(error), ran=UNKNOWN)
+            await self._refuse(refused, request_id, responder, arrived_s)
+
+    async def _refuse(
+        self,
+        error: RefusedError,
+        request_id: str,
+        responder: Responder,
+        arrived_s: float,
+    ) -> None:
+        """Answer with a refusal, or cut an answer that has begun."""
+        self._log.line(
+            "refused",
+            request=request_id,
+            status=error.status,
+            code=error.code,
+            ran=error.ran,
+            reason=str(error),
+            retry_after_s=error.retry_after_s or "",
+            took_s=round(boot_clock_s() - arrived_s, 4),
+            contact_age_s=round(arrived_s - self._knowledge.contact_s, 2),
+        )
+        if responder.started:
+            responder.cut()
+            return
+        headers, body = self._dialect.refusal(error)
+        await responder.send(error.status, headers, body)
+
+    # ---- before anything is spent on a request ----
+
+    def _admit(
+        self, request: CallerRequest, responder: Responder, arrived_s: float
+    ) -> Exchange:
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            raise RefusedError(
+                503,
+                "no_configuration",
+                "no configuration has arrived yet",
+                retry_after_s=NO_CONFIGURATION_RETRY_S,
+            )
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            raise RefusedError(404, "no_route", "no route matches host and path")
+        workspace = self._authenticate(configuration, route, request)
+        mark = ""
+        if request.body:
+            name = workspace.name if workspace else ""
+            mark = fingerprint(name, request.path, request.body)
+            if self._knowledge.crashes.is_refused(mark, arrived_s):
+                raise RefusedError(
+                    503,
+                    "crashing_request",
+                    "this request has crashed the backend servers that ran it",
+                    retry_after_s=COME_BACK_S,
+                )
+        point = xxhash.xxh32_intdigest(request.request_id.encode()) / 2**32
+        service = configuration.services[route.choose_service(point)]
+        return Exchange(request, route, workspace, service, responder, arrived_s, mark)
+
+    @staticmethod
+    def _authenticate(
+        configuration: GatewayConfiguration, route: Route, request: CallerRequest
+    ) -> Workspace | None:
+        if route.public or not configuration.needs_keys():
+            return None
+        workspace = configuration.workspace_of(request.key) if request.key else None
+        if workspace is None:
+            raise RefusedError(401, "unknown_key", "the key is not known")
+        return workspace
+
+    # ---- time and rate ----
+
+    async def _within_deadline(self, exchange: Exchange) -> None:
+        left_s = exchange.left_s(boot_clock_s())
+        try:
+            async with asyncio.timeout(left_s):
+                await self._within_rate(exchange)
+        except TimeoutError as error:
+            exchange.outcome = "timeout"
+            if exchange.runs:
+                raise RefusedError(
+                    504, "timeout", "no answer came in time", ran=UNKNOWN
+                ) from error
+            raise RefusedError(
+                503,
+                "no_place_in_time",
+                "no backend server had a place in time",
+                retry_after_s=NO_BACKEND_RETRY_S,
+            ) from error
+        finally:
+            self._record(exchange)
+
+    async def _within_rate(self, exchange: Exchange) -> None:
+        workspace = exchange.workspace
+        if workspace is None or workspace.rate_per_s <= 0:
+            await self._dispatch(exchange)
+            return
+        tokens = workspace.cost(exchange.request)
+        own = await self._take_tokens(workspace, tokens)
+        try:
+            await self._dispatch(exchange)
+        finally:
+            if own and not exchange.runs:
+                self._quota.give_back(workspace, tokens, boot_clock_s())
+
+    async def _take_tokens(self, workspace: Workspace, tokens: float) -> bool:
+        """Take tokens; return whether they came from this host's own part."""
+        wait_s = self._quota.take(workspace, tokens, boot_clock_s())
+        if wait_s <= 0:
+            return True
+        leader_wait_s = await self._ask_leader(workspace, tokens)
+        if leader_wait_s <= 0:
+            return False
+        raise RefusedError(
+            429,
+            "over_rate",
+            f"workspace {workspace.name} is over its rate",
+            retry_after_s=min(wait_s, leader_wait_s),
+        )
+
+    # ---- sending ----
+
+    async def _dispatch(self, exchange: Exchange) -> None:
+        self._retries.earn(exchange.service.name, boot_clock_s())
+        kept: Failure | None = None
+        turned_down = 0
+        while True:
+            send = await self._one_send(exchange)
+            outcome, kept = send.outcome, send.failure or kept
+            if outcome == ANSWERED:
+                return
+            if outcome == NOT_RUN:
+                turned_down += 1
+                if turned_down >= MAX_TURNED_DOWN:
+                    self._give_up(exchange, send)
+            elif outcome == BROKEN:
+                self._note_broken(exchange, send)
+            if not self._may_send_again(exchange, outcome):
+                break
+        if kept is not None and not exchange.responder.started:
+            await relay(exchange, kept.head, kept.body)
+            return
+        self._give_up(exchange, send)
+
+    def _may_send_again(self, exchange: Exchange, outcome: str) -> bool:
+        if outcome != NOT_RUN and not exchange.may_run_again():
+            return False
+        service = exchange.service.name
+        if not exchange.sends:
+            return True
+        return self._retries.take(service, self._knowledge.hosts, boot_clock_s())
+
+    def _give_up(self, exchange: Exchange, send: "_Attempt") -> None:
+        if exchange.runs:
+            raise RefusedError(
+                502, "broken", f"the backend server failed: {send.reason}", ran=UNKNOWN
+            )
+        raise RefusedError(
+            503,
+            "turned_down",
+            f"no backend server took the request: {send.reason}",
+            retry_after_s=NO_BACKEND_RETRY_S,
+        )
+
+    def _note_broken(self, exchange: Exchange, send: "_Attempt") -> None:
+        if exchange.fingerprint:
+            now_s = boot_clock_s()
+            instance_id = send.instance_id
+            if self._knowledge.crashes.note(exchange.fingerprint, instance_id, now_s):
+                self._tell_crash(exchange.fingerprint, instance_id)
+        self._log.line(
+            "broken_run",
+            request=exchange.request.request_id,
+            backend=send.instance_id,
+            reason=send.reason,
+            runs=exchange.runs,
+            last_event=exchange.last_event_id or "",
+        )
+
+    def _candidates(self, exchange: Exchange) -> Sequence[Backend]:
+        now_s = boot_clock_s()
+        stale = now_s - self._knowledge.contact_s > CUT_OFF_S
+        service = exchange.service.name
+        live = self._knowledge.backends.live(service, now_s, stale=stale)
+        fresh = [
+            item for item in live if item.announcement.instance_id not in exchange.tried
+        ]
+        # The only one left is tried again, unless it may still be running it.
+        return fresh or ([] if exchange.runs else live)
+
+    async def _one_send(self, exchange: Exchange) -> "_Attempt":
+        candidates = self._candidates(exchange)
+        if not candidates:
+            if exchange.runs:
+                raise RefusedError(
+                    502, "no_backend", "no other backend server is left", ran=UNKNOWN
+                )
+            raise RefusedError(
+                503,
+                "no_backend",
+                f"no backend server of {exchange.service.name} takes work",
+                retry_after_s=NO_BACKEND_RETRY_S,
+            )
+        if exchange.service.engine is None:
+            now_s = boot_clock_s()
+            request_id = exchange.request.request_id
+            ranked = order_plain(candidates, self._data_centre, request_id, now_s)
+            return await self._send(exchange, Permit(ranked[0], 0, None, request_id))
+        return await self._send_to_engine(exchange, candidates)
+
+    async def _send_to_engine(
+        self, exchange: Exchange, candidates: Sequence[Backend]
+    ) -> "_Attempt":
+        request = exchange.request
+        engine = exchange.service.engine
+        assert engine is not None
+        name = f"{request.model}/{request.adapter}"
+        version = self._knowledge.adapter_versions.get(name, 0)
+        ranked = order_engines(candidates, name, boot_clock_s())
+        permits = self._permits.permit(exchange, ranked, version, engine)
+        async with permits as permit:
+            attempt = await self._send(exchange, permit)
+            permit.release(attempt.outcome)
+            return attempt
+
+    async def _send(self, exchange: Exchange, permit: Permit) -> "_Attempt":
+        backend = permit.backend
+        exchange.backend = backend.announcement.instance_id
+        send = Send(
+            exchange,
+            backend,
+            permit.version,
+            self._pool,
+            self._dialect,
+            permit.note_started,
+        )
+        outcome = await send.run()
+        return _Attempt(outcome, exchange.backend, send.reason, send.failure)
+
+    # ---- records ----
+
+    def _record(self, exchange: Exchange) -> None:
+        request = exchange.request
+        took_s = boot_clock_s() - exchange.arrived_s
+        whole = exchange.responder.finished
+        if whole and exchange.sends == 1 and not is_sampled(request.request_id):
+            return
+        first_s = exchange.first_event_s
+        with contextlib.suppress(AttributeError):
+            self._log.line(
+                "request",
+                request=request.request_id,
+                route=exchange.route.name,
+                workspace=exchange.workspace.name if exchange.workspace else "",
+                backend=exchange.backend,
+                adapter=request.adapter,
+                outcome=exchange.outcome or ("answered" if whole else "not-answered"),
+                sends=exchange.sends,
+                runs=exchange.runs,
+                waited_s=round(exchange.waited_s, 4),
+                first_event_s=round(first_s - exchange.arrived_s, 4) if first_s else "",
+                took_s=round(took_s, 4),
+                version=getattr(self._knowledge.configuration, "version", 0),
+            )
+
+
+class _Attempt:
+    """What became of one send."""
+
+    __slots__ = ("outcome", "instance_id", "reason", "failure")
+
+    def __init__(
+        self, outcome: str, instance_id: str, reason: str, failure: Failure | None
+    ) -> None:
+        self.outcome = outcome
+        self.instance_id = instance_id
+        self.reason = reason
+        self.failure = failure
+
+
+__all__ = ["FAILED", "Gateway"]
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_knowledge.py
@@ -0,0 +1,27 @@
+"""What a host knows of configuration, versions and backend servers."""
+
+from collections.abc import Mapping
+
+from damaskvalve_gateway._backends import BackendTable
+from damaskvalve_gateway._crashes import CrashBook
+from damaskvalve_gateway._model import GatewayConfiguration
+
+# Hosts that are assumed until the leader has said how many there are.
+ASSUMED_HOSTS = 8
+
+
+class Knowledge:
+    """Replaced or filled by the controllers, read by the request path."""
+
+    def __init__(self) -> None:
+        # None until the first configuration has arrived.
+        self.configuration: GatewayConfiguration | None = None
+        # The same as the operators sent it.
+        self.configuration_body = b""
+        # Newest versions by adapter, as far as operators have named one.
+        self.adapter_versions: Mapping[str, int] = {}
+        self.backends = BackendTable()
+        self.crashes = CrashBook()
+        self.hosts = ASSUMED_HOSTS
+        # When the leader was last heard.
+        self.contact_s = 0.0
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -0,0 +1,327 @@
+"""What a gateway serves: routes, services, workspaces, requests, backend servers."""
+
+from collections.abc import Mapping, Sequence
+
+SAFE = "safe"
+UNSAFE = "unsafe"
+STREAMING = "streaming"
+
+READY = "ready"
+LEAVING = "leaving"
+GONE = "gone"
+
+
+class EngineSpec:
+    """The sizes of the model engines of one service."""
+
+    __slots__ = ("slots", "adapter_slots", "memory_tokens")
+
+    def __init__(self, slots: int, adapter_slots: int, memory_tokens: int) -> None:
+        self.slots = slots
+        self.adapter_slots = adapter_slots
+        self.memory_tokens = memory_tokens
+
+
+class Service:
+    """A service whose backend servers are alike; ``engine`` is None for plain ones."""
+
+    __slots__ = ("name", "max_connections", "engine")
+
+    def __init__(
+        self, name: str, max_connections: int, engine: EngineSpec | None
+    ) -> None:
+        self.name = name
+        # Over all callers of one backend server together.
+        self.max_connections = max_connections
+        self.engine = engine
+
+
+class Route:
+    """Where the requests of one host name and path prefix go, and on what terms."""
+
+    __slots__ = (
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "timeout_s",
+        "objective_s",
+        "priority",
+        "split",
+        "max_attempts",
+        "public",
+        "resumable",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        prefix: str,
+        kind: str,
+        timeout_s: float,
+        objective_s: float,
+        priority: int,
+        split: Sequence[tuple[str, float]],
+        max_attempts: int,
+        *,
+        public: bool,
+        resumable: bool,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.kind = kind
+        self.timeout_s = timeout_s
+        # Within this time an answer (a stream: its first event) has its full worth.
+        self.objective_s = objective_s
+        # 0 is the most urgent.
+        self.priority = priority
+        self.split = tuple(split)
+        self.max_attempts = max_attempts
+        self.public = public
+        self.resumable = resumable
+
+    def may_repeat(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind == SAFE or (self.kind == STREAMING and self.resumable)
+
+    def choose_service(self, point: float) -> str:
+        """Return the service at a point in [0, 1) of the weights."""
+        total = sum(weight for _, weight in self.split)
+        reached = 0.0
+        for name, weight in self.split:
+            reached += weight
+            if point * total < reached:
+                return name
+        return self.split[-1][0]
+
+
+class Workspace:
+    """A workspace with its rate and burst in tokens; a rate of 0 is no limit."""
+
+    __slots__ = ("name", "priority", "rate_per_s", "burst", "plain_tokens", "by_tokens")
+
+    def __init__(
+        self,
+        name: str,
+        priority: int | None,
+        rate_per_s: float,
+        burst: float,
+        plain_tokens: float,
+        *,
+        by_tokens: bool,
+    ) -> None:
+        self.name = name
+        self.priority = priority
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        # What a request counts that names no tokens.
+        self.plain_tokens = plain_tokens
+        # Whether rate and burst count tokens; requests otherwise.
+        self.by_tokens = by_tokens
+
+    def cost(self, request: "CallerRequest") -> float:
+        """Return what a request counts against the rate."""
+        if not self.by_tokens:
+            return 1.0
+        if request.prompt_tokens is None:
+            return self.plain_tokens
+        return float(request.prompt_tokens + request.output_tokens)
+
+
+class CallerLimits:
+    """What a caller may send and how long it may take."""
+
+    __slots__ = ("header_bytes", "body_bytes", "header_timeout_s", "idle_timeout_s")
+
+    def __init__(
+        self,
+        header_bytes: int,
+        body_bytes: int,
+        header_timeout_s: float,
+        idle_timeout_s: float,
+    ) -> None:
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_timeout_s = header_timeout_s
+        self.idle_timeout_s = idle_timeout_s
+
+
+class GatewayConfiguration:
+    """One whole configuration, checked when it was read."""
+
+    __slots__ = ("version", "services", "limits", "workspaces", "_routes", "_keys")
+
+    def __init__(
+        self,
+        version: int,
+        routes: Sequence[Route],
+        services: Mapping[str, Service],
+        limits: CallerLimits,
+        workspaces: Mapping[str, Workspace],
+        keys: Mapping[str, str],
+    ) -> None:
+        self.version = version
+        self.services = services
+        self.limits = limits
+        self.workspaces = workspaces
+        self._keys = keys
+        self._routes: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda item: -len(item.prefix)):
+            self._routes.setdefault(route.host, []).append(route)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self._routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def workspace_of(self, key: str) -> Workspace | None:
+        """Return the workspace that holds a key."""
+        name = self._keys.get(key)
+        return None if name is None else self.workspaces[name]
+
+    def needs_keys(self) -> bool:
+        """Return whether routes that are not public ask for a key."""
+        return bool(self.workspaces)
+
+
+class CallerRequest:
+    """One request as a caller sent it, decoded."""
+
+    __slots__ = (
+        "request_id",
+        "method",
+        "target",
+        "host",
+        "path",
+        "headers",
+        "body",
+        "key",
+        "deadline_s",
+        "model",
+        "adapter",
+        "prompt_tokens",
+        "output_tokens",
+        "last_event_id",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        method: str,
+        target: str,
+        host: str,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes,
+        *,
+        key: str = "",
+        deadline_s: float | None = None,
+        model: str = "",
+        adapter: str = "",
+        prompt_tokens: int | None = None,
+        output_tokens: int = 0,
+        last_event_id: int | None = None,
+    ) -> None:
+        self.request_id = request_id
+        self.method = method
+        self.target = target
+        self.host = host
+        self.path = target.partition("?")[0]
+        # What goes on to the backend server as it is.
+        self.headers = tuple(headers)
+        self.body = body
+        self.key = key
+        # How long the caller waits, from when the request was read.
+        self.deadline_s = deadline_s
+        self.model = model
+        self.adapter = adapter
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.last_event_id = last_event_id
+
+
+class SendPlan:
+    """What the system adds to a request that goes to a backend server."""
+
+    __slots__ = (
+        "instance_id",
+        "deadline_s",
+        "workspace",
+        "priority",
+        "adapter_version",
+        "last_event_id",
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        deadline_s: float,
+        workspace: str,
+        priority: int | None,
+        adapter_version: int,
+        last_event_id: int | None,
+    ) -> None:
+        self.instance_id = instance_id
+        self.deadline_s = deadline_s
+        self.workspace = workspace
+        self.priority = priority
+        # 0 if no version has to be asked for.
+        self.adapter_version = adapter_version
+        self.last_event_id = last_event_id
+
+
+class ReplyMark:
+    """What the head of a backend server's reply says beyond its status."""
+
+    __slots__ = ("request_id", "not_run", "encoded")
+
+    def __init__(self, request_id: str, *, not_run: bool, encoded: bool) -> None:
+        self.request_id = request_id
+        # The backend server states that it has not run the request and will not.
+        self.not_run = not_run
+        # The body was encoded on the way; it is not the backend server's.
+        self.encoded = encoded
+
+
+class Announcement:
+    """What a backend server says of itself, or an operator of its end."""
+
+    __slots__ = (
+        "instance_id",
+        "service",
+        "address",
+        "data_centre",
+        "state",
+        "started_at_ms",
+        "sequence",
+        "slots",
+        "resident",
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        service: str,
+        address: str,
+        data_centre: str,
+        state: str,
+        started_at_ms: int,
+        sequence: int,
+        slots: int,
+        resident: Sequence[str],
+    ) -> None:
+        self.instance_id = instance_id
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.state = state
+        # Tells a later start under the same id from an earlier one.
+        self.started_at_ms = started_at_ms
+        # Rises with each announcement of one start.
+        self.sequence = sequence
+        self.slots = slots
+        # Adapters that it holds, as ``adapter@version``.
+        self.resident = tuple(resident)
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
@@ -0,0 +1,241 @@
+"""Asks the agents beside the engines whether a request may start there.
+
+A permit is a call that stays open while the request runs: closing it gives the place
+back, also when this host dies.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Sequence
+
+from damaskvalve_core import (
+    Call,
+    Caller,
+    ChannelError,
+    RefusedError,
+    boot_clock_s,
+    split_address,
+)
+from damaskvalve_core.messages import (
+    AdmitEnd,
+    AdmitReply,
+    AdmitRequest,
+    EngineLimits,
+)
+from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._exchange import Exchange
+from damaskvalve_gateway._model import EngineSpec
+
+# A home that would start the request within this is taken at once; the rest of the
+# time to the first event is the engine's.
+PROMPT_WAIT_S = 0.45
+# How many homes are asked before the least loaded of all is.
+HOMES = 2
+# The part of a request's time that it may wait before it starts; the answer needs the
+# rest.
+LONGEST_WAIT_PART = 0.4
+# An agent answers at once, if only that the request is queued.
+AGENT_ANSWER_S = 0.5
+# An agent that does not answer is left out for this long.
+SILENT_AGENT_S = 2.0
+# When no engine knows when it will have a place.
+UNKNOWN_WAIT_S = 1.0
+QUEUED = "queued"
+STARTED = "started"
+RELEASED = "released"
+
+
+class Permit:
+    """The right to start a request at one engine."""
+
+    __slots__ = ("backend", "version", "_call", "_request_id", "_told")
+
+    def __init__(
+        self, backend: Backend, version: int, call: Call | None, request_id: str
+    ) -> None:
+        self.backend = backend
+        # The adapter's version that the engine holds, 0 if not known.
+        self.version = version
+        self._call = call
+        self._request_id = request_id
+        self._told = False
+
+    def note_started(self) -> None:
+        """Tell the agent that the first event has come."""
+        if self._call is not None and not self._told:
+            self._told = True
+            self._call.send(AdmitEnd(self._request_id, STARTED))
+
+    def release(self, outcome: str) -> None:
+        """Tell the agent that the request has ended."""
+        if self._call is not None:
+            self._call.send(AdmitEnd(self._request_id, f"{RELEASED} {outcome}"))
+
+
+class PermitDesk:
+    """Finds an engine that takes a request, and when."""
+
+    def __init__(self, caller: Caller, agent_port: int) -> None:
+        self._caller = caller
+        self._agent_port = agent_port
+        self._silent_until_s: dict[str, float] = {}
+
+    def _agent_of(self, backend: Backend) -> str:
+        ip, _ = split_address(backend.announcement.address)
+        return f"{ip}:{self._agent_port}"
+
+    @contextlib.asynccontextmanager
+    async def permit(
+        self,
+        exchange: Exchange,
+        candidates: Sequence[Backend],
+        version: int,
+        engine: EngineSpec,
+    ) -> AsyncIterator[Permit]:
+        """Yield a permit; raises :class:`RefusedError` if no engine takes the request.
+
+        The homes of the adapter are asked first, then all by the wait that they
+        predicted.
+        """
+        predicted: dict[str, float] = {}
+        async with contextlib.AsyncExitStack() as stack:
+            permit = None
+            for backend in candidates[:HOMES]:
+                permit = await self._ask(
+                    stack, exchange, backend, version, engine, PROMPT_WAIT_S, predicted
+                )
+                if permit is not None:
+                    break
+            if permit is None:
+                permit = await self._ask_all(
+                    stack, exchange, candidates, version, engine, predicted
+                )
+            if permit is None:
+                permit = self._without_agent(exchange, candidates, version)
+            if permit is None:
+                raise refuse_busy(predicted)
+            yield permit
+
+    async def _ask_all(
+        self,
+        stack: contextlib.AsyncExitStack,
+        exchange: Exchange,
+        candidates: Sequence[Backend],
+        version: int,
+        engine: EngineSpec,
+        predicted: dict[str, float],
+    ) -> Permit | None:
+        for backend in candidates[HOMES:]:
+            permit = await self._ask(
+                stack, exchange, backend, version, engine, PROMPT_WAIT_S, predicted
+            )
+            if permit is not None:
+                return permit
+        longest_s = LONGEST_WAIT_PART * exchange.left_s(boot_clock_s())
+        known = [item for item in candidates if _id(item) in predicted]
+        for backend in sorted(known, key=lambda item: predicted[_id(item)]):
+            if predicted[_id(backend)] > longest_s:
+                return None
+            permit = await self._ask(
+                stack, exchange, backend, version, engine, longest_s, predicted
+            )
+            if permit is not None:
+                return permit
+        return None
+
+    async def _ask(
+        self,
+        stack: contextlib.AsyncExitStack,
+        exchange: Exchange,
+        backend: Backend,
+        version: int,
+        engine: EngineSpec,
+        wait_s: float,
+        predicted: dict[str, float],
+    ) -> Permit | None:
+        agent = self._agent_of(backend)
+        if boot_clock_s() < self._silent_until_s.get(agent, 0.0):
+            return None
+        request = exchange.request
+        plan = exchange.plan(_id(backend), version, boot_clock_s())
+        ask = AdmitRequest(
+            request_id=request.request_id,
+            workspace=plan.workspace,
+            model=request.model,
+            adapter=request.adapter,
+            version=version,
+            prompt_tokens=request.prompt_tokens or 0,
+            output_tokens=request.output_tokens,
+            priority=plan.priority or 0,
+            deadline_s=exchange.left_s(boot_clock_s()),
+            wait_s=wait_s,
+            instance_id=_id(backend),
+            limits=EngineLimits(
+                engine.slots, engine.adapter_slots, engine.memory_tokens
+            ),
+        )
+        own = contextlib.AsyncExitStack()
+        try:
+            call = await own.enter_async_context(self._caller.open(agent, ask))
+            reply = await self._first_reply(call)
+            if reply.reason == QUEUED:
+                reply = await call.receive()
+        except (ChannelError, TimeoutError) as error:
+            await _close(own, error)
+            self._silent_until_s[agent] = boot_clock_s() + SILENT_AGENT_S
+            return None
+        except BaseException as error:
+            await _close(own, error)
+            raise
+        if not reply.granted:
+            await own.aclose()
+            predicted[_id(backend)] = reply.retry_after_s
+            return None
+        stack.push_async_exit(own.__aexit__)
+        exchange.waited_s += reply.waited_s
+        return Permit(backend, reply.version, call, request.request_id)
+
+    @staticmethod
+    async def _first_reply(call: Call) -> AdmitReply:
+        async with asyncio.timeout(AGENT_ANSWER_S):
+            reply: AdmitReply = await call.receive()
+            return reply
+
+    def _without_agent(
+        self, exchange: Exchange, candidates: Sequence[Backend], version: int
+    ) -> Permit | None:
+        """Fall back on an engine whose agent is silent and that has the adapter."""
+        wanted = exchange.request.adapter
+        now_s = boot_clock_s()
+        for backend in candidates:
+            silent = now_s < self._silent_until_s.get(self._agent_of(backend), 0.0)
+            if silent and (not wanted or holds(backend, wanted, version)):
+                return Permit(backend, version, None, exchange.request.request_id)
+        return None
+
+
+def holds(backend: Backend, adapter: str, version: int) -> bool:
+    """Return whether an engine announced an adapter, in a version if one is named."""
+    for name in backend.announcement.resident:
+        held, _, held_version = name.partition("@")
+        if held == adapter:
+            return not version or held_version == str(version)
+    return False
+
+
+async def _close(stack: contextlib.AsyncExitStack, error: BaseException) -> None:
+    """Leave a call because of an error, which closes its connection."""
+    with contextlib.suppress(BaseException):
+        await stack.__aexit__(type(error), error, error.__traceback__)
+
+
+def refuse_busy(predicted: dict[str, float]) -> RefusedError:
+    """Return the refusal for when no engine has a place in time."""
+    wait_s = min(predicted.values(), default=UNKNOWN_WAIT_S)
+    return RefusedError(
+        503, "engines_busy", "no engine has a place in time", retry_after_s=wait_s
+    )
+
+
+def _id(backend: Backend) -> str:
+    return backend.announcement.instance_id
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
@@ -0,0 +1,168 @@
+"""Rate and burst of a workspace over all hosts together.
+
+Half of each rate is split evenly between the hosts and spent without asking; the
+other half stays with the leader, which hands it out request by request to whoever
+runs short. So an even load costs no messages, a skewed one a round trip, and while
+nobody leads each host still has its part.
+
+Each part is a token bucket whose rate and burst are a part of the workspace's, and
+the parts never add up to more than the whole: a host's part is a lease that the
+leader gives again only after it has ended.
+"""
+
+from collections.abc import Mapping
+
+from damaskvalve_gateway._model import Workspace
+
+# The part of every rate that hosts may spend without asking.
+LOCAL_PART = 0.5
+# A host's part outlives the longest cut that is usual, so that a host that is cut off
+# goes on serving within it.
+SHARE_LEASE_S = 10.0
+# Clocks of two hosts drift apart by less than this.
+CLOCK_DRIFT = 0.1
+# Fewer hosts than this are never assumed, so that the first to ask do not get all.
+MIN_HOSTS = 4
+# A workspace that is refused comes back no sooner than this.
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 5.0
+
+
+class QuotaSlack:
+    """How far beyond rate and burst the users let the sum over all hosts go."""
+
+    __slots__ = ("tokens", "excess", "window_s")
+
+    def __init__(self, tokens: float, excess: float, window_s: float) -> None:
+        self.tokens = tokens
+        # A share of rate times window plus burst.
+        self.excess = excess
+        self.window_s = window_s
+
+    def burst_for(self, workspace: Workspace) -> float:
+        """Return the extra burst that all hosts together may use.
+
+        Half of what is let go: a bucket of this size can be emptied twice in a
+        window, once full and once refilled.
+        """
+        whole = workspace.rate_per_s * self.window_s + workspace.burst
+        return (self.tokens + self.excess * whole) / 2
+
+
+class TokenBucket:
+    """A part of a workspace's rate and burst."""
+
+    __slots__ = ("_level", "_at_s")
+
+    def __init__(self, level: float, now_s: float) -> None:
+        self._level = level
+        self._at_s = now_s
+
+    def _refill(self, rate_per_s: float, depth: float, now_s: float) -> None:
+        passed_s = max(0.0, now_s - self._at_s)
+        self._at_s = now_s
+        self._level = min(depth, self._level + rate_per_s * passed_s)
+
+    def take(
+        self, tokens: float, rate_per_s: float, depth: float, now_s: float
+    ) -> float:
+        """Take tokens and return 0, or return how long until they are there."""
+        self._refill(rate_per_s, depth, now_s)
+        if self._level >= tokens:
+            self._level -= tokens
+            return 0.0
+        if rate_per_s <= 0:
+            return MAX_RETRY_S
+        wait_s = (tokens - self._level) / rate_per_s
+        return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+
+    def give_back(self, tokens: float, depth: float) -> None:
+        """Return tokens of a request that did not run."""
+        self._level = min(depth, self._level + tokens)
+
+
+class HostQuota:
+    """What one host may spend without asking."""
+
+    def __init__(self, slack: QuotaSlack) -> None:
+        self._slack = slack
+        self._buckets: dict[str, TokenBucket] = {}
+        self.share = 0.0
+        self._share_until_s = 0.0
+
+    def renew(self, share: float, until_s: float) -> None:
+        """Take the part that the leader granted."""
+        self.share = share
+        self._share_until_s = until_s
+
+    def share_now(self, now_s: float) -> float:
+        """Return this host's part, 0 after its lease has ended."""
+        return self.share if now_s < self._share_until_s else 0.0
+
+    def _depth(self, workspace: Workspace, share: float) -> float:
+        slack = self._slack.burst_for(workspace)
+        return share * workspace.burst + share / LOCAL_PART * slack
+
+    def take(self, workspace: Workspace, tokens: float, now_s: float) -> float:
+        """Take tokens of this host's part; return 0 or how long to wait."""
+        share = self.share_now(now_s)
+        depth = self._depth(workspace, share)
+        bucket = self._buckets.get(workspace.name)
+        if bucket is None:
+            bucket = self._buckets[workspace.name] = TokenBucket(depth, now_s)
+        return bucket.take(tokens, share * workspace.rate_per_s, depth, now_s)
+
+    def give_back(self, workspace: Workspace, tokens: float, now_s: float) -> None:
+        """Return tokens of a request that did not run."""
+        bucket = self._buckets.get(workspace.name)
+        if bucket is not None:
+            depth = self._depth(workspace, self.share_now(now_s))
+            bucket.give_back(tokens, depth)
+
+
+class LeaderQuota:
+    """The leader's half of every rate, and the parts that it has granted."""
+
+    def __init__(self, began_s: float) -> None:
+        self._began_s = began_s
+        self._buckets: dict[str, TokenBucket] = {}
+        self._granted: dict[str, tuple[float, float]] = {}
+
+    def grant_share(
+        self, host: str, held: float, hosts: int, now_s: float
+    ) -> tuple[float, float]:
+        """Return a host's part and its lease.
+
+        A new leader does not know what was granted before, so until those leases
+        have ended it only renews what hosts say that they hold.
+        """
+        lease_s = SHARE_LEASE_S * (1 + CLOCK_DRIFT)
+        self._granted = {
+            name: grant for name, grant in self._granted.items() if grant[1] > now_s
+        }
+        others = sum(part for name, (part, _) in self._granted.items() if name != host)
+        wanted = LOCAL_PART / max(MIN_HOSTS, hosts)
+        part = max(0.0, min(wanted, LOCAL_PART - others))
+        if now_s - self._began_s < lease_s:
+            part = min(part, held)
+        # A host that loses this answer goes on with what it holds.
+        risk = max(part, min(held, LOCAL_PART))
+        self._granted[host] = (risk, now_s + lease_s)
+        return part, SHARE_LEASE_S
+
+    def take(self, workspace: Workspace, tokens: float, now_s: float) -> float:
+        """Take tokens of the leader's part; return 0 or how long to wait.
+
+        A new leader's part starts empty: the one before may just have spent it.
+        """
+        bucket = self._buckets.get(workspace.name)
+        if bucket is None:
+            bucket = self._buckets[workspace.name] = TokenBucket(0.0, self._began_s)
+        part = 1 - LOCAL_PART
+        rate_per_s = part * workspace.rate_per_s
+        return bucket.take(tokens, rate_per_s, part * workspace.burst, now_s)
+
+    def forget(self, workspaces: Mapping[str, Workspace]) -> None:
+        """Drop the buckets of workspaces that are not configured any more."""
+        for name in [name for name in self._buckets if name not in workspaces]:
+            del self._buckets[name]
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -0,0 +1,223 @@
+"""Runs a gateway host from its start to its graceful stop."""
+
+import asyncio
+import contextlib
+import signal
+import time
+from collections.abc import Awaitable, Callable, Iterator
+
+from damaskvalve_core import (
+    Caller,
+    DecisionLog,
+    boot_clock_s,
+    decision_log,
+    dialing,
+    listening,
+    serving_calls,
+)
+from damaskvalve_core.http import (
+    BackendPool,
+    HttpServer,
+    Incoming,
+    Responder,
+    ServerLimits,
+    pooled_backends,
+    serving_http,
+)
+from damaskvalve_gateway._control_desk import ControlDesk
+from damaskvalve_gateway._dialect import Dialect
+from damaskvalve_gateway._gateway import Gateway
+from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._permits import PermitDesk
+from damaskvalve_gateway._quota import HostQuota
+from damaskvalve_gateway._retries import RetryAllowance
+from damaskvalve_gateway._settings import GatewaySettings
+from damaskvalve_gateway._state_link import StateLink
+from damaskvalve_gateway._sync import LeaderDesk, SyncController
+from damaskvalve_state import Group, NodeSettings, Timing, running_group
+
+# Long enough for a scheduling pause on a small shared host; a new leader is elected
+# within two of these, well inside the time that callers of control try for.
+ELECTION_TIMEOUT_S = 1.0
+HEARTBEAT_S = 0.2
+PEER_ANSWER_S = 2.0
+# The balancer looks every second and takes a host out after two misses.
+BALANCER_LOOKS_S = 2.6
+# Left at the end of the grace time for closing what is open.
+CLOSING_S = 0.4
+STOP_STEP_S = 0.05
+# Until the first configuration names the bounds for callers.
+FIRST_LIMITS = ServerLimits(16 * 1024, 4 * 1024 * 1024, 3.0, 15.0)
+# A jump between the boot clock and the steady clock above this means that the host
+# was suspended.
+SUSPENDED_S = 0.8
+SUSPENSION_STEP_S = 0.25
+
+#: Makes the handler of the control address.
+ControlHandler = Callable[[Incoming, Responder], Awaitable[None]]
+MakeControl = Callable[[ControlDesk], ControlHandler]
+
+
+@contextlib.contextmanager
+def _member(settings: GatewaySettings) -> Iterator[Group]:
+    """Run this host's member of the group."""
+    node = NodeSettings(
+        settings.folder,
+        settings.group_address,
+        settings.data_centre,
+        settings.seeds,
+        Timing(ELECTION_TIMEOUT_S, HEARTBEAT_S),
+        may_found=settings.may_found,
+        open_group=True,
+    )
+    with (
+        dialing(settings.identity) as dialer,
+        running_group(node, dialer) as group,
+        listening(
+            settings.group_address,
+            settings.identity,
+            lambda request, _: [group.ask_peer(request, PEER_ANSWER_S)],
+        ),
+    ):
+        yield group
+
+
+def run_gateway(
+    settings: GatewaySettings, dialect: Dialect, make_control: MakeControl
+) -> None:
+    """Serve until SIGTERM, then stop gracefully."""
+    with decision_log(settings.name, boot_clock_s) as log:
+        log.line(
+            "start",
+            data_centre=settings.data_centre,
+            durable=settings.folder is not None,
+            may_found=settings.may_found,
+        )
+        with _member(settings) as group:
+            asyncio.run(_serve(settings, dialect, make_control, group, log))
+        log.line("stop")
+
+
+async def _serve(
+    settings: GatewaySettings,
+    dialect: Dialect,
+    make_control: MakeControl,
+    group: Group,
+    log: DecisionLog,
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.line("reload"))
+    knowledge = Knowledge()
+    caller = Caller(settings.identity)
+    link = StateLink(settings, group, caller, knowledge, dialect, log)
+    desk = LeaderDesk(settings, link, knowledge, log)
+    quota = HostQuota(settings.quota_slack)
+    sync = SyncController(settings, link, knowledge, quota, desk, log)
+    control = ControlDesk(dialect, link, sync, knowledge, log)
+    terms = settings.retries
+    async with contextlib.AsyncExitStack() as stack:
+        pool = await stack.enter_async_context(pooled_backends())
+        gateway = Gateway(
+            knowledge,
+            dialect,
+            pool,
+            PermitDesk(caller, settings.agent_port),
+            quota,
+            RetryAllowance(terms.ratio, terms.slack, terms.window_s),
+            sync.ask_tokens,
+            sync.tell_crash,
+            settings.data_centre,
+            log,
+        )
+        calls = settings.call_address(settings.group_address)
+        await stack.enter_async_context(
+            serving_calls(calls, settings.identity, desk.answer)
+        )
+        link.watch()
+
+        async def open_server(
+            address: str, handler: ControlHandler, limits: Callable[[], ServerLimits]
+        ) -> HttpServer:
+            serving = serving_http(address, handler, limits, dialect.refusal)
+            return await stack.enter_async_context(serving)
+
+        await open_server(
+            settings.control_address, make_control(control), _control_limits
+        )
+        ready = _make_ready(knowledge, stopping)
+        await open_server(settings.ready_address, ready, _control_limits)
+        front = await open_server(
+            settings.front_address, gateway.handle, lambda: _limits(knowledge)
+        )
+        tasks = [
+            loop.create_task(sync.run()),
+            loop.create_task(_watch_suspension(pool, caller, log)),
+        ]
+        try:
+            await stopping.wait()
+            await _stop(settings, front, log)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+
+def _control_limits() -> ServerLimits:
+    """Return the bounds for operators and backend servers."""
+    return ServerLimits(16 * 1024, 16 * 1024 * 1024, 5.0, 30.0)
+
+
+def _limits(knowledge: Knowledge) -> ServerLimits:
+    configuration = knowledge.configuration
+    if configuration is None:
+        return FIRST_LIMITS
+    limits = configuration.limits
+    return ServerLimits(
+        limits.header_bytes,
+        limits.body_bytes,
+        limits.header_timeout_s,
+        limits.idle_timeout_s,
+    )
+
+
+def _make_ready(knowledge: Knowledge, stopping: asyncio.Event) -> ControlHandler:
+    """Return the handler by which the balancer asks whether to send callers."""
+
+    async def ready(incoming: Incoming, responder: Responder) -> None:
+        is_ready = knowledge.configuration is not None and not stopping.is_set()
+        await responder.send(200 if is_ready else 503, [], b"")
+
+    return ready
+
+
+async def _stop(settings: GatewaySettings, front: HttpServer, log: DecisionLog) -> None:
+    """Serve until the balancer sends nobody, finish what runs, then close."""
+    began_s = boot_clock_s()
+    log.line("stopping", active=front.active)
+    while boot_clock_s() - began_s < BALANCER_LOOKS_S:
+        await asyncio.sleep(STOP_STEP_S)
+    front.stop_accepting()
+    front.say_close()
+    give_up_s = began_s + settings.grace_s - CLOSING_S
+    while front.active and boot_clock_s() < give_up_s:
+        front.close_idle()
+        await asyncio.sleep(STOP_STEP_S)
+    front.close_idle()
+    log.line("stopped", active=front.active, took_s=round(boot_clock_s() - began_s, 2))
+
+
+async def _watch_suspension(
+    pool: BackendPool, caller: Caller, log: DecisionLog
+) -> None:
+    """Trust no connection that was idle while the host was suspended."""
+    offset_s = boot_clock_s() - time.monotonic()
+    while True:
+        await asyncio.sleep(SUSPENSION_STEP_S)
+        now_offset_s = boot_clock_s() - time.monotonic()
+        if now_offset_s - offset_s > SUSPENDED_S:
+            log.line("resumed", suspended_s=round(now_offset_s - offset_s, 2))
+            pool.forget_all()
+            caller.drop_idle()
+        offset_s = now_offset_s
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
@@ -0,0 +1,87 @@
+"""What a gateway host is told before it starts."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from damaskvalve_core import Identity, split_address
+from damaskvalve_gateway._quota import QuotaSlack
+
+
+class RetryTerms:
+    """The budget of repeats that all hosts share, for each service."""
+
+    __slots__ = ("ratio", "slack", "window_s")
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+
+
+class GatewaySettings:
+    """Addresses, folder, peers and bounds of one host."""
+
+    __slots__ = (
+        "name",
+        "data_centre",
+        "front_address",
+        "ready_address",
+        "control_address",
+        "group_address",
+        "call_port",
+        "agent_port",
+        "seeds",
+        "folder",
+        "may_found",
+        "identity",
+        "quota_slack",
+        "retries",
+        "grace_s",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        front_address: str,
+        ready_address: str,
+        control_address: str,
+        group_address: str,
+        call_port: int,
+        agent_port: int,
+        seeds: Sequence[str],
+        folder: Path | None,
+        quota_slack: QuotaSlack,
+        retries: RetryTerms,
+        grace_s: float,
+        *,
+        may_found: bool,
+        identity: Identity | None = None,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.front_address = front_address
+        self.ready_address = ready_address
+        self.control_address = control_address
+        # Where this host speaks to the others of its group.
+        self.group_address = group_address
+        # The same on all hosts: calls of other hosts and of agents.
+        self.call_port = call_port
+        # The same on all agents: permits.
+        self.agent_port = agent_port
+        # Group addresses at which others may be found.
+        self.seeds = tuple(seeds)
+        # None on a host without a disk.
+        self.folder = folder
+        self.quota_slack = quota_slack
+        self.retries = retries
+        # From the request to stop until the process is killed.
+        self.grace_s = grace_s
+        self.may_found = may_found
+        # None where the network between the system's processes is trusted.
+        self.identity = identity
+
+    def call_address(self, address: str) -> str:
+        """Return where the host at any of its addresses takes calls."""
+        ip, _ = split_address(address)
+        return f"{ip}:{self.call_port}"
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
@@ -0,0 +1,150 @@
+"""Between the request path and the replicated state."""
+
+import asyncio
+import zlib
+from typing import Any
+
+from damaskvalve_core import (
+    Caller,
+    ChannelError,
+    DecisionLog,
+    RetryLaterError,
+    SettingsError,
+    boot_clock_s,
+)
+from damaskvalve_core.messages import (
+    Command,
+    CommandResult,
+    ConfirmRequest,
+    ProposeRequest,
+)
+from damaskvalve_gateway._dialect import Dialect
+from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._settings import GatewaySettings
+from damaskvalve_state import Group, GroupNode, NodeStatus
+
+#: The name of the document that holds the gateway's configuration.
+CONFIGURATION = "gateway"
+# Callers of the control address move on after a second.
+COMMIT_TIMEOUT_S = 0.9
+CONFIRM_TIMEOUT_S = 0.4
+# How often a read looks whether this host has caught up with the leader.
+CATCH_UP_STEP_S = 0.02
+
+
+class StateLink:
+    """Commits through the leader and keeps :class:`Knowledge` up to date."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        group: Group,
+        caller: Caller,
+        knowledge: Knowledge,
+        dialect: Dialect,
+        log: DecisionLog,
+    ) -> None:
+        self._settings = settings
+        self._group = group
+        self._caller = caller
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._version = -1
+        self.applied_index = 0
+
+    def status(self) -> NodeStatus:
+        """Return the newest standing of this host in its group."""
+        return self._group.status()
+
+    def leads(self, now_s: float) -> bool:
+        """Return whether this host is the leader and no other can be."""
+        status = self.status()
+        return status.is_leader and now_s < status.lease_until_s
+
+    def leader_address(self) -> str:
+        """Return where the leader takes calls, empty if none is known."""
+        address = self.status().leader_address
+        return self._settings.call_address(address) if address else ""
+
+    # ---- applied state ----
+
+    def watch(self) -> None:
+        """Follow the replicated state from now on."""
+
+        def start(node: GroupNode, now_s: float) -> None:
+            node.apply_hooks.append(self._on_applied)
+            self._on_applied(node)
+
+        self._group.run(start)
+
+    def _on_applied(self, node: GroupNode) -> None:
+        """Hand the newest state over; runs inside the actor of the group."""
+        document = node.machine.documents.get(CONFIGURATION)
+        versions = dict(node.machine.adapter_versions)
+        self._loop.call_soon_threadsafe(
+            self._take, document, versions, node.applied_index
+        )
+
+    def _take(self, document: Any, versions: dict[str, int], index: int) -> None:
+        self._knowledge.adapter_versions = versions
+        if document is not None and document.version > self._version:
+            self._take_configuration(document.version, document.body)
+        self.applied_index = index
+
+    def _take_configuration(self, version: int, body: bytes) -> None:
+        text = zlib.decompress(body)
+        try:
+            configuration = self._dialect.read_configuration(text)
+        except SettingsError as error:
+            # It was checked before it was committed, so another release wrote it.
+            self._log.line("configuration_unreadable", version=version, reason=error)
+            return
+        self._version = version
+        self._knowledge.configuration = configuration
+        self._knowledge.configuration_body = text
+        self._log.line("configuration_in_force", version=version, bytes=len(text))
+
+    # ---- through the leader ----
+
+    async def ask_leader(self, request: Any, timeout_s: float) -> Any:
+        """Return the leader's reply; raises :class:`ChannelError` if none comes."""
+        address = self.leader_address()
+        if not address:
+            raise ChannelError("no leader is known")
+        return await self._caller.ask(address, request, timeout_s)
+
+    async def commit(self, command: Command) -> CommandResult:
+        """Commit a command; :class:`RetryLaterError` leaves its outcome unknown."""
+        if self.leads(boot_clock_s()):
+            result = await asyncio.to_thread(
+                self._group.propose, command, COMMIT_TIMEOUT_S
+            )
+            if result is None:
+                raise RetryLaterError("this host does not lead any more")
+            return result
+        reply = await self.ask_leader(ProposeRequest(command), COMMIT_TIMEOUT_S)
+        if not reply.done:
+            raise RetryLaterError(reply.reason or "the outcome is not known")
+        result = reply.result
+        return result
+
+    async def catch_up(self) -> None:
+        """Wait until this host holds all that was committed when it was called.
+
+        Raises :class:`RetryLaterError` when no leader confirms what is newest.
+        """
+        now_s = boot_clock_s()
+        if self.leads(now_s):
+            index = self.status().applied_index
+        else:
+            reply = await self.ask_leader(ConfirmRequest(""), CONFIRM_TIMEOUT_S)
+            if not reply.confirmed:
+                raise RetryLaterError("the leader cannot confirm what is newest")
+            index = reply.commit_index
+        give_up_s = now_s + COMMIT_TIMEOUT_S
+        while self.applied_index < index:
+            if boot_clock_s() > give_up_s:
+                raise RetryLaterError("this host has not caught up yet")
+            await asyncio.sleep(CATCH_UP_STEP_S)
--- a/packages/damaskvalve-state/damaskvalve_state/__init__.py
+++ b/packages/damaskvalve-state/damaskvalve_state/__init__.py
@@ -26,7 +26,7 @@
     Machine,
 )
 from damaskvalve_state._membership import next_members
-from damaskvalve_state._node import GroupNode, NodeSettings
+from damaskvalve_state._node import GroupNode, NodeSettings, NodeStatus
 from damaskvalve_state._timing import Output, Timing
 
 __all__ = [
@@ -51,6 +51,7 @@
     "Log",
     "Machine",
     "NodeSettings",
+    "NodeStatus",
     "Output",
     "Timing",
     "Waiter",
--- a/packages/damaskvalve-state/damaskvalve_state/_agreement.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_agreement.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Any
 
 from damaskvalve_core.messages import (
@@ -106,6 +106,32 @@
         """
         return not self.is_voter() or not self.leader_id
 
+    def hears_leader(self, now_s: float) -> bool:
+        """Return whether a leader was heard within the election timeout."""
+        return self._hears_leader(now_s)
+
+    def silent_members(self, now_s: float, limit_s: float) -> set[str]:
+        """Return the ids of the members that a leader has not heard for so long."""
+        since_s = now_s - limit_s
+        if self.role != LEADER or self._became_leader_s > since_s:
+            return set()
+        return {
+            member_id
+            for member_id, item in self.progress.items()
+            if item.acked_sent_at_s < since_s and item.added_at_s < since_s
+        }
+
+    def forget_learners(self, member_ids: Collection[str]) -> None:
+        """Stop replicating to learners that are gone; they say hello if not."""
+        voter_ids = {voter.member_id for voter in self.voters()}
+        for member_id in member_ids:
+            if member_id not in voter_ids:
+                self.progress.pop(member_id, None)
+
+    def leader_contact_s(self) -> float:
+        """Return when a follower last heard its leader."""
+        return self._leader_contact_s
+
     def may_serve(self, now_s: float) -> bool:
         """Return whether this is the leader and knows all that is committed."""
         if self.role != LEADER or self.commit_index < self._term_start_index:
@@ -147,7 +173,7 @@
             if voter.member_id not in kept:
                 self.progress.pop(voter.member_id, None)
         self._append_own(EntryKind.MEMBERS, b"", members)
-        self._refresh_progress()
+        self._refresh_progress(now_s)
         self._broadcast(now_s)
         return True
 
@@ -163,7 +189,9 @@
             return
         if member.member_id == self.member.member_id:
             return
-        self.progress[member.member_id] = Progress(member, self.log.last_index + 1)
+        self.progress[member.member_id] = Progress(
+            member, self.log.last_index + 1, now_s
+        )
         self._send_append(self.progress[member.member_id], now_s)
 
     def caught_up_learners(self) -> Sequence[Member]:
@@ -309,16 +337,16 @@
         self.leader_id = self.member.member_id
         self.leader_address = self.member.address
         self.progress = {}
-        self._refresh_progress()
+        self._refresh_progress(now_s)
         self._became_leader_s = now_s
         self._term_start_index = self._append_own(EntryKind.NOOP, b"", ())
         self._broadcast(now_s)
 
-    def _refresh_progress(self) -> None:
+    def _refresh_progress(self, now_s: float) -> None:
         for voter in self.voters():
             known = voter.member_id in self.progress
             if not known and voter.member_id != self.member.member_id:
-                fresh = Progress(voter, self.log.last_index + 1)
+                fresh = Progress(voter, self.log.last_index + 1, now_s)
                 self.progress[voter.member_id] = fresh
 
     def _append_own(self, kind: int, command: bytes, members: Sequence[Member]) -> int:
--- a/packages/damaskvalve-state/damaskvalve_state/_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_group.py
@@ -9,7 +9,7 @@
 
 from damaskvalve_core import Dialer, RetryLaterError
 from damaskvalve_core.messages import Command, CommandResult
-from damaskvalve_state._node import GroupNode, NodeSettings
+from damaskvalve_state._node import GroupNode, NodeSettings, NodeStatus, StatusBoard
 from damaskvalve_state._node_messages import Request, Run, Tick
 
 TICK_S = 0.03
@@ -19,8 +19,9 @@
 class Group:
     """The thread-safe face of a running member."""
 
-    def __init__(self, actor: "pykka.ActorRef[GroupNode]") -> None:
+    def __init__(self, actor: "pykka.ActorRef[GroupNode]", board: StatusBoard) -> None:
         self._actor = actor
+        self._board = board
 
     def _tell(self, message: Any) -> None:
         try:
@@ -57,6 +58,10 @@
             raise RetryLaterError("the leader changed; the outcome is not known")
         return result
 
+    def status(self) -> NodeStatus:
+        """Return what the member published last, without waiting for it."""
+        return self._board.status
+
     def tick(self) -> None:
         """Let the member notice the passing of time."""
         self._tell(Tick())
@@ -80,9 +85,11 @@
 @contextlib.contextmanager
 def running_group(settings: NodeSettings, dialer: Dialer) -> Iterator[Group]:
     """Run a member of the group; it is stopped at the end."""
-    settings.folder.mkdir(parents=True, exist_ok=True)
-    actor = GroupNode.start(settings, dialer)
-    group = Group(actor)
+    if settings.folder is not None:
+        settings.folder.mkdir(parents=True, exist_ok=True)
+    board = StatusBoard()
+    actor = GroupNode.start(settings, dialer, board)
+    group = Group(actor, board)
     stop = threading.Event()
     ticker = threading.Thread(target=_tick_until, args=(stop, group), daemon=True)
     ticker.start()
--- a/packages/damaskvalve-state/damaskvalve_state/_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_journal.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import errno
 import os
 import struct
 import uuid
@@ -97,16 +98,30 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._path = folder / JOURNAL_FILE
-        self._file = self._path.open("ab")
+        self._file = self._path.open("ab", buffering=0)
+        self._size_bytes = self._path.stat().st_size
+        # Whether bytes of a failed batch may stand behind the last whole record.
+        self._has_tail = False
         sync_folder(folder)
 
     def append(self, records: Sequence[JournalRecord]) -> None:
-        """Write a batch of records and sync it once."""
+        """Write a batch of records and sync it once.
+
+        Raises :class:`OSError` when the disk refuses; what was written of the batch
+        is cut off before the next one, so that it can be appended again.
+        """
         if not records:
             return
-        self._file.write(b"".join(_frame(encode_struct(item)) for item in records))
-        self._file.flush()
+        data = b"".join(_frame(encode_struct(item)) for item in records)
+        if self._has_tail:
+            self._file.truncate(self._size_bytes)
+        self._has_tail = True
+        written = os.write(self._file.fileno(), data)
+        if written < len(data):
+            raise OSError(errno.ENOSPC, f"wrote {written} of {len(data)} bytes")
         os.fdatasync(self._file.fileno())
+        self._has_tail = False
+        self._size_bytes += len(data)
 
     def install(
         self, snapshot: SnapshotFile, entries: Sequence[LogEntry], hard_state: HardState
@@ -115,16 +130,33 @@
         write_synced(self._folder / SNAPSHOT_FILE, _frame(encode_struct(snapshot)))
         records = [JournalRecord(hard_state=hard_state)]
         records.extend(JournalRecord(entry=entry) for entry in entries)
-        self._file.close()
         data = b"".join(_frame(encode_struct(item)) for item in records)
         write_synced(self._path, data)
-        self._file = self._path.open("ab")
+        self._file.close()
+        self._file = self._path.open("ab", buffering=0)
+        self._size_bytes = len(data)
+        self._has_tail = False
 
     def close(self) -> None:
         """Close the journal file."""
         self._file.close()
 
 
+class MemoryJournal:
+    """The journal of a member without a disk: it never votes, so it keeps nothing."""
+
+    def append(self, records: Sequence[JournalRecord]) -> None:
+        """Keep nothing."""
+
+    def install(
+        self, snapshot: SnapshotFile, entries: Sequence[LogEntry], hard_state: HardState
+    ) -> None:
+        """Keep nothing."""
+
+    def close(self) -> None:
+        """Close nothing."""
+
+
 def read_snapshot(folder: Path) -> SnapshotFile | None:
     """Return the snapshot of a folder; None if the folder was never founded."""
     path = folder / SNAPSHOT_FILE
--- a/packages/damaskvalve-state/damaskvalve_state/_machine.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_machine.py
@@ -15,6 +15,7 @@
     Command,
     CommandResult,
     CreditRecord,
+    DocumentRecord,
     DropJob,
     ExpireClaims,
     FenceRecord,
@@ -31,6 +32,7 @@
     StoredAnswer,
     SubmitJob,
     SuspectRecord,
+    VersionRecord,
 )
 
 RUNNING = "running"
@@ -66,6 +68,8 @@
         self.suspects: OrderedDict[str, SuspectRecord] = OrderedDict()
         self.suspects_version = 0
         self._crash_reports: OrderedDict[str, None] = OrderedDict()
+        self.documents: dict[str, DocumentRecord] = {}
+        self.adapter_versions: dict[str, int] = {}
 
     def apply(self, index: int, data: bytes) -> CommandResult:
         """Apply one committed command and return its result."""
@@ -154,6 +158,22 @@
             newest.setdefault((row.table, row.key), row)
         return list(newest.values())
 
+    # ---- whole documents and adapter versions ----
+
+    def put_document(self, index: int, body: DocumentRecord) -> CommandResult:
+        """Take a whole document; only a higher version replaces the one held."""
+        known = self.documents.get(body.name)
+        if known is not None and known.version >= body.version:
+            return self._result(accepted=False, reason="superseded")
+        self.documents[body.name] = body
+        return self._result(accepted=True)
+
+    def name_version(self, index: int, body: VersionRecord) -> CommandResult:
+        """Note the newest version of an adapter; an older one changes nothing."""
+        known = self.adapter_versions.get(body.adapter, 0)
+        self.adapter_versions[body.adapter] = max(known, body.version)
+        return self._result(accepted=True)
+
     # ---- at most once ----
 
     def claim(self, index: int, body: ClaimOnce) -> CommandResult:
@@ -337,6 +357,11 @@
                 list(self._crash_reports),
                 self.suspects_version,
                 self.recent_floor,
+                [self.documents[key] for key in sorted(self.documents)],
+                [
+                    VersionRecord(key, self.adapter_versions[key])
+                    for key in sorted(self.adapter_versions)
+                ],
             )
         )
 
@@ -363,6 +388,10 @@
         machine.suspects.update((item.fingerprint, item) for item in snapshot.suspects)
         machine._crash_reports.update((item, None) for item in snapshot.crash_reports)
         machine.suspects_version = snapshot.suspects_version
+        machine.documents = {item.name: item for item in snapshot.documents or ()}
+        machine.adapter_versions = {
+            item.adapter: item.version for item in snapshot.adapter_versions or ()
+        }
         return machine
 
 
@@ -380,4 +409,6 @@
     "crash": Machine.crash,
     "clear": Machine.clear,
     "expire": Machine.expire,
+    "document": Machine.put_document,
+    "name_version": Machine.name_version,
 }
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -1,10 +1,12 @@
 """The actor that runs agreement on a control host: disk, peers and callers."""
 
 import contextlib
+import errno
 import os
 import random
 import signal
 import time
+import uuid
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
@@ -12,7 +14,12 @@
 import logbook
 import pykka
 
-from damaskvalve_core import DamagedJournalError, Dialer, encode_struct
+from damaskvalve_core import (
+    DamagedJournalError,
+    Dialer,
+    boot_clock_s,
+    encode_struct,
+)
 from damaskvalve_core.messages import (
     Command,
     CommandResult,
@@ -32,18 +39,33 @@
 from damaskvalve_state._journal import (
     JOURNAL_FILE,
     Journal,
+    MemoryJournal,
     read_or_make_member_id,
     recover,
     set_aside,
 )
 from damaskvalve_state._log import Log, empty_snapshot
 from damaskvalve_state._machine import Machine
-from damaskvalve_state._membership import is_founder, may_found, next_members
+from damaskvalve_state._membership import (
+    founders,
+    is_founder,
+    may_found,
+    next_members,
+)
 from damaskvalve_state._node_messages import Answer, Flush, Request, Run, Tick
 from damaskvalve_state._peers import PeerSender
 
 HELLO_S = 0.3
+# A member that hears a leader may still be unknown to it: what it hears may be meant
+# for the lost disk of its address. So it goes on saying hello, but rarely.
+KNOWN_HELLO_S = 1.0
 SNAPSHOT_ENTRIES = 5_000
+# A member that is not heard for so long is given up: longer than a restart or a
+# freeze takes, shorter than the time after which another loss has to be borne.
+GIVE_UP_SILENT_S = 8.0
+FULL_DISK_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+# Between two tries to write to a full disk.
+DISK_RETRY_S = 0.2
 
 _log = logbook.Logger("group")
 
@@ -54,21 +76,82 @@
 class NodeSettings:
     """What a member has to know before it starts."""
 
-    __slots__ = ("folder", "address", "data_centre", "group_addresses", "timing")
+    __slots__ = (
+        "folder",
+        "address",
+        "data_centre",
+        "group_addresses",
+        "timing",
+        "may_found",
+        "open_group",
+    )
 
     def __init__(
         self,
-        folder: Path,
+        folder: Path | None,
         address: str,
         data_centre: str,
         group_addresses: Sequence[str],
         timing: Timing,
+        *,
+        may_found: bool = True,
+        open_group: bool = False,
     ) -> None:
+        # None for a member without a disk, which learns and never votes.
         self.folder = folder
         self.address = address
         self.data_centre = data_centre
+        # The first members of a closed group, or where an open one is looked for.
         self.group_addresses = tuple(group_addresses)
         self.timing = timing
+        # Whether this start may form a new group.
+        self.may_found = may_found
+        # Whether members at other addresses may join.
+        self.open_group = open_group
+
+
+class NodeStatus:
+    """What other threads may know of a member without asking its actor."""
+
+    __slots__ = (
+        "leader_id",
+        "leader_address",
+        "is_leader",
+        "lease_until_s",
+        "contact_s",
+        "applied_index",
+    )
+
+    def __init__(
+        self,
+        leader_id: str,
+        leader_address: str,
+        *,
+        is_leader: bool,
+        lease_until_s: float,
+        contact_s: float,
+        applied_index: int,
+    ) -> None:
+        # Names one leader in one term.
+        self.leader_id = leader_id
+        self.leader_address = leader_address
+        self.is_leader = is_leader
+        # No other leader can exist before then; set on the leader only.
+        self.lease_until_s = lease_until_s
+        # When this member last heard a leader that a quorum may follow.
+        self.contact_s = contact_s
+        self.applied_index = applied_index
+
+
+class StatusBoard:
+    """Where a member publishes its newest status for other threads."""
+
+    __slots__ = ("status",)
+
+    def __init__(self) -> None:
+        self.status = NodeStatus(
+            "", "", is_leader=False, lease_until_s=0.0, contact_s=0.0, applied_index=0
+        )
 
 
 class GroupNode(pykka.ThreadingActor):
@@ -80,8 +163,14 @@
 
     use_daemon_thread = True
 
-    def __init__(self, settings: NodeSettings, dialer: Dialer) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        dialer: Dialer,
+        board: "StatusBoard | None" = None,
+    ) -> None:
         super().__init__()
+        self._board = board or StatusBoard()
         self.settings = settings
         self.machine = Machine()
         self.applied_index = 0
@@ -92,15 +181,23 @@
         self._flush_asked = False
         self._hellos: dict[str, tuple[Member, bool]] = {}
         self._next_hello_s = 0.0
+        # The leader that another member named when this one looked for it.
+        self._told_leader = ""
         # The time of the step that runs now.
-        self.step_at_s = time.monotonic()
+        self.step_at_s = boot_clock_s()
+        # Called inside the actor after committed commands were applied.
+        self.apply_hooks: list[Callable[[GroupNode], None]] = []
+        self._stopping = False
         self.tick_hooks: list[Callable[[GroupNode, float], None]] = []
-        self._open_folder(time.monotonic())
+        self._open_folder(boot_clock_s())
 
     # ---- the folder ----
 
     def _open_folder(self, now_s: float) -> None:
         folder = self.settings.folder
+        if folder is None:
+            self._start_without_disk(now_s)
+            return
         try:
             recovered = recover(folder)
         except DamagedJournalError as error:
@@ -119,7 +216,19 @@
             (folder / JOURNAL_FILE).unlink(missing_ok=True)
         elif recovered.cut_bytes:
             _log.warning("cut a torn tail of {} bytes", recovered.cut_bytes)
-        self.journal = Journal(folder)
+        self.journal: Journal | MemoryJournal = Journal(folder)
+        self._start_agreement(log, hard_state, now_s)
+        self._restore(log.snapshot)
+
+    def _start_without_disk(self, now_s: float) -> None:
+        address = self.settings.address
+        self.member = Member(uuid.uuid4().hex, address, self.settings.data_centre, True)
+        self.founded = False
+        self.journal = MemoryJournal()
+        self._start_agreement(Log(empty_snapshot()), HardState(0, ""), now_s)
+        self._restore(self.agreement.log.snapshot)
+
+    def _start_agreement(self, log: Log, hard_state: HardState, now_s: float) -> None:
         self.agreement = Agreement(
             self.member,
             log,
@@ -128,7 +237,6 @@
             random.Random(self.member.member_id),
             now_s,
         )
-        self._restore(log.snapshot)
 
     def _restore(self, snapshot: SnapshotFile) -> None:
         self.machine = Machine.from_bytes(snapshot.data)
@@ -138,7 +246,7 @@
 
     def on_receive(self, message: Any) -> None:
         """Handle one message; everything written is synced in one batch later."""
-        now_s = time.monotonic()
+        now_s = boot_clock_s()
         self.step_at_s = now_s
         if isinstance(message, Flush):
             self._flush_asked = False
@@ -159,13 +267,27 @@
     def _on_tick(self, now_s: float) -> None:
         self.agreement.tick(now_s)
         if self.agreement.needs_hello() and now_s >= self._next_hello_s:
-            self._next_hello_s = now_s + HELLO_S
-            self._say_hello()
+            hears_leader = self.agreement.hears_leader(now_s)
+            self._next_hello_s = now_s + (KNOWN_HELLO_S if hears_leader else HELLO_S)
+            self._say_hello(now_s)
             self._try_founding(now_s)
         if self.agreement.role == LEADER:
             self._change_members(now_s)
         for hook in self.tick_hooks:
             hook(self, now_s)
+        self._publish(now_s)
+
+    def _publish(self, now_s: float) -> None:
+        agreement = self.agreement
+        leads = agreement.may_serve(now_s)
+        self._board.status = NodeStatus(
+            f"{agreement.leader_id}/{agreement.term}" if agreement.leader_id else "",
+            agreement.leader_address,
+            is_leader=leads,
+            lease_until_s=now_s + agreement.lease_left_s(now_s) if leads else 0.0,
+            contact_s=now_s if leads else agreement.leader_contact_s(),
+            applied_index=self.applied_index,
+        )
 
     def _on_run(self, message: "Run[Any]", now_s: float) -> None:
         try:
@@ -199,11 +321,15 @@
 
     # ---- founding and joining ----
 
-    def _say_hello(self) -> None:
+    def _say_hello(self, now_s: float) -> None:
         request = HelloRequest(self.member, not self.founded)
-        for address in self.settings.group_addresses:
-            if address != self.member.address:
-                self._send(Member("", address, ""), request)
+        targets = {*self.settings.group_addresses, self._told_leader}
+        if self.settings.open_group:
+            targets.update(voter.address for voter in self.agreement.voters())
+            if self.agreement.hears_leader(now_s):
+                targets = {self.agreement.leader_address}
+        for address in targets - {self.member.address, ""}:
+            self._send(Member("", address, ""), request)
 
     def _on_hello(self, request: HelloRequest, now_s: float) -> HelloReply:
         if self.agreement.role == LEADER:
@@ -222,15 +348,16 @@
 
     def _on_hello_reply(self, reply: HelloReply, now_s: float) -> None:
         self._hellos[reply.member.address] = (reply.member, reply.empty)
+        self._told_leader = reply.leader_address or self._told_leader
         self._try_founding(now_s)
 
     def _try_founding(self, now_s: float) -> None:
-        if self.founded:
+        if self.founded or not self.settings.may_found:
             return
         hellos = [*self._hellos.values(), (self.member, True)]
         addresses = self.settings.group_addresses
         if may_found(hellos, addresses) and is_founder(self.member, hellos):
-            members = sorted((member for member, _ in hellos), key=_member_order)
+            members = founders(hellos)
             self._found(members, now_s)
             for member in members:
                 if member.member_id != self.member.member_id:
@@ -242,15 +369,9 @@
             return False
         entry = LogEntry(1, 0, EntryKind.MEMBERS, b"", list(members))
         snapshot = empty_snapshot()
-        self.journal.install(snapshot, [entry], HardState(0, ""))
-        self.agreement = Agreement(
-            self.member,
-            Log(snapshot, [entry]),
-            HardState(0, ""),
-            self.settings.timing,
-            random.Random(self.member.member_id),
-            now_s,
-        )
+        state = HardState(0, "")
+        self._insist(lambda: self.journal.install(snapshot, [entry], state))
+        self._start_agreement(Log(snapshot, [entry]), HardState(0, ""), now_s)
         self.founded = True
         _log.info("founded a group of {} members", len(members))
         return True
@@ -258,16 +379,23 @@
     def _join_if_empty(self) -> None:
         if self.founded:
             return
-        self.journal.install(empty_snapshot(), [], HardState(0, ""))
+        snapshot, state = empty_snapshot(), HardState(0, "")
+        self._insist(lambda: self.journal.install(snapshot, [], state))
         self.founded = True
         _log.info("joining an existing group as a learner")
 
     def _change_members(self, now_s: float) -> None:
-        learners = self.agreement.caught_up_learners()
-        if not learners or not self.agreement.may_change_members():
+        if not self.agreement.may_change_members():
             return
+        learners = self.agreement.caught_up_learners()
         voters = self.agreement.voters()
-        members = next_members(voters, learners, self.settings.group_addresses)
+        if self.settings.open_group:
+            silent = self.agreement.silent_members(now_s, GIVE_UP_SILENT_S)
+            self.agreement.forget_learners(silent)
+            members = next_members(voters, learners, None, silent)
+        else:
+            addresses = self.settings.group_addresses
+            members = next_members(voters, learners, addresses)
         if members is not None:
             self.agreement.propose_members(members, now_s)
             _log.info("changing the group to {} voters", len(members))
@@ -300,10 +428,39 @@
 
     def _write(self, output: Output) -> None:
         if output.install is not None:
+            snapshot = output.install
             hard_state = HardState(self.agreement.term, self.agreement.voted_for)
-            self.journal.install(output.install, [], hard_state)
-            self._restore(output.install)
-        self.journal.append(output.records)
+            self._insist(lambda: self.journal.install(snapshot, [], hard_state))
+            self._restore(snapshot)
+            self._run_apply_hooks()
+        self._insist(lambda: self.journal.append(output.records))
+
+    def _insist(self, write: Callable[[], None]) -> None:
+        """Repeat a write until a full disk has room again.
+
+        The actor does nothing else meanwhile, so a leader stops its heartbeats and
+        another is elected, and nothing is promised that is not on the disk.
+        """
+        failed = False
+        while True:
+            try:
+                write()
+                break
+            except OSError as error:
+                if error.errno not in FULL_DISK_ERRORS:
+                    raise
+                if not failed:
+                    _log.error("the disk is full, trying again: {}", error)
+                failed = True
+                if self._stopping:
+                    raise
+                time.sleep(DISK_RETRY_S)
+        if failed:
+            _log.info("the disk has room again")
+
+    def _run_apply_hooks(self) -> None:
+        for hook in self.apply_hooks:
+            hook(self)
 
     def _send_all(self, messages: Sequence[tuple[Member, Any]]) -> None:
         for member, message in messages:
@@ -334,6 +491,9 @@
                 callback(result if term == entry.term else None)
         if self.agreement.role != LEADER:
             self._fail_callbacks()
+        if entries:
+            self._publish(self.step_at_s)
+            self._run_apply_hooks()
         covered = self.agreement.log.snapshot.last_index
         if self.applied_index - covered >= SNAPSHOT_ENTRIES:
             self._snapshot()
@@ -348,7 +508,7 @@
         snapshot = self.agreement.compact(self.applied_index, data)
         entries = self.agreement.log.entries_after_snapshot()
         hard_state = HardState(self.agreement.term, self.agreement.voted_for)
-        self.journal.install(snapshot, entries, hard_state)
+        self._insist(lambda: self.journal.install(snapshot, entries, hard_state))
 
     def propose(self, command: Command, callback: ResultCallback, now_s: float) -> bool:
         """Propose from inside the actor; False if this is not the leader."""
@@ -366,11 +526,8 @@
 
     def on_stop(self) -> None:
         """Close the peers and the journal."""
+        self._stopping = True
         for sender in self._senders.values():
             sender.stop()
         self._fail_callbacks()
         self.journal.close()
-
-
-def _member_order(member: Member) -> tuple[str, str]:
-    return member.address, member.member_id
--- a/packages/damaskvalve-state/damaskvalve_state/_progress.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_progress.py
@@ -17,10 +17,12 @@
         "sent_commit_index",
         "acked_sent_at_s",
         "in_flight",
+        "added_at_s",
     )
 
-    def __init__(self, member: Member, next_index: int) -> None:
+    def __init__(self, member: Member, next_index: int, added_at_s: float) -> None:
         self.member = member
+        self.added_at_s = added_at_s
         self.next_index = next_index
         self.match_index = 0
         # The commit index that the member was told last.
--- a/packages/damaskvalve/damaskvalve/_control_service.py
+++ b/packages/damaskvalve/damaskvalve/_control_service.py
@@ -12,7 +12,13 @@
 from damaskvalve._configuration import ADAPTER
 from damaskvalve._leader_desk import LeaderDesk
 from damaskvalve._state_reader import read_state
-from damaskvalve_core import ChannelError, Connection, Dialer, RetryLaterError
+from damaskvalve_core import (
+    ChannelError,
+    Connection,
+    Dialer,
+    RetryLaterError,
+    boot_clock_s,
+)
 from damaskvalve_core.messages import (
     AppendRequest,
     BackendReport,
@@ -154,7 +160,7 @@
 
     def keep_fresh(self) -> None:
         """Confirm with the leader that this host's state is up to date."""
-        asked_at_s = time.monotonic()
+        asked_at_s = boot_clock_s()
 
         def look(node: GroupNode, now_s: float) -> tuple[bool, str, str]:
             serving = node.agreement.may_serve(now_s)
@@ -177,8 +183,8 @@
             self._freshness.confirm(asked_at_s)
 
     def _await_applied(self, index: int) -> bool:
-        give_up_s = time.monotonic() + PEER_TIMEOUT_S
-        while time.monotonic() < give_up_s:
+        give_up_s = boot_clock_s() + PEER_TIMEOUT_S
+        while boot_clock_s() < give_up_s:
             if self._group.run(lambda node, now_s: node.applied_index) >= index:
                 return True
             time.sleep(POLL_STEP_S)
@@ -197,8 +203,8 @@
         is_full = report.served is not None
         number, holder = self._group.run(read)
         if holder in ("", report.incarnation):
-            self.backends.take(report, time.monotonic())
-        age_s = self._freshness.age_s(time.monotonic())
+            self.backends.take(report, boot_clock_s())
+        age_s = self._freshness.age_s(boot_clock_s())
         served = None
         if is_full:
             served = dict(self.backends.served_elsewhere(report.backend_server))
@@ -226,7 +232,7 @@
         reply.backends_version = changes.version
         reply.backends = list(changes.changed)
         reply.removed_backends = list(changes.removed)
-        reply.age_s = self._freshness.age_s(time.monotonic())
+        reply.age_s = self._freshness.age_s(boot_clock_s())
         reply.fresh = self._is_fresh(reply.age_s)
         return reply
 
@@ -259,7 +265,7 @@
         record = SubscriberRecord(
             request.subscriber, request.data_centre, request.revision, 0.0
         )
-        now_s = time.monotonic()
+        now_s = boot_clock_s()
         with self._lock:
             self._subscribers[request.subscriber] = (record, now_s)
             for name, (_, heard_at_s) in list(self._subscribers.items()):
@@ -272,7 +278,7 @@
             return node.machine.revision, [row for row in found if row is not None]
 
         revision, rows = self._group.run(read)
-        age_s = self._freshness.age_s(time.monotonic())
+        age_s = self._freshness.age_s(boot_clock_s())
         return LookupReply(self._is_fresh(age_s), age_s, revision, rows)
 
     # ---- figures ----
@@ -357,13 +363,13 @@
 
     def _read(self, request: ReadRequest, connection: Connection) -> ReadReply:
         reply = self._group.run(lambda node, now_s: read_state(node, request))
-        age_s = self._freshness.age_s(time.monotonic())
+        age_s = self._freshness.age_s(boot_clock_s())
         reply.fresh = self._is_fresh(age_s)
         reply.subscribers = self._subscriber_list() if request.what == "status" else []
         return reply
 
     def _subscriber_list(self) -> Sequence[SubscriberRecord]:
-        now_s = time.monotonic()
+        now_s = boot_clock_s()
         with self._lock:
             known = list(self._subscribers.values())
         return [
--- a/packages/damaskvalve/damaskvalve/_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/_dispatch.py
@@ -24,6 +24,7 @@
     Recorder,
     RefusedError,
     RetryLaterError,
+    boot_clock_s,
 )
 from damaskvalve_core.messages import (
     BackendReport,
@@ -113,7 +114,7 @@
         request that was not interrupted does not wait.
         """
         backend = self.choose(exchange, attempts.excluded)
-        while backend is None and attempts.may_wait(time.monotonic()):
+        while backend is None and attempts.may_wait(boot_clock_s()):
             time.sleep(RETURN_STEP_S)
             backend = self.choose(exchange, attempts.excluded)
             backend = backend or self.choose(exchange, set())
@@ -147,7 +148,7 @@
                 yield _length_end(exchange, tokens)
                 return
             work = self._work(exchange, backend, body)
-            began_at_s = time.monotonic()
+            began_at_s = boot_clock_s()
             try:
                 for message in self._attempt(exchange, backend, work):
                     if isinstance(message, WorkChunk):
@@ -157,9 +158,7 @@
                 self._clear_suspect(exchange)
                 return
             except AttemptError as error:
-                attempts.note(
-                    error, backend.backend_server, began_at_s, time.monotonic()
-                )
+                attempts.note(error, backend.backend_server, began_at_s, boot_clock_s())
                 self._after_failure(exchange, error, attempts)
 
     def _attempt(
@@ -186,13 +185,13 @@
     @staticmethod
     def _note_first(exchange: Exchange) -> None:
         if exchange.first_token_s is None:
-            exchange.first_token_s = time.monotonic() - exchange.received_at_s
+            exchange.first_token_s = boot_clock_s() - exchange.received_at_s
 
     def _make_check(self, exchange: Exchange) -> Check:
         def check() -> None:
             if not exchange.key_digest:
                 return
-            leased = self._view.is_leased(time.monotonic())
+            leased = self._view.is_leased(boot_clock_s())
             if leased and self._view.key(exchange.key_digest) is None:
                 raise RefusedError(
                     401, "key_withdrawn", "the key was withdrawn", ran=UNKNOWN
@@ -220,7 +219,7 @@
         )
         if error.crashed and exchange.the_route().backend_kind == "engine":
             self._report_crash(exchange, attempts.count())
-        if not attempts.may_go_on(error, time.monotonic()):
+        if not attempts.may_go_on(error, boot_clock_s()):
             raise _final(error)
         if error.ran == NOT_RUN:
             return
@@ -292,7 +291,7 @@
             body,
             exchange.streamed,
             route.weight if by_requests else max(1.0, exchange.cost_tokens),
-            max(0.0, exchange.deadline_s - time.monotonic()),
+            max(0.0, exchange.deadline_s - boot_clock_s()),
             exchange.fingerprint,
             exchange.isolated,
         )
--- a/packages/damaskvalve/damaskvalve/_entry_role.py
+++ b/packages/damaskvalve/damaskvalve/_entry_role.py
@@ -36,6 +36,7 @@
     Dialer,
     LeaderClient,
     Recorder,
+    boot_clock_s,
     repeating,
     split_address,
 )
@@ -191,12 +192,12 @@
 
 def _await_requests(requests: _Requests) -> None:
     """Wait until no request was under way for a moment."""
-    give_up_s = time.monotonic() + DRAIN_LIMIT_S
-    quiet_since_s = time.monotonic()
-    while time.monotonic() < give_up_s:
+    give_up_s = boot_clock_s() + DRAIN_LIMIT_S
+    quiet_since_s = boot_clock_s()
+    while boot_clock_s() < give_up_s:
         if requests.count > 0:
-            quiet_since_s = time.monotonic()
-        elif time.monotonic() - quiet_since_s > GOODBYE_S:
+            quiet_since_s = boot_clock_s()
+        elif boot_clock_s() - quiet_since_s > GOODBYE_S:
             return
         time.sleep(STOP_STEP_S)
     _log.error("stopping with {} requests unfinished", requests.count)
--- a/packages/damaskvalve/damaskvalve/_filters/_authorise.py
+++ b/packages/damaskvalve/damaskvalve/_filters/_authorise.py
@@ -1,14 +1,13 @@
 """Who calls, for which workspace, and whether the adapter may be used."""
 
 import json
-import time
 from collections.abc import Callable
 from typing import Any
 
 from damaskvalve._configuration import OPEN, AdapterGrant
 from damaskvalve._exchange import Exchange, Filter, Next, Reply
 from damaskvalve._view import ConfigurationView
-from damaskvalve_core import RefusedError
+from damaskvalve_core import RefusedError, boot_clock_s
 
 #: Returns the grant of an adapter to a workspace, or None.
 AdapterLookup = Callable[[str, str], AdapterGrant | None]
@@ -18,7 +17,7 @@
 
 def require_lease(view: ConfigurationView) -> None:
     """Refuse while the configuration is not known to be in force."""
-    if not view.is_leased(time.monotonic()):
+    if not view.is_leased(boot_clock_s()):
         raise RefusedError(
             503,
             "configuration_not_leased",
--- a/packages/damaskvalve/damaskvalve/_filters/_claim.py
+++ b/packages/damaskvalve/damaskvalve/_filters/_claim.py
@@ -16,6 +16,7 @@
     Recorder,
     RefusedError,
     RetryLaterError,
+    boot_clock_s,
 )
 from damaskvalve_core.messages import (
     AnswerOnce,
@@ -72,8 +73,8 @@
 
     def await_answer(self, claim_id: str, deadline_s: float) -> ClaimRecord | None:
         """Wait for the answer of a run that another request started."""
-        give_up_s = min(deadline_s, time.monotonic() + WAIT_FOR_ANSWER_S)
-        while time.monotonic() < give_up_s:
+        give_up_s = min(deadline_s, boot_clock_s() + WAIT_FOR_ANSWER_S)
+        while boot_clock_s() < give_up_s:
             reply = self._subscription.read(ReadRequest("claim", claim_id))
             if reply.claims and reply.claims[0].answer is not None:
                 return reply.claims[0]
--- a/packages/damaskvalve/damaskvalve/_filters/_outer.py
+++ b/packages/damaskvalve/damaskvalve/_filters/_outer.py
@@ -1,6 +1,5 @@
 """The outermost filter: refusals become replies, and every request is recorded."""
 
-import time
 from collections.abc import Iterable, Iterator
 
 import logbook
@@ -15,7 +14,13 @@
     error_reply,
 )
 from damaskvalve._metrics import Metrics
-from damaskvalve_core import UNKNOWN, DamaskvalveError, Recorder, RefusedError
+from damaskvalve_core import (
+    UNKNOWN,
+    DamaskvalveError,
+    Recorder,
+    RefusedError,
+    boot_clock_s,
+)
 
 _log = logbook.Logger("request")
 
@@ -35,7 +40,7 @@
     """Return the filter that turns refusals into replies and keeps the figures."""
 
     def finish(exchange: Exchange, status: int, code: str, ran: str) -> None:
-        took_s = time.monotonic() - exchange.received_at_s
+        took_s = boot_clock_s() - exchange.received_at_s
         metrics.note_request(exchange.path_kind(), status, took_s)
         if code:
             metrics.note_refusal(code)
