--- a/packages/damaskvalve/damaskvalve/_http.py
+++ b/packages/damaskvalve/damaskvalve/_http.py
@@ -1,7 +1,6 @@
 """The callers' HTTP side: a WSGI application on cheroot."""
 
 import json
-import time
 import uuid
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -17,7 +16,7 @@
 from damaskvalve._settings import EntrySettings
 from damaskvalve._subscription import Subscription
 from damaskvalve._view import ConfigurationView
-from damaskvalve_core import UNKNOWN, RefusedError
+from damaskvalve_core import UNKNOWN, RefusedError, boot_clock_s
 from damaskvalve_core.messages import ReadRequest
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -108,7 +107,7 @@
     # ---- reading the request ----
 
     def _exchange(self, environ: Mapping[str, Any], request_id: str) -> Exchange:
-        received_at_s = time.monotonic()
+        received_at_s = boot_clock_s()
         body = self._read_body(environ, received_at_s)
         headers = {
             name[5:].replace("_", "-").lower(): str(value)
@@ -143,7 +142,7 @@
         give_up_s = started_at_s + self._settings.caller_timeout_s
         while left > 0:
             part = self._read_part(environ, min(left, _READ_BYTES))
-            if time.monotonic() > give_up_s:
+            if boot_clock_s() > give_up_s:
                 raise RefusedError(408, "caller_too_slow", "the body came too slowly")
             parts.append(part)
             left -= len(part)
@@ -178,7 +177,7 @@
         return self._chain(exchange)
 
     def _ready(self) -> Reply:
-        if self.stopping or not self._view.is_leased(time.monotonic()):
+        if self.stopping or not self._view.is_leased(boot_clock_s()):
             raise RefusedError(503, "not_ready", "not ready", retry_after_s=1.0)
         return Reply(200, JSON, b'{"status": "ready"}')
 
--- a/packages/damaskvalve/damaskvalve/_jobs.py
+++ b/packages/damaskvalve/damaskvalve/_jobs.py
@@ -3,7 +3,6 @@
 import hashlib
 import json
 import threading
-import time
 from collections.abc import Callable
 
 import logbook
@@ -25,6 +24,7 @@
     Recorder,
     RefusedError,
     RetryLaterError,
+    boot_clock_s,
 )
 from damaskvalve_core.messages import (
     Command,
@@ -172,7 +172,7 @@
                 stop.wait(IDLE_S)
 
     def _run_one(self) -> bool:
-        if not self._view.is_leased(time.monotonic()):
+        if not self._view.is_leased(boot_clock_s()):
             return False
         reply = self._leader.ask(LeaseJobRequest(self._entry_id, 1), COMMIT_TIMEOUT_S)
         for job in reply.jobs:
@@ -208,7 +208,7 @@
         if route is None or workspace is None:
             return None
         stored = json.loads(job.body)
-        now_s = time.monotonic()
+        now_s = boot_clock_s()
         exchange = Exchange(
             self._new_request_id(),
             stored["method"],
--- a/packages/damaskvalve/damaskvalve/_ledger.py
+++ b/packages/damaskvalve/damaskvalve/_ledger.py
@@ -1,13 +1,12 @@
 """The entry host's limit: spends credit, and asks the leader when short."""
 
 import threading
-import time
 from collections.abc import Mapping
 
 import logbook
 
 from damaskvalve._credit_pool import CreditPool
-from damaskvalve_core import LeaderClient, RefusedError, RetryLaterError
+from damaskvalve_core import LeaderClient, RefusedError, RetryLaterError, boot_clock_s
 from damaskvalve_core.messages import CreditRequest
 
 ASK_TIMEOUT_S = 1.5
@@ -37,13 +36,13 @@
     def charge(self, workspace: str, tokens: float, burst_tokens: float) -> float:
         """Spend tokens and return when that was; refuse at once if over the rate."""
         with self._lock:
-            now_s = time.monotonic()
+            now_s = boot_clock_s()
             if self._pool.spend(workspace, tokens, burst_tokens, now_s):
                 return now_s
         for _ in range(MAX_EXCHANGES):
             self._exchange()
             with self._lock:
-                now_s = time.monotonic()
+                now_s = boot_clock_s()
                 if self._pool.retry_spend(workspace, tokens, now_s):
                     return now_s
                 # Others may have spent what came; only the leader's word counts.
@@ -77,7 +76,7 @@
     def credit(self) -> Mapping[str, float]:
         """Return the credit that each workspace has here now."""
         with self._lock:
-            return self._pool.usable_tokens(time.monotonic())
+            return self._pool.usable_tokens(boot_clock_s())
 
     def _exchange(self) -> None:
         """Return once an exchange has ended that began after this call."""
@@ -101,7 +100,7 @@
         reachable = False
         try:
             with self._lock:
-                now_s = time.monotonic()
+                now_s = boot_clock_s()
                 asks = list(self._pool.build_asks(now_s))
                 self._sequence += 1
                 request = CreditRequest(self._entry_id, self._sequence, asks)
--- a/packages/damaskvalve/damaskvalve/_operator.py
+++ b/packages/damaskvalve/damaskvalve/_operator.py
@@ -15,6 +15,7 @@
     LeaderClient,
     OperatorError,
     RetryLaterError,
+    boot_clock_s,
     dialing,
 )
 from damaskvalve_core.messages import (
@@ -59,8 +60,8 @@
 
     def read(self, what: str, key: str = "") -> ReadReply:
         """Read from the first control host that is up to date."""
-        give_up_s = time.monotonic() + CALL_TIMEOUT_S * 2
-        while time.monotonic() < give_up_s:
+        give_up_s = boot_clock_s() + CALL_TIMEOUT_S * 2
+        while boot_clock_s() < give_up_s:
             for reply in self.read_each(what, key).values():
                 if reply is not None and reply.fresh:
                     return reply
@@ -124,10 +125,10 @@
 
     def wait_in_force(self, revision: int) -> Sequence[str]:
         """Wait until every subscriber has a revision; return who has not."""
-        give_up_s = time.monotonic() + IN_FORCE_S
+        give_up_s = boot_clock_s() + IN_FORCE_S
         while True:
             behind = self.behind(revision)
-            if not behind or time.monotonic() > give_up_s:
+            if not behind or boot_clock_s() > give_up_s:
                 return behind
             time.sleep(0.1)
 
--- a/packages/damaskvalve/damaskvalve/_subscription.py
+++ b/packages/damaskvalve/damaskvalve/_subscription.py
@@ -7,7 +7,7 @@
 
 from damaskvalve._configuration import ADAPTER, AdapterGrant, parse_row
 from damaskvalve._view import ConfigurationView
-from damaskvalve_core import ChannelError, Dialer, RefusedError
+from damaskvalve_core import ChannelError, Dialer, RefusedError, boot_clock_s
 from damaskvalve_core.messages import LookupRequest, PollRequest, ReadReply, ReadRequest
 
 POLL_WAIT_S = 0.5
@@ -47,7 +47,7 @@
             POLL_WAIT_S,
             view.control_id,
         )
-        sent_at_s = time.monotonic()
+        sent_at_s = boot_clock_s()
         address = self._addresses[self._position % len(self._addresses)]
         try:
             reply = self._dialer.call(address, request, CALL_TIMEOUT_S)
--- a/packages/damaskvalve/damaskvalve/_work_call.py
+++ b/packages/damaskvalve/damaskvalve/_work_call.py
@@ -1,6 +1,5 @@
 """One attempt at an agent: sends the work and checks everything that returns."""
 
-import time
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -13,6 +12,7 @@
     NotSentError,
     ProtocolError,
     SilenceError,
+    boot_clock_s,
 )
 from damaskvalve_core.messages import (
     Problem,
@@ -101,13 +101,13 @@
     connection: Connection, silence_s: float, deadline_s: float, check: Check
 ) -> Any:
     """Return the next message; look at key, silence and deadline meanwhile."""
-    started_s = time.monotonic()
+    started_s = boot_clock_s()
     while True:
         check()
         try:
             return connection.receive()
         except SilenceError:
-            now_s = time.monotonic()
+            now_s = boot_clock_s()
             if now_s > deadline_s or now_s - started_s > silence_s:
                 raise
 
