A new leader counts with registered hosts; a restarted host's bucket starts empty

The property test, once hosts restart in it, found that a restarted host had its burst a second time; a small workspace's largest request did not fit the leader's half. Change: hosts that may hold a part are a committed list, and a new leader sets parts aside only for those that it has not heard; a host's buckets start empty; the hosts' part is a tenth for workspaces of a small burst.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_knowledge.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_knowledge.py
@@ -23,5 +23,7 @@
         self.backends = BackendTable()
         self.crashes = CrashBook()
         self.hosts = ASSUMED_HOSTS
+        # Every host that may hold a part of the rates, as it was committed.
+        self.registered_hosts: frozenset[str] = frozenset()
         # When the leader was last heard.
         self.contact_s = 0.0
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
@@ -18,6 +18,10 @@
 # The part of every rate that hosts may spend without asking, also while nobody leads.
 # What the others do not use of it is lost to a host with a burst.
 LOCAL_PART = 0.5
+# The same for workspaces whose burst is below some requests, so that the leader's part
+# has room for a whole one.
+SMALL_LOCAL_PART = 0.1
+SMALL_BURST_TOKENS = 20_000.0
 # The part of the users' slack that is used; the rest covers clocks and late counting.
 SLACK_PART = 0.8
 # A host's part outlives the longest cut that is usual, so that a host that is cut off
@@ -32,6 +36,13 @@
 MAX_RETRY_S = 5.0
 
 
+def local_part(workspace: Workspace) -> float:
+    """Return the part of a workspace's rate that its hosts spend without asking."""
+    if workspace.by_tokens and workspace.burst < SMALL_BURST_TOKENS:
+        return SMALL_LOCAL_PART
+    return LOCAL_PART
+
+
 class QuotaSlack:
     """How far beyond rate and burst the users let the sum over all hosts go."""
 
@@ -93,8 +104,9 @@
 class HostQuota:
     """What one host may spend without asking."""
 
-    def __init__(self, slack: QuotaSlack) -> None:
+    def __init__(self, slack: QuotaSlack, began_s: float) -> None:
         self._slack = slack
+        self._began_s = began_s
         self._buckets: dict[str, TokenBucket] = {}
         self.share = 0.0
         self._share_until_s = 0.0
@@ -108,23 +120,29 @@
         """Return this host's part, 0 after its lease has ended."""
         return self.share if now_s < self._share_until_s else 0.0
 
-    def _depth(self, workspace: Workspace, share: float) -> float:
-        return share * (workspace.burst + self._slack.tokens_for(workspace))
+    def _part_now(self, workspace: Workspace, now_s: float) -> float:
+        return self.share_now(now_s) / LOCAL_PART * local_part(workspace)
+
+    def _depth(self, workspace: Workspace, part: float) -> float:
+        return part * (workspace.burst + self._slack.tokens_for(workspace))
 
     def take(self, workspace: Workspace, tokens: float, now_s: float) -> float:
         """Take up to so many tokens of this host's part; return how many."""
-        share = self.share_now(now_s)
-        depth = self._depth(workspace, share)
+        part = self._part_now(workspace, now_s)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = self._buckets[workspace.name] = TokenBucket(depth, now_s)
-        return bucket.take_part(tokens, share * workspace.rate_per_s, depth, now_s)
+            # Empty, because this host may have spent it just before it restarted.
+            bucket = TokenBucket(0.0, self._began_s)
+            self._buckets[workspace.name] = bucket
+        rate_per_s = part * workspace.rate_per_s
+        depth = self._depth(workspace, part)
+        return bucket.take_part(tokens, rate_per_s, depth, now_s)
 
     def give_back(self, workspace: Workspace, tokens: float, now_s: float) -> None:
         """Return tokens of a request that did not run."""
         bucket = self._buckets.get(workspace.name)
         if bucket is not None:
-            depth = self._depth(workspace, self.share_now(now_s))
+            depth = self._depth(workspace, self._part_now(workspace, now_s))
             bucket.give_back(tokens, depth)
 
 
@@ -138,12 +156,13 @@
         self._granted: dict[str, tuple[float, float]] = {}
 
     def grant_share(
-        self, host: str, held: float, hosts: int, now_s: float
+        self, host: str, held: float, hosts: int, unheard: int, now_s: float
     ) -> tuple[float, float]:
         """Return a host's part and its lease.
 
-        A new leader does not know what was granted before, so until those leases
-        have ended it only renews what hosts say that they hold.
+        A new leader does not know what was granted before. Until those leases have
+        ended it sets a part aside for each host that it has not heard yet, and takes
+        the others at their word.
         """
         lease_s = SHARE_LEASE_S * (1 + CLOCK_DRIFT)
         self._granted = {
@@ -151,9 +170,9 @@
         }
         others = sum(part for name, (part, _) in self._granted.items() if name != host)
         wanted = LOCAL_PART / max(MIN_HOSTS, hosts)
-        part = max(0.0, min(wanted, LOCAL_PART - others))
         if now_s - self._began_s < lease_s:
-            part = min(part, held)
+            others += unheard * wanted
+        part = max(0.0, min(wanted, LOCAL_PART - others))
         # A host that loses this answer goes on with what it holds.
         risk = max(part, min(held, LOCAL_PART))
         self._granted[host] = (risk, now_s + lease_s)
@@ -167,7 +186,7 @@
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             bucket = self._buckets[workspace.name] = TokenBucket(0.0, self._began_s)
-        part = 1 - LOCAL_PART
+        part = 1 - local_part(workspace)
         rate_per_s = part * workspace.rate_per_s
         depth = part * (workspace.burst + self._slack.tokens_for(workspace))
         return bucket.take(tokens, rate_per_s, depth, now_s)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -115,7 +115,7 @@
     caller = Caller(settings.identity)
     link = StateLink(settings, group, caller, knowledge, dialect, log)
     desk = LeaderDesk(settings, link, knowledge, log)
-    quota = HostQuota(settings.quota_slack)
+    quota = HostQuota(settings.quota_slack, boot_clock_s())
     sync = SyncController(settings, link, knowledge, quota, desk, log)
     control = ControlDesk(dialect, link, sync, knowledge, log)
     terms = settings.retries
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import zlib
+from collections.abc import Collection
 from typing import Any
 
 from damaskvalve_core import (
@@ -16,6 +17,7 @@
     Command,
     CommandResult,
     ConfirmRequest,
+    DocumentRecord,
     ProposeRequest,
 )
 from damaskvalve_gateway._dialect import Dialect
@@ -25,6 +27,8 @@
 
 #: The name of the document that holds the gateway's configuration.
 CONFIGURATION = "gateway"
+#: The name of the document that lists the hosts, one call address a line.
+HOSTS = "hosts"
 # Callers of the control address move on after a second.
 COMMIT_TIMEOUT_S = 0.9
 CONFIRM_TIMEOUT_S = 0.4
@@ -52,6 +56,7 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._version = -1
+        self._hosts_version = 0
         self.applied_index = 0
 
     def status(self) -> NodeStatus:
@@ -82,13 +87,20 @@
     def _on_applied(self, node: GroupNode) -> None:
         """Hand the newest state over; runs inside the actor of the group."""
         document = node.machine.documents.get(CONFIGURATION)
+        hosts = node.machine.documents.get(HOSTS)
         versions = dict(node.machine.adapter_versions)
         self._loop.call_soon_threadsafe(
-            self._take, document, versions, node.applied_index
+            self._take, document, hosts, versions, node.applied_index
         )
 
-    def _take(self, document: Any, versions: dict[str, int], index: int) -> None:
+    def _take(
+        self, document: Any, hosts: Any, versions: dict[str, int], index: int
+    ) -> None:
         self._knowledge.adapter_versions = versions
+        if hosts is not None and hosts.version > self._hosts_version:
+            self._hosts_version = hosts.version
+            names = hosts.body.decode("ascii").split()
+            self._knowledge.registered_hosts = frozenset(names)
         if document is not None and document.version > self._version:
             self._take_configuration(document.version, document.body)
         self.applied_index = index
@@ -130,6 +142,12 @@
         result = reply.result
         return result
 
+    async def register_hosts(self, hosts: Collection[str]) -> None:
+        """Commit the list of hosts."""
+        body = "\n".join(sorted(hosts)).encode("ascii")
+        record = DocumentRecord(HOSTS, self._hosts_version + 1, body)
+        await self.commit(Command(document=record))
+
     async def catch_up(self) -> None:
         """Wait until this host holds all that was committed when it was called.
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -240,6 +240,8 @@
         self._leader_id = ""
         self._quota = LeaderQuota(settings.quota_slack, 0.0)
         self._heard_s: dict[str, float] = {}
+        self._began_s = 0.0
+        self._registering: asyncio.Future[None] | None = None
 
     def _standing(self, now_s: float) -> None:
         """Start anew when this host has become leader since the last call."""
@@ -248,21 +250,50 @@
             self._leader_id = leader_id
             self._quota = LeaderQuota(self._settings.quota_slack, now_s)
             self._heard_s = {}
+            self._began_s = now_s
             self._log.line("leading", leader=leader_id)
 
-    def hosts(self, now_s: float) -> int:
-        """Return how many hosts have called of late, this one included."""
+    def _recent_hosts(self, now_s: float) -> set[str]:
         own = self._settings.call_address(self._settings.group_address)
         recent = {
             name for name, at_s in self._heard_s.items() if now_s - at_s < HOST_SILENT_S
         }
-        return len(recent | {own})
+        return recent | {own}
+
+    def hosts(self, now_s: float) -> int:
+        """Return how many hosts have called of late, this one included."""
+        return len(self._recent_hosts(now_s))
 
     def grant_share(self, host: str, held: float, now_s: float) -> tuple[float, float]:
-        """Return a host's part of every rate and the lease of it."""
+        """Return a host's part of every rate and the lease of it.
+
+        A host has to be registered first, so that a later leader counts with it.
+        """
         self._standing(now_s)
         self._heard_s[host] = now_s
-        return self._quota.grant_share(host, held, self.hosts(now_s), now_s)
+        registered = self._knowledge.registered_hosts
+        if host not in registered:
+            self._register(now_s)
+            return 0.0, SHARE_LEASE_S
+        recent = self._recent_hosts(now_s)
+        count = len(recent | registered)
+        unheard = len(registered - recent)
+        return self._quota.grant_share(host, held, count, unheard, now_s)
+
+    def _register(self, now_s: float) -> None:
+        """Commit the list of hosts, unless that is under way."""
+        if self._registering is not None and not self._registering.done():
+            return
+        hosts = self._recent_hosts(now_s)
+        if now_s - self._began_s < HOST_SILENT_S:
+            hosts |= self._knowledge.registered_hosts
+        self._registering = asyncio.ensure_future(self._commit_hosts(hosts))
+
+    async def _commit_hosts(self, hosts: set[str]) -> None:
+        try:
+            await self._link.register_hosts(hosts)
+        except RetryLaterError as error:
+            self._log.line("hosts_not_registered", reason=str(error))
 
     def take_tokens(self, workspace: Workspace, tokens: float, now_s: float) -> float:
         """Take tokens of the leader's part; return 0 or how long to wait."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_quota.py
@@ -25,9 +25,11 @@
         self.slack = QuotaSlack(11_000.0, 0.1, WINDOW_S)
         rate = self.rng.choice([2_700.0, 40_000.0])
         self.workspace = workspace(rate, rate * self.rng.choice([0.5, 1.0, 3.0]))
-        self.hosts = [HostQuota(self.slack) for _ in range(self.rng.choice([3, 8, 29]))]
+        size = self.rng.choice([3, 8, 29])
+        self.hosts = [HostQuota(self.slack, 0.0) for _ in range(size)]
         self.cut = set()
         self.leader = LeaderQuota(self.slack, 0.0)
+        self.heard = set()
         self.admitted = []
 
     def sync(self, number, now_s):
@@ -36,7 +38,11 @@
             return
         name = f"h{number}"
         held = host.share_now(now_s)
-        share, lease_s = self.leader.grant_share(name, held, len(self.hosts), now_s)
+        self.heard.add(number)
+        unheard = len(self.hosts) - len(self.heard)
+        share, lease_s = self.leader.grant_share(
+            name, held, len(self.hosts), unheard, now_s
+        )
         if self.rng.random() > 0.1:
             host.renew(share, now_s + lease_s)
 
@@ -60,6 +66,11 @@
                 self.leader, elected_s = None, now_s + 2.0
             if self.leader is None and now_s >= elected_s:
                 self.leader = LeaderQuota(self.slack, now_s)
+                self.heard = set()
+                for number in range(len(self.hosts)):
+                    if self.rng.random() < 0.3:
+                        # A restarted host has forgotten its part and its level.
+                        self.hosts[number] = HostQuota(self.slack, now_s)
             if self.rng.random() < 0.01:
                 most = len(self.hosts)
                 self.cut = set(self.rng.sample(range(most), self.rng.randint(0, most)))
@@ -94,7 +105,7 @@
     def test_a_small_workspace_gets_a_request_larger_than_any_part(self):
         """What one host lacks comes from the leader, so size alone refuses nothing."""
         slack = QuotaSlack(0.0, 0.0, WINDOW_S)
-        leader, host = LeaderQuota(slack, 0.0), HostQuota(slack)
+        leader, host = LeaderQuota(slack, 0.0), HostQuota(slack, 0.0)
         host.renew(0.3 / 8, 100.0)
         small = workspace(2_700.0, 2_700.0)
         own = host.take(small, 1_900.0, 5.0)
@@ -103,7 +114,7 @@
 
     def test_a_host_whose_lease_has_ended_spends_nothing(self):
         """A part that may have been granted again is not spent."""
-        host = HostQuota(QuotaSlack(11_000.0, 0.1, WINDOW_S))
+        host = HostQuota(QuotaSlack(11_000.0, 0.1, WINDOW_S), 0.0)
         host.renew(0.1, 10.0)
         self.assertGreater(host.take(workspace(4e4, 4e4), 500.0, 9.9), 0.0)
         self.assertEqual(host.take(workspace(4e4, 4e4), 500.0, 10.1), 0.0)
