--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -35,7 +35,13 @@
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_link import StateLink
 from damaskvalve_gateway._sync import LeaderDesk, SyncController
-from damaskvalve_state import Group, NodeSettings, Timing, running_group
+from damaskvalve_state import (
+    Group,
+    NodeSettings,
+    Timing,
+    read_or_make_member_id,
+    running_group,
+)
 
 # Long enough for a scheduling pause on a small shared host; a new leader is elected
 # within two of these, well inside the time that callers of control try for.
@@ -47,6 +53,8 @@
 # Left at the end of the grace time for closing what is open.
 CLOSING_S = 0.4
 STOP_STEP_S = 0.05
+# Between two looks at a disk that cannot be used yet.
+DISK_RETRY_S = 0.5
 # Until the first configuration names the bounds for callers.
 FIRST_LIMITS = ServerLimits(16 * 1024, 4 * 1024 * 1024, 3.0, 15.0)
 # A jump between the boot clock and the steady clock above this means that the host
@@ -59,6 +67,18 @@
 MakeControl = Callable[[ControlDesk], ControlHandler]
 
 
+def _await_folder(settings: GatewaySettings, log: DecisionLog) -> None:
+    """Wait until the disk lets a member start: a full or broken one may not."""
+    while settings.folder is not None:
+        try:
+            settings.folder.mkdir(parents=True, exist_ok=True)
+            read_or_make_member_id(settings.folder)
+            return
+        except OSError as error:
+            log.line("disk_unusable", folder=str(settings.folder), reason=str(error))
+            time.sleep(DISK_RETRY_S)
+
+
 @contextlib.contextmanager
 def _member(settings: GatewaySettings) -> Iterator[Group]:
     """Run this host's member of the group."""
@@ -94,6 +114,7 @@
             durable=settings.folder is not None,
             may_found=settings.may_found,
         )
+        _await_folder(settings, log)
         with _member(settings) as group:
             asyncio.run(_serve(settings, dialect, make_control, group, log))
         log.line("stop")
@@ -137,7 +158,6 @@
         await stack.enter_async_context(
             serving_calls(calls, settings.identity, desk.answer)
         )
-        link.watch()
 
         async def open_server(
             address: str, handler: ControlHandler, limits: Callable[[], ServerLimits]
@@ -154,6 +174,7 @@
             settings.front_address, gateway.handle, lambda: _limits(knowledge)
         )
         tasks = [
+            loop.create_task(link.watch()),
             loop.create_task(sync.run()),
             loop.create_task(_watch_suspension(pool, caller, log)),
         ]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
@@ -75,14 +75,23 @@
 
     # ---- applied state ----
 
-    def watch(self) -> None:
-        """Follow the replicated state from now on."""
+    async def watch(self) -> None:
+        """Follow the replicated state from now on.
+
+        A member whose disk is slow to answer may not take this up at once.
+        """
 
         def start(node: GroupNode, now_s: float) -> None:
-            node.apply_hooks.append(self._on_applied)
+            if self._on_applied not in node.apply_hooks:
+                node.apply_hooks.append(self._on_applied)
             self._on_applied(node)
 
-        self._group.run(start)
+        while True:
+            try:
+                await asyncio.to_thread(self._group.run, start)
+                return
+            except RetryLaterError as error:
+                self._log.line("state_unwatched", reason=str(error))
 
     def _on_applied(self, node: GroupNode) -> None:
         """Hand the newest state over; runs inside the actor of the group."""
--- a/packages/damaskvalve-state/damaskvalve_state/__init__.py
+++ b/packages/damaskvalve-state/damaskvalve_state/__init__.py
@@ -9,7 +9,12 @@
     Limit,
 )
 from damaskvalve_state._group import Group, running_group
-from damaskvalve_state._journal import Journal, open_journal, recover
+from damaskvalve_state._journal import (
+    Journal,
+    open_journal,
+    read_or_make_member_id,
+    recover,
+)
 from damaskvalve_state._load_budget import (
     PERMIT_VALID_S,
     Decision,
@@ -58,6 +63,7 @@
     "empty_snapshot",
     "next_members",
     "open_journal",
+    "read_or_make_member_id",
     "recover",
     "running_group",
 ]
