--- a/packages/damaskvalve-core/damaskvalve_core/_decision_log.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_decision_log.py
@@ -42,6 +42,8 @@
         self._ready = threading.Condition()
         self._kept: dict[str, tuple[int, int]] = {}
         self.dropped: collections.Counter[str] = collections.Counter()
+        # Since the start of the process.
+        self.dropped_total = 0
         self._stopping = False
 
     def line(self, kind: str, **fields: Any) -> None:
@@ -53,6 +55,7 @@
             self._kept[kind] = (int(now_s), count)
             if count > MAX_LINES_PER_S or len(self._waiting) >= MAX_WAITING_LINES:
                 self.dropped[kind] += 1
+                self.dropped_total += 1
                 return
             row = {"at_s": round(now_s, 4), "process": self._process, "kind": kind}
             row.update((key, value) for key, value in fields.items() if value != "")
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -103,7 +103,7 @@
         )
         self._busy = True
         self._reusable = False
-        request = h11.Request(method=method, target=target, headers=headers)
+        request = h11.Request(method=method, target=target, headers=list(headers))
         data = self._framing.send(request) or b""
         if body:
             data += self._framing.send(h11.Data(data=body)) or b""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -143,6 +143,10 @@
         ]
         return _newest_by_address(found)
 
+    def count_ready(self) -> int:
+        """Return how many backend servers have announced that they take work."""
+        return sum(item.announcement.state == READY for item in self._backends.values())
+
     def changed_since(self, number: int) -> Sequence[Backend]:
         """Return the backend servers that changed after a number of this table."""
         return [item for item in self._backends.values() if item.changed > number]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -20,6 +20,7 @@
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._metrics import GatewayMetrics
 from damaskvalve_gateway._model import (
     CallerRequest,
     GatewayConfiguration,
@@ -69,6 +70,7 @@
         tell_crash: TellCrash,
         data_centre: str,
         log: DecisionLog,
+        metrics: GatewayMetrics,
     ) -> None:
         self._knowledge = knowledge
         self._dialect = dialect
@@ -80,6 +82,7 @@
         self._tell_crash = tell_crash
         self._data_centre = data_centre
         self._log = log
+        self._metrics = metrics
 
     async def handle(self, incoming: Incoming, responder: Responder) -> None:
         """Answer one request, whatever becomes of it."""
@@ -107,6 +110,7 @@
         arrived_s: float,
     ) -> None:
         """Answer with a refusal, or cut an answer that has begun."""
+        self._metrics.note_refusal(error.status, error.code)
         self._log.line(
             "refused",
             request=request_id,
@@ -262,6 +266,7 @@
         )
 
     def _note_broken(self, exchange: Exchange, send: "_Attempt") -> None:
+        self._metrics.note_broken_run()
         if exchange.fingerprint:
             now_s = boot_clock_s()
             instance_id = send.instance_id
@@ -343,11 +348,13 @@
         now_s = boot_clock_s()
         whole = exchange.responder.finished
         late = whole and exchange.is_late(now_s)
+        answered = "late" if late else "answered"
+        outcome = exchange.outcome or (answered if whole else "not-answered")
+        self._metrics.note_request(exchange, outcome, now_s)
         eventful = not whole or late or exchange.sends != 1
         if not eventful and not is_sampled(request.request_id):
             return
         first_s = exchange.first_event_s
-        answered = "late" if late else "answered"
         self._log.line(
             "request" if eventful else "request_sample",
             request=request.request_id,
@@ -355,7 +362,7 @@
             workspace=exchange.workspace.name if exchange.workspace else "",
             backend=exchange.backend,
             adapter=request.adapter,
-            outcome=exchange.outcome or (answered if whole else "not-answered"),
+            outcome=outcome,
             sends=exchange.sends,
             runs=exchange.runs,
             waited_s=round(exchange.waited_s, 4),
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
@@ -0,0 +1,75 @@
+"""The metrics of a gateway host."""
+
+from damaskvalve_core import DecisionLog, boot_clock_s
+from damaskvalve_core.metrics import ProcessMetrics
+from damaskvalve_gateway._exchange import Exchange
+from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._quota import HostQuota
+from damaskvalve_gateway._state_link import StateLink
+
+
+class GatewayMetrics:
+    """Counts requests, and reads the rest where it is kept."""
+
+    def __init__(
+        self,
+        process: str,
+        knowledge: Knowledge,
+        quota: HostQuota,
+        link: StateLink,
+        log: DecisionLog,
+    ) -> None:
+        def version() -> float:
+            configuration = knowledge.configuration
+            return configuration.version if configuration else 0
+
+        self._metrics = ProcessMetrics(
+            process,
+            {
+                "requests": "requests by outcome",
+                "refusals": "refusals by status and reason",
+                "sends": "requests sent to backend servers, repeats included",
+                "broken_runs": "runs whose connection broke",
+            },
+            {
+                "request": "time of a whole request",
+                "first_event": "time to the first event of a stream",
+                "pause": "longest pause between two events of a stream",
+                "wait": "time that a request waited for its permit",
+            },
+            {
+                "configuration_version": version,
+                "leader_age_s": lambda: boot_clock_s() - knowledge.contact_s,
+                "leads": lambda: float(link.leads(boot_clock_s())),
+                "applied_index": lambda: link.applied_index,
+                "quota_part": lambda: quota.share_now(boot_clock_s()),
+                "hosts": lambda: knowledge.hosts,
+                "backend_servers": knowledge.backends.count_ready,
+                "log_lines_dropped": lambda: log.dropped_total,
+            },
+        )
+
+    def note_request(self, exchange: Exchange, outcome: str, now_s: float) -> None:
+        """Count a request that was let in, whatever became of it."""
+        kind = exchange.route.kind
+        self._metrics.count("requests", outcome=outcome, kind=kind)
+        self._metrics.time("request", now_s - exchange.arrived_s, kind=kind)
+        for _ in range(exchange.sends):
+            self._metrics.count("sends", kind=kind)
+        if exchange.first_event_s is not None:
+            first_s = exchange.first_event_s - exchange.arrived_s
+            self._metrics.time("first_event", first_s)
+            self._metrics.time("pause", exchange.longest_pause_s)
+            self._metrics.time("wait", exchange.waited_s)
+
+    def note_refusal(self, status: int, code: str) -> None:
+        """Count an answer that the system gave itself."""
+        self._metrics.count("refusals", status=str(status), code=code)
+
+    def note_broken_run(self) -> None:
+        """Count a run whose connection broke."""
+        self._metrics.count("broken_runs")
+
+    def render(self) -> bytes:
+        """Return all values as text."""
+        return self._metrics.render()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -25,10 +25,12 @@
     pooled_backends,
     serving_http,
 )
+from damaskvalve_core.metrics import CONTENT_TYPE
 from damaskvalve_gateway._control_desk import ControlDesk
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._gateway import Gateway
 from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._metrics import GatewayMetrics
 from damaskvalve_gateway._permits import PermitDesk
 from damaskvalve_gateway._quota import HostQuota
 from damaskvalve_gateway._retries import RetryAllowance
@@ -139,6 +141,7 @@
     quota = HostQuota(settings.quota_slack, boot_clock_s())
     sync = SyncController(settings, link, knowledge, quota, desk, log)
     control = ControlDesk(dialect, link, sync, knowledge, log)
+    metrics = GatewayMetrics(settings.name, knowledge, quota, link, log)
     terms = settings.retries
     async with contextlib.AsyncExitStack() as stack:
         pool = await stack.enter_async_context(pooled_backends())
@@ -153,6 +156,7 @@
             sync.tell_crash,
             settings.data_centre,
             log,
+            metrics,
         )
         calls = settings.call_address(settings.group_address)
         await stack.enter_async_context(
@@ -168,6 +172,9 @@
         await open_server(
             settings.control_address, make_control(control), _control_limits
         )
+        await open_server(
+            settings.metrics_address, _make_metrics(metrics), _control_limits
+        )
         ready = _make_ready(knowledge, stopping)
         await open_server(settings.ready_address, ready, _control_limits)
         front = await open_server(
@@ -217,6 +224,16 @@
     return ready
 
 
+def _make_metrics(metrics: GatewayMetrics) -> ControlHandler:
+    """Return the handler that shows the metrics."""
+
+    async def show(incoming: Incoming, responder: Responder) -> None:
+        headers = [(b"content-type", CONTENT_TYPE.encode())]
+        await responder.send(200, headers, metrics.render())
+
+    return show
+
+
 async def _stop(settings: GatewaySettings, front: HttpServer, log: DecisionLog) -> None:
     """Serve until the balancer sends nobody, finish what runs, then close."""
     began_s = boot_clock_s()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
@@ -27,6 +27,7 @@
         "front_address",
         "ready_address",
         "control_address",
+        "metrics_address",
         "group_address",
         "call_port",
         "agent_port",
@@ -46,6 +47,7 @@
         front_address: str,
         ready_address: str,
         control_address: str,
+        metrics_address: str,
         group_address: str,
         call_port: int,
         agent_port: int,
@@ -63,6 +65,7 @@
         self.front_address = front_address
         self.ready_address = ready_address
         self.control_address = control_address
+        self.metrics_address = metrics_address
         # Where this host speaks to the others of its group.
         self.group_address = group_address
         # The same on all hosts: calls of other hosts and of agents.
