Refused requests are told to come back one after the other, and tokens are kept

Change: the leader remembers a refused request by workspace, path and body until it is due and keeps its tokens; the time told counts those that wait before it.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -385,7 +385,7 @@
 }
 struct CrashNotice { 1: string fingerprint  2: string instance_id  3: double age_s }
 
-struct TokensRequest { 1: string host_address  2: string workspace  3: double tokens }
+struct TokensRequest { 1: string host_address  2: string workspace  3: double tokens  4: string fingerprint }
 struct TokensReply { 1: string leader_address  2: bool granted  3: double retry_after_s }
 
 // ---- admission by the agent beside a backend server ----
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2123,6 +2123,7 @@
      - host_address
      - workspace
      - tokens
+     - fingerprint
 
     """
 
@@ -2130,13 +2131,15 @@
         'host_address',
         'workspace',
         'tokens',
+        'fingerprint',
     )
 
 
-    def __init__(self, host_address=None, workspace=None, tokens=None,):
+    def __init__(self, host_address=None, workspace=None, tokens=None, fingerprint=None,):
         self.host_address = host_address
         self.workspace = workspace
         self.tokens = tokens
+        self.fingerprint = fingerprint
 
 
 class TokensReply(TBase):
@@ -2957,6 +2960,7 @@
     (1, TType.STRING, 'host_address', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'workspace', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'tokens', None, None, ),  # 3
+    (4, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 4
 )
 all_structs.append(TokensReply)
 TokensReply.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -50,7 +50,7 @@
 MAX_TURNED_DOWN = 3
 
 #: Asks the leader for tokens; returns 0 or how long until they are there.
-AskLeader = Callable[[Workspace, float], Awaitable[float]]
+AskLeader = Callable[[Workspace, float, str], Awaitable[float]]
 #: Tells the other hosts of a broken run.
 TellCrash = Callable[[str, str], None]
 
@@ -198,19 +198,20 @@
         if workspace is None or workspace.rate_per_s <= 0:
             await self._dispatch(exchange)
             return
-        own = await self._take_tokens(workspace, workspace.cost(exchange.request))
+        own = await self._take_tokens(exchange, workspace)
         try:
             await self._dispatch(exchange)
         finally:
             if not exchange.runs:
                 self._quota.give_back(workspace, own, boot_clock_s())
 
-    async def _take_tokens(self, workspace: Workspace, tokens: float) -> float:
+    async def _take_tokens(self, exchange: Exchange, workspace: Workspace) -> float:
         """Take tokens, here or from the leader; return how many came from here."""
+        tokens = workspace.cost(exchange.request)
         own = self._quota.take(workspace, tokens, boot_clock_s())
         if own >= tokens:
             return own
-        wait_s = await self._ask_leader(workspace, tokens - own)
+        wait_s = await self._ask_leader(workspace, tokens - own, exchange.fingerprint)
         if wait_s <= 0:
             return own
         self._quota.give_back(workspace, own, boot_clock_s())
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
@@ -33,7 +33,12 @@
 MIN_HOSTS = 4
 # A workspace that is refused comes back no sooner than this.
 MIN_RETRY_S = 0.05
+# Callers come back within a third of their deadline, and most deadlines are 15 s.
 MAX_RETRY_S = 5.0
+# A promise is kept for this long after it was due: callers come a little late.
+PROMISE_KEPT_S = 0.5
+# Tokens for requests that are due within this are not given to others.
+PROMISE_AHEAD_S = 0.15
 
 
 def local_part(workspace: Workspace) -> float:
@@ -63,42 +68,59 @@
 class TokenBucket:
     """A part of a workspace's rate and burst."""
 
-    __slots__ = ("_level", "_at_s")
+    __slots__ = ("level", "_at_s")
 
     def __init__(self, level: float, now_s: float) -> None:
-        self._level = level
+        self.level = level
         self._at_s = now_s
 
-    def _refill(self, rate_per_s: float, depth: float, now_s: float) -> None:
+    def refill(self, rate_per_s: float, depth: float, now_s: float) -> None:
+        """Add what has come since the last call."""
         passed_s = max(0.0, now_s - self._at_s)
         self._at_s = now_s
-        self._level = min(depth, self._level + rate_per_s * passed_s)
-
-    def take(
-        self, tokens: float, rate_per_s: float, depth: float, now_s: float
-    ) -> float:
-        """Take tokens and return 0, or return how long until they are there."""
-        self._refill(rate_per_s, depth, now_s)
-        if self._level >= tokens:
-            self._level -= tokens
-            return 0.0
-        if rate_per_s <= 0:
-            return MAX_RETRY_S
-        wait_s = (tokens - self._level) / rate_per_s
-        return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+        self.level = min(depth, self.level + rate_per_s * passed_s)
 
     def take_part(
         self, tokens: float, rate_per_s: float, depth: float, now_s: float
     ) -> float:
         """Take as many tokens as there are, at most so many; return how many."""
-        self._refill(rate_per_s, depth, now_s)
-        taken = max(0.0, min(tokens, self._level))
-        self._level -= taken
+        self.refill(rate_per_s, depth, now_s)
+        taken = max(0.0, min(tokens, self.level))
+        self.level -= taken
         return taken
 
     def give_back(self, tokens: float, depth: float) -> None:
         """Return tokens of a request that did not run."""
-        self._level = min(depth, self._level + tokens)
+        self.level = min(depth, self.level + tokens)
+
+
+class Promises:
+    """Requests that were told when to come back, and the tokens kept for them.
+
+    Without these, newcomers would take what a refused request was told to wait for.
+    """
+
+    __slots__ = ("_kept",)
+
+    def __init__(self) -> None:
+        # Due time and tokens by fingerprint, in the order in which they are due.
+        self._kept: dict[str, tuple[float, float]] = {}
+
+    def redeem(self, mark: str, now_s: float) -> bool:
+        """Take back the promise of a request that has come; False if it has none."""
+        for kept, (due_s, _) in list(self._kept.items()):
+            if now_s <= due_s + PROMISE_KEPT_S:
+                break
+            del self._kept[kept]
+        return self._kept.pop(mark, None) is not None
+
+    def tokens(self, until_s: float) -> float:
+        """Return the tokens kept for requests that are due by then."""
+        return sum(tokens for due_s, tokens in self._kept.values() if due_s <= until_s)
+
+    def make(self, mark: str, tokens: float, due_s: float) -> None:
+        """Keep tokens for a request that comes back."""
+        self._kept[mark] = (due_s, tokens)
 
 
 class HostQuota:
@@ -154,6 +176,7 @@
         self._began_s = began_s
         self._buckets: dict[str, TokenBucket] = {}
         self._granted: dict[str, tuple[float, float]] = {}
+        self._promises: dict[str, Promises] = {}
 
     def grant_share(
         self, host: str, held: float, hosts: int, unheard: int, now_s: float
@@ -178,20 +201,38 @@
         self._granted[host] = (risk, now_s + lease_s)
         return part, SHARE_LEASE_S
 
-    def take(self, workspace: Workspace, tokens: float, now_s: float) -> float:
-        """Take tokens of the leader's part; return 0 or how long to wait.
+    def take(
+        self, workspace: Workspace, tokens: float, mark: str, now_s: float
+    ) -> float:
+        """Take tokens of the leader's part and return 0, or return when to come back.
 
         A new leader's part starts empty: the one before may just have spent it.
         """
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             bucket = self._buckets[workspace.name] = TokenBucket(0.0, self._began_s)
+        promises = self._promises.setdefault(workspace.name, Promises())
         part = 1 - local_part(workspace)
         rate_per_s = part * workspace.rate_per_s
         depth = part * (workspace.burst + self._slack.tokens_for(workspace))
-        return bucket.take(tokens, rate_per_s, depth, now_s)
+        bucket.refill(rate_per_s, depth, now_s)
+        came_back = bool(mark) and promises.redeem(mark, now_s)
+        due = 0.0 if came_back else promises.tokens(now_s + PROMISE_AHEAD_S)
+        if bucket.level - due >= tokens:
+            bucket.level -= tokens
+            return 0.0
+        if rate_per_s <= 0 or tokens > depth:
+            return MAX_RETRY_S
+        ahead = promises.tokens(now_s + MAX_RETRY_S)
+        wait_s = max(MIN_RETRY_S, (tokens + ahead - bucket.level) / rate_per_s)
+        if wait_s >= MAX_RETRY_S:
+            return MAX_RETRY_S
+        if mark:
+            promises.make(mark, tokens, now_s + wait_s)
+        return wait_s
 
     def forget(self, workspaces: Mapping[str, Workspace]) -> None:
         """Drop the buckets of workspaces that are not configured any more."""
         for name in [name for name in self._buckets if name not in workspaces]:
             del self._buckets[name]
+            self._promises.pop(name, None)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -206,12 +206,12 @@
         self._knowledge.hosts = reply.hosts
         self._knowledge.contact_s = asked_s
 
-    async def ask_tokens(self, workspace: Workspace, tokens: float) -> float:
+    async def ask_tokens(self, workspace: Workspace, tokens: float, mark: str) -> float:
         """Ask the leader for tokens; return 0 or how long until they are there."""
         if self._link.leads(boot_clock_s()):
-            return self._desk.take_tokens(workspace, tokens, boot_clock_s())
+            return self._desk.take_tokens(workspace, tokens, mark, boot_clock_s())
         address = self._settings.call_address(self._settings.group_address)
-        request = TokensRequest(address, workspace.name, tokens)
+        request = TokensRequest(address, workspace.name, tokens, mark)
         try:
             reply = await self._link.ask_leader(request, TOKENS_TIMEOUT_S)
         except ChannelError as error:
@@ -295,10 +295,12 @@
         except RetryLaterError as error:
             self._log.line("hosts_not_registered", reason=str(error))
 
-    def take_tokens(self, workspace: Workspace, tokens: float, now_s: float) -> float:
+    def take_tokens(
+        self, workspace: Workspace, tokens: float, mark: str, now_s: float
+    ) -> float:
         """Take tokens of the leader's part; return 0 or how long to wait."""
         self._standing(now_s)
-        return self._quota.take(workspace, tokens, now_s)
+        return self._quota.take(workspace, tokens, mark, now_s)
 
     def note_crash(self, mark: str, instance_id: str, at_s: float) -> None:
         """Count a broken run."""
@@ -356,7 +358,9 @@
         workspace = configuration.workspaces.get(request.workspace)
         if workspace is None:
             return TokensReply(address, False, SYNC_S)
-        wait_s = self.take_tokens(workspace, request.tokens, now_s)
+        wait_s = self.take_tokens(
+            workspace, request.tokens, request.fingerprint or "", now_s
+        )
         return TokensReply(address, wait_s <= 0, wait_s)
 
     def _confirm(self) -> ConfirmReply:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_quota.py
@@ -53,7 +53,7 @@
         if own < tokens:
             asked = number not in self.cut and self.leader is not None
             lacking = tokens - own
-            if not asked or self.leader.take(self.workspace, lacking, now_s) > 0:
+            if not asked or self.leader.take(self.workspace, lacking, "", now_s) > 0:
                 host.give_back(self.workspace, own, now_s)
                 return
         self.admitted.append((now_s, tokens))
@@ -110,7 +110,25 @@
         small = workspace(2_700.0, 2_700.0)
         own = host.take(small, 1_900.0, 5.0)
         self.assertGreater(own, 0.0)
-        self.assertEqual(leader.take(small, 1_900.0 - own, 5.0), 0.0)
+        self.assertEqual(leader.take(small, 1_900.0 - own, "", 5.0), 0.0)
+
+    def test_under_overload_those_turned_away_are_served_when_they_come_back(self):
+        """Newcomers do not take what a refused request was told to wait for."""
+        leader = LeaderQuota(QuotaSlack(0.0, 0.0, WINDOW_S), 0.0)
+        held = workspace(50_000.0, 50_000.0)
+        back, came_back, served = [], 0, 0
+        for step in range(2_000):
+            now_s = 10.0 + step * 0.01
+            for due_s, mark in [item for item in back if item[0] <= now_s]:
+                back.remove((due_s, mark))
+                came_back += 1
+                served += leader.take(held, 1_500.0, mark, now_s) == 0.0
+            mark = f"new-{step}"
+            wait_s = leader.take(held, 1_500.0, mark, now_s)
+            if 0 < wait_s < 5.0:
+                back.append((now_s + wait_s, mark))
+        self.assertGreater(came_back, 100)
+        self.assertGreater(served / came_back, 0.95)
 
     def test_a_host_whose_lease_has_ended_spends_nothing(self):
         """A part that may have been granted again is not spent."""
@@ -123,7 +141,7 @@
         """Coming back after Retry-After finds the tokens."""
         leader = LeaderQuota(QuotaSlack(0.0, 0.0, WINDOW_S), 0.0)
         held = workspace(1_000.0, 1_000.0)
-        self.assertEqual(leader.take(held, 600.0, 10.0), 0.0)
-        wait_s = leader.take(held, 500.0, 10.0)
+        self.assertEqual(leader.take(held, 600.0, "", 10.0), 0.0)
+        wait_s = leader.take(held, 500.0, "", 10.0)
         self.assertGreater(wait_s, 0.0)
-        self.assertEqual(leader.take(held, 500.0, 10.0 + wait_s + 1e-6), 0.0)
+        self.assertEqual(leader.take(held, 500.0, "", 10.0 + wait_s + 1e-6), 0.0)
