Tokens are kept only for those that can still be on time

Cause: keeping tokens for every refused request made the whole hot workspace late: who came back after seconds was served late in place of a newcomer on time. Change: a promise is made for half a second at most; the first event of a stream that may be resumed is awaited for 1.5 s instead of 4. Conclusion: under a workspace's overload the one that is still on time goes first.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
@@ -35,6 +35,9 @@
 MIN_RETRY_S = 0.05
 # Callers come back within a third of their deadline, and most deadlines are 15 s.
 MAX_RETRY_S = 5.0
+# A request that comes back sooner than this can still be answered on time; a promise
+# beyond it would make another late for one that is late already.
+LONGEST_PROMISE_S = 0.5
 # A promise is kept for this long after it was due: callers come a little late.
 PROMISE_KEPT_S = 0.5
 # Tokens for requests that are due within this are not given to others.
@@ -227,7 +230,7 @@
         wait_s = max(MIN_RETRY_S, (tokens + ahead - bucket.level) / rate_per_s)
         if wait_s >= MAX_RETRY_S:
             return MAX_RETRY_S
-        if mark:
+        if mark and wait_s <= LONGEST_PROMISE_S:
             promises.make(mark, tokens, now_s + wait_s)
         return wait_s
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
@@ -32,8 +32,9 @@
 # Callers give a stream up after a gap of two seconds at the least; after this one a
 # stream that may be resumed goes on elsewhere.
 STREAM_GAP_S = 2.2
-# The same before the first event, when a prompt may still be read.
-FIRST_EVENT_S = 4.0
+# The same before the first event: a permit is given when the prompt can be read, which
+# takes some 0.2 s, and callers hope for it within a second.
+FIRST_EVENT_S = 1.5
 MAX_WHOLE_BYTES = 16 * 1024 * 1024
 
 _HOP_HEADERS = frozenset(
