The agreement module is split along its jobs

State that the jobs share, replication, elections and the public face; settings and status of a member stand apart from the actor.

--- a/packages/damaskvalve-state/damaskvalve_state/__init__.py
+++ b/packages/damaskvalve-state/damaskvalve_state/__init__.py
@@ -1,6 +1,7 @@
 """The replicated state of the control hosts."""
 
-from damaskvalve_state._agreement import LEADER, Agreement
+from damaskvalve_state._agreement import Agreement
+from damaskvalve_state._agreement_state import LEADER
 from damaskvalve_state._credit import (
     CLOCK_DRIFT,
     GRANT_LIFETIME_S,
@@ -31,7 +32,8 @@
     Machine,
 )
 from damaskvalve_state._membership import next_members
-from damaskvalve_state._node import GroupNode, NodeSettings, NodeStatus
+from damaskvalve_state._node import GroupNode
+from damaskvalve_state._node_settings import NodeSettings, NodeStatus
 from damaskvalve_state._timing import Output, Timing
 
 __all__ = [
--- /dev/null
+++ b/packages/damaskvalve-state/damaskvalve_state/_elections.py
@@ -0,0 +1,101 @@
+"""Who leads: elections with pre-votes, and leads that are handed over."""
+
+from damaskvalve_core.messages import (
+    TakeOverRequest,
+    VoteReply,
+    VoteRequest,
+)
+from damaskvalve_state._agreement_state import (
+    CANDIDATE,
+    FOLLOWER,
+    LEADER,
+)
+from damaskvalve_state._progress import (
+    quorum_size,
+)
+from damaskvalve_state._replication import Replication
+
+
+class Elections(Replication):
+    """Asks for votes and gives them, at most one a term."""
+
+    def _on_take_over(self, request: TakeOverRequest, now_s: float) -> VoteReply:
+        """Start an election for a leader that stops, without waiting for silence."""
+        wanted = request.term == self.term and request.leader_id == self.leader_id
+        if wanted and self.role == FOLLOWER and self.is_voter():
+            self._start_election(now_s, pre_vote=False, handed_over=True)
+        return VoteReply(self.term, self.member.member_id, False, True)
+
+    def _start_election(
+        self, now_s: float, *, pre_vote: bool, handed_over: bool = False
+    ) -> None:
+        self._reset_election(now_s)
+        self.leader_id = ""
+        self.leader_address = ""
+        self._pre_vote = pre_vote
+        self._votes = {self.member.member_id}
+        self.role = CANDIDATE
+        if not pre_vote:
+            self._set_hard_state(self.term + 1, self.member.member_id)
+        request = VoteRequest(
+            self.term + 1 if pre_vote else self.term,
+            self.member.member_id,
+            self.log.last_index,
+            self.log.last_term,
+            pre_vote,
+            handed_over,
+        )
+        for voter in self.voters():
+            if voter.member_id != self.member.member_id:
+                self._output.messages.append((voter, request))
+        self._count_votes(now_s)
+
+    def _count_votes(self, now_s: float) -> None:
+        voters = self.voters()
+        granted = sum(voter.member_id in self._votes for voter in voters)
+        if granted < quorum_size(len(voters)):
+            return
+        if self._pre_vote:
+            self._start_election(now_s, pre_vote=False)
+        else:
+            self._become_leader(now_s)
+
+    def _hears_leader(self, now_s: float) -> bool:
+        if self.role == LEADER:
+            return self.lease_left_s(now_s) > 0
+        return now_s - self._leader_contact_s < self.timing.election_timeout_s
+
+    def _on_vote_request(self, request: VoteRequest, now_s: float) -> VoteReply:
+        granted = self._may_grant(request, now_s)
+        if request.pre_vote:
+            return VoteReply(self.term, self.member.member_id, granted, True)
+        free = request.handed_over or not self._hears_leader(now_s)
+        if request.term > self.term and free:
+            self._follow_term(request.term, now_s)
+        if granted:
+            self._set_hard_state(request.term, request.candidate_id)
+            self._reset_election(now_s)
+        return VoteReply(self.term, self.member.member_id, granted, False)
+
+    def _may_grant(self, request: VoteRequest, now_s: float) -> bool:
+        if self._hears_leader(now_s) and not request.handed_over:
+            return False
+        if request.term < self.term:
+            return False
+        free = self.voted_for in ("", request.candidate_id)
+        if not request.pre_vote and request.term == self.term and not free:
+            return False
+        own_position = (self.log.last_term, self.log.last_index)
+        return (request.last_term, request.last_index) >= own_position
+
+    def _on_vote_reply(self, reply: VoteReply, now_s: float) -> None:
+        if reply.term > self.term:
+            self._follow_term(reply.term, now_s)
+            return
+        if self.role != CANDIDATE or reply.pre_vote != self._pre_vote:
+            return
+        if not reply.pre_vote and reply.term != self.term:
+            return
+        if reply.granted:
+            self._votes.add(reply.voter_id)
+            self._count_votes(now_s)
--- a/packages/damaskvalve-state/damaskvalve_state/_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_group.py
@@ -9,8 +9,9 @@
 
 from damaskvalve_core import Dialer, RetryLaterError
 from damaskvalve_core.messages import Command, CommandResult
-from damaskvalve_state._node import GroupNode, NodeSettings, NodeStatus, StatusBoard
+from damaskvalve_state._node import GroupNode
 from damaskvalve_state._node_messages import Request, Run, Tick
+from damaskvalve_state._node_settings import NodeSettings, NodeStatus, StatusBoard
 
 TICK_S = 0.03
 T = TypeVar("T")
