A stop waits for requests that are being read

Change: a connection is busy from a request's first byte; nothing is begun on a connection that closes. A host that hears who leads calls at once; its buckets grow from the start of its process, and not while it has no part. Ruled out: a lost answer on the way (the backend server ran it and answered within 1 ms).

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -46,7 +46,7 @@
 ORDER_TIMEOUT_S = 1.0
 # After an order that the engine did not take.
 ORDER_PAUSE_S = 0.05
-FENCE_RETRY_S = 0.5
+FENCE_RETRY_S = 0.2
 FENCE_TIMEOUT_S = 1.0
 # Assumed for routes that name no longest pause.
 CALM_PAUSE_S = 0.25
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -172,6 +172,10 @@
     def resume_writing(self) -> None:
         self._writable.set()
 
+    def is_idle(self) -> bool:
+        """Return whether no byte of a request has come."""
+        return self.idle and not self._buffer
+
     # ---- writing ----
 
     def write(self, data: bytes) -> None:
@@ -220,7 +224,8 @@
         self._answering = True
         self._server.active += 1
         try:
-            if self._ended:
+            if self._ended or self._transport.is_closing():
+                # Nothing is begun that could not be answered any more.
                 return
             await self._server.handler(incoming, responder)
         finally:
@@ -392,9 +397,13 @@
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
         for connection in list(self.connections):
-            if connection.idle:
+            if connection.is_idle():
                 connection._transport.close()
 
+    def is_busy(self) -> bool:
+        """Return whether a request is being read or answered."""
+        return any(not connection.is_idle() for connection in self.connections)
+
     def stop_accepting(self) -> None:
         """Close the listening socket."""
         if self._listener is not None:
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -107,6 +107,23 @@
         self.assertIn(b"part", answer)
         self.assertFalse(answer.endswith(b"0\r\n\r\n"))
 
+    async def test_a_request_that_is_being_read_keeps_the_server_busy(self):
+        """A stop waits for it and answers it; idle connections are closed."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+        idle_reader, idle_writer = await asyncio.open_connection("127.0.0.1", PORT)
+        writer.write(HEAD + b"Content-Length: 4\r\n\r\nbo")
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.server.active, 0)
+        self.assertTrue(self.server.is_busy())
+        self.server.close_idle()
+        self.assertEqual(await asyncio.wait_for(idle_reader.read(), 0.5), b"")
+        writer.write(b"dy")
+        answer = await asyncio.wait_for(reader.readuntil(b"body"), 0.5)
+        self.assertIn(b" 200 ", answer)
+        for each in (writer, idle_writer):
+            each.close()
+
     async def test_a_caller_that_leaves_cancels_what_is_done_for_it(self):
         """At once, not when its answer is ready."""
         _, writer = await asyncio.open_connection("127.0.0.1", PORT)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
@@ -27,6 +27,9 @@
 # A host's part outlives the longest cut that is usual, so that a host that is cut off
 # goes on serving within it.
 SHARE_LEASE_S = 10.0
+# What a host may have grown before its first grant: the part that it had before it
+# restarted was its own for that long.
+START_CREDIT_S = 2.0
 # Clocks of two hosts drift apart by less than this.
 CLOCK_DRIFT = 0.1
 # Fewer hosts than this are never assumed, so that the first to ask do not get all.
@@ -83,6 +86,10 @@
         self._at_s = now_s
         self.level = min(depth, self.level + rate_per_s * passed_s)
 
+    def skip_to(self, now_s: float) -> None:
+        """Let nothing have come since the last call."""
+        self._at_s = now_s
+
     def take_part(
         self, tokens: float, rate_per_s: float, depth: float, now_s: float
     ) -> float:
@@ -136,8 +143,15 @@
         self.share = 0.0
         self._share_until_s = 0.0
 
-    def renew(self, share: float, until_s: float) -> None:
-        """Take the part that the leader granted."""
+    def renew(self, share: float, until_s: float, now_s: float) -> None:
+        """Take the part that the leader granted.
+
+        Nothing has grown while this host had no part: others may have had it.
+        """
+        if self.share_now(now_s) <= 0:
+            self._began_s = max(self._began_s, now_s - START_CREDIT_S)
+            for bucket in self._buckets.values():
+                bucket.skip_to(now_s)
         self.share = share
         self._share_until_s = until_s
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -108,9 +108,16 @@
 
 
 def run_gateway(
-    settings: GatewaySettings, dialect: Dialect, make_control: MakeControl
+    settings: GatewaySettings,
+    dialect: Dialect,
+    make_control: MakeControl,
+    began_s: float,
 ) -> None:
-    """Serve until SIGTERM, then stop gracefully."""
+    """Serve until SIGTERM, then stop gracefully.
+
+    ``began_s`` is a time, by the boot clock, at which this process ran already: what
+    this host may spend of the rates has been growing since.
+    """
     with decision_log(settings.name, boot_clock_s) as log:
         log.line(
             "start",
@@ -120,7 +127,7 @@
         )
         _await_folder(settings, log)
         with _member(settings) as group:
-            asyncio.run(_serve(settings, dialect, make_control, group, log))
+            asyncio.run(_serve(settings, dialect, make_control, group, log, began_s))
         log.line("stop")
 
 
@@ -130,6 +137,7 @@
     make_control: MakeControl,
     group: Group,
     log: DecisionLog,
+    began_s: float,
 ) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -140,7 +148,7 @@
     caller = Caller(settings.identity)
     link = StateLink(settings, group, caller, knowledge, dialect, log)
     desk = LeaderDesk(settings, link, knowledge, log)
-    quota = HostQuota(settings.quota_slack, boot_clock_s())
+    quota = HostQuota(settings.quota_slack, began_s)
     sync = SyncController(settings, link, knowledge, quota, desk, log)
     control = ControlDesk(dialect, link, sync, knowledge, log)
     metrics = GatewayMetrics(settings.name, knowledge, quota, link, log)
@@ -252,7 +260,7 @@
     front.stop_accepting()
     front.say_close()
     give_up_s = began_s + settings.grace_s - CLOSING_S
-    while front.active and boot_clock_s() < give_up_s:
+    while front.is_busy() and boot_clock_s() < give_up_s:
         front.close_idle()
         await asyncio.sleep(STOP_STEP_S)
     front.close_idle()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -38,6 +38,8 @@
 # A fifth of the shortest bound within which all hosts have to stop using a backend
 # server that leaves.
 SYNC_S = 0.4
+# The same while no leader answers; as long as none is known nothing is sent.
+LEADERLESS_S = 0.1
 SYNC_TIMEOUT_S = 0.8
 TOKENS_TIMEOUT_S = 0.3
 # Crashes are repeated in replies for this long, so that each host hears of them over
@@ -137,7 +139,7 @@
                 if connected:
                     self._log.line("leader_lost", reason=str(error))
                 connected = False
-            await asyncio.sleep(SYNC_S)
+            await asyncio.sleep(SYNC_S if connected else LEADERLESS_S)
 
     async def sync_now(self) -> None:
         """Exchange with the leader once; raises :class:`RetryLaterError`."""
@@ -159,7 +161,7 @@
         share, lease_s = self._desk.grant_share(
             address, self._quota.share_now(now_s), now_s
         )
-        self._quota.renew(share, now_s + lease_s)
+        self._quota.renew(share, now_s + lease_s, now_s)
         self._knowledge.hosts = self._desk.hosts(now_s)
         self._knowledge.contact_s = now_s
 
@@ -202,7 +204,7 @@
             at_s = now_s - crash.age_s
             self._knowledge.crashes.note(crash.fingerprint, crash.instance_id, at_s)
         # The lease counts from before the leader granted it.
-        self._quota.renew(reply.share, asked_s + reply.share_s)
+        self._quota.renew(reply.share, asked_s + reply.share_s, now_s)
         self._knowledge.hosts = reply.hosts
         self._knowledge.contact_s = asked_s
 
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -293,7 +293,9 @@
 
     def _on_hello_reply(self, reply: HelloReply, now_s: float) -> None:
         self._hellos[reply.member.address] = (reply.member, reply.empty)
-        self._told_leader = reply.leader_address or self._told_leader
+        if reply.leader_address and reply.leader_address != self._told_leader:
+            self._told_leader = reply.leader_address
+            self._next_hello_s = now_s
         self._try_founding(now_s)
 
     def _try_founding(self, now_s: float) -> None:
