The time line reads decision logs; lines carry the time of day

The command that shows one request's way takes files with standard outputs, so that a host's and an agent's lines stand in one order.

--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -12,7 +12,7 @@
     set_liveness,
     split_address,
 )
-from damaskvalve_core._clock import HybridClock, stamp_to_wall_s
+from damaskvalve_core._clock import HybridClock, stamp_to_wall_s, wall_s_to_stamp
 from damaskvalve_core._codec import (
     copy_struct,
     decode_message,
@@ -91,4 +91,5 @@
     "set_liveness",
     "split_address",
     "stamp_to_wall_s",
+    "wall_s_to_stamp",
 ]
--- a/packages/damaskvalve-core/damaskvalve_core/_clock.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_clock.py
@@ -31,3 +31,8 @@
 def stamp_to_wall_s(stamp: int) -> float:
     """Return the wall time in seconds that a stamp stands for."""
     return stamp / _NANOS_PER_SECOND
+
+
+def wall_s_to_stamp(wall_s: float) -> int:
+    """Return the stamp of a wall time in seconds."""
+    return int(wall_s * _NANOS_PER_SECOND)
--- a/packages/damaskvalve-core/damaskvalve_core/_decision_log.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_decision_log.py
@@ -11,6 +11,7 @@
 import json
 import sys
 import threading
+import time
 import zlib
 from collections.abc import Callable, Iterator
 from typing import Any, TextIO
@@ -33,11 +34,16 @@
     """Takes structured lines from any thread and writes them from its own."""
 
     def __init__(
-        self, process: str, stream: TextIO, clock_s: Callable[[], float]
+        self,
+        process: str,
+        stream: TextIO,
+        clock_s: Callable[[], float],
+        wall_s: Callable[[], float],
     ) -> None:
         self._process = process
         self._stream = stream
         self._clock_s = clock_s
+        self._wall_s = wall_s
         self._waiting: collections.deque[dict[str, Any]] = collections.deque()
         self._ready = threading.Condition()
         self._kept: dict[str, tuple[int, int]] = {}
@@ -57,7 +63,13 @@
                 self.dropped[kind] += 1
                 self.dropped_total += 1
                 return
-            row = {"at_s": round(now_s, 4), "process": self._process, "kind": kind}
+            row: dict[str, Any] = {
+                # The time of day merges the logs of hosts; ``at_s`` measures spans.
+                "time_s": round(self._wall_s(), 4),
+                "at_s": round(now_s, 4),
+                "process": self._process,
+                "kind": kind,
+            }
             row.update((key, value) for key, value in fields.items() if value != "")
             self._waiting.append(row)
             self._ready.notify()
@@ -100,7 +112,7 @@
     process: str, clock_s: Callable[[], float], stream: TextIO | None = None
 ) -> Iterator[DecisionLog]:
     """Yield a log that writes to standard output until the end."""
-    log = DecisionLog(process, stream or sys.stdout, clock_s)
+    log = DecisionLog(process, stream or sys.stdout, clock_s, time.time)
     thread = threading.Thread(target=log.write_until_stopped, daemon=True)
     thread.start()
     try:
--- a/packages/damaskvalve/damaskvalve/_cli/_time_line.py
+++ b/packages/damaskvalve/damaskvalve/_cli/_time_line.py
@@ -10,7 +10,9 @@
 
 
 def time_line(
-    folders: Annotated[list[Path], cappa.Arg(help="data folders, or their parent")],
+    folders: Annotated[
+        list[Path], cappa.Arg(help="data folders, their parent, or files with logs")
+    ],
     request: Annotated[str, cappa.Arg(long=True, help="a request's id")] = "",
     workspace: Annotated[str, cappa.Arg(long=True, help="a workspace")] = "",
     backend: Annotated[str, cappa.Arg(long=True, help="a backend server")] = "",
--- a/packages/damaskvalve/damaskvalve/_time_line_view.py
+++ b/packages/damaskvalve/damaskvalve/_time_line_view.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from damaskvalve_core import TIME_LINE_FILE, stamp_to_wall_s
+from damaskvalve_core import TIME_LINE_FILE, stamp_to_wall_s, wall_s_to_stamp
 
 #: The fields by which events can be picked.
 FILTERS = ("request", "workspace", "backend_server", "job", "adapter")
@@ -16,8 +16,13 @@
 
 
 def read_events(folders: Iterable[Path]) -> Iterator[Event]:
-    """Yield the events of data folders; an unfinished last line is left out."""
+    """Yield the events of data folders, and the lines of files with decision logs.
+
+    An unfinished last line is left out, and so is what is not of either form.
+    """
     for folder in folders:
+        if folder.is_file():
+            yield from _read_log(folder)
         for path in sorted(folder.rglob(f"{TIME_LINE_FILE}*")):
             for line in path.read_text(encoding="utf-8").splitlines():
                 try:
@@ -26,6 +31,17 @@
                     continue
 
 
+def _read_log(path: Path) -> Iterator[Event]:
+    """Yield the lines of a process's standard output, whatever stands before them."""
+    for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+        try:
+            row = json.loads(line[line.index("{") :])
+            at = wall_s_to_stamp(row.pop("time_s"))
+            yield {"at": at, "event": row.pop("kind"), **row}
+        except (ValueError, KeyError, TypeError, AttributeError):
+            continue
+
+
 def pick(events: Iterable[Event], wanted: Mapping[str, str]) -> Sequence[Event]:
     """Return the events that match, and those of the requests they belong to."""
     events = list(events)
--- a/packages/damaskvalve/damaskvalve/tests/test_time_line_view.py
+++ b/packages/damaskvalve/damaskvalve/tests/test_time_line_view.py
@@ -44,6 +44,24 @@
             file.write('{"at": 12, "eve')
         self.assertEqual(len(self.events(request="r1")), 3)
 
+    def test_logs_of_several_processes_show_one_requests_way(self):
+        """Files with standard outputs are merged; other lines are left out."""
+        host, agent = self.folder / "host.log", self.folder / "agent.log"
+        host.write_text(
+            "not a line\n"
+            '12.5 host {"time_s": 12.5, "process": "h", "kind": "request", '
+            '"request": "r9", "waited_s": 1.2}\n'
+            '{"time_s": 11.0, "process": "h", "kind": "other", "request": "r8"}\n'
+        )
+        agent.write_text(
+            '{"time_s": 12.1, "process": "a", "kind": "waited_longer", '
+            '"request": "r9"}\n{"time_s": 1'
+        )
+        events = pick(read_events([host, agent]), {"request": "r9"})
+        names = [(event["process"], event["event"]) for event in events]
+        self.assertEqual(names, [("a", "waited_longer"), ("h", "request")])
+        self.assertIn("waited_s=1.2", render_text(events))
+
     def test_text_and_page_show_time_and_escape_what_they_show(self):
         """The page holds no markup that came from an event."""
         events = self.events(request="r1")
