--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -160,7 +160,7 @@
     def grant(
         self: Any, host: str, held: float, hosts: int, unheard: int, now_s: float
     ) -> tuple[float, float]:
-        return original(self, host, held, 1, 0, now_s)
+        return original(self, host, held, hosts - unheard, 0, now_s)
 
     with mock.patch.object(LeaderQuota, "grant_share", grant):
         yield
