What may have run is never refused as not run

Cause: found when the send loop was read for the landing: a stream that broke off and then found no engine with a place was answered 503, ran not-run. Change: a request that ends unserved is answered with the backend server's own failure if there is one, with 502 if it may have run, else with the refusal.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -229,22 +229,43 @@
         kept: Failure | None = None
         turned_down = 0
         while True:
-            send = await self._one_send(exchange)
+            try:
+                send = await self._one_send(exchange)
+            except RefusedError as error:
+                await self._end_unserved(exchange, kept, error)
+                return
             outcome, kept = send.outcome, send.failure or kept
             if outcome == ANSWERED:
                 return
-            if outcome == NOT_RUN:
-                turned_down += 1
-                if turned_down >= MAX_TURNED_DOWN:
-                    self._give_up(exchange, send)
-            elif outcome == BROKEN:
+            if outcome == BROKEN:
                 self._note_broken(exchange, send)
-            if not self._may_send_again(exchange, outcome):
+            turned_down += outcome == NOT_RUN
+            may_go_on = turned_down < MAX_TURNED_DOWN
+            if not may_go_on or not self._may_send_again(exchange, outcome):
                 break
+        refused = RefusedError(
+            503,
+            "turned_down",
+            f"the last send ended {outcome}: {send.reason}",
+            retry_after_s=NO_BACKEND_RETRY_S,
+        )
+        await self._end_unserved(exchange, kept, refused)
+
+    @staticmethod
+    async def _end_unserved(
+        exchange: Exchange, kept: Failure | None, error: RefusedError
+    ) -> None:
+        """End a request that nobody answered well.
+
+        A backend server's own failure goes before an answer of the system's, and what
+        may have run is never refused as not run.
+        """
         if kept is not None and not exchange.responder.started:
             await relay(exchange, kept.head, kept.body)
-            return
-        self._give_up(exchange, send)
+        elif exchange.runs:
+            raise RefusedError(502, "broken", str(error), ran=UNKNOWN) from error
+        else:
+            raise error
 
     def _may_send_again(self, exchange: Exchange, outcome: str) -> bool:
         if outcome != NOT_RUN and not exchange.may_run_again():
@@ -254,18 +275,6 @@
             return True
         return self._retries.take(service, self._knowledge.hosts, boot_clock_s())
 
-    def _give_up(self, exchange: Exchange, send: "_Attempt") -> None:
-        if exchange.runs:
-            raise RefusedError(
-                502, "broken", f"the backend server failed: {send.reason}", ran=UNKNOWN
-            )
-        raise RefusedError(
-            503,
-            "turned_down",
-            f"no backend server took the request: {send.reason}",
-            retry_after_s=NO_BACKEND_RETRY_S,
-        )
-
     def _note_broken(self, exchange: Exchange, send: "_Attempt") -> None:
         self._metrics.note_broken_run()
         if exchange.fingerprint:
@@ -296,10 +305,6 @@
     async def _one_send(self, exchange: Exchange) -> "_Attempt":
         candidates = self._candidates(exchange)
         if not candidates:
-            if exchange.runs:
-                raise RefusedError(
-                    502, "no_backend", "no other backend server is left", ran=UNKNOWN
-                )
             raise RefusedError(
                 503,
                 "no_backend",
