Importing the core package no longer brings asyncio to every agent

The core package imported the asyncio calls, so the product's own agents started later and took more memory than before. Change: the calls are a public module of their own, imported by the gateway and the permit desk only. Ruled out so far: a difference of the clocks (2 microseconds).

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -17,7 +17,6 @@
     Order,
 )
 from damaskvalve_core import (
-    Call,
     ChannelError,
     DecisionLog,
     Identity,
@@ -26,8 +25,8 @@
     boot_clock_s,
     decision_log,
     dialing,
-    serving_calls,
 )
+from damaskvalve_core.calls import Call, serving_calls
 from damaskvalve_core.http import BackendPool, Headers, pooled_backends
 from damaskvalve_core.messages import (
     AdmitEnd,
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -2,7 +2,6 @@
 
 from damaskvalve_core._background import repeating
 from damaskvalve_core._boot_clock import boot_clock_s
-from damaskvalve_core._calls import Call, Caller, serving_calls
 from damaskvalve_core._channel import (
     Connection,
     Dialer,
@@ -52,8 +51,6 @@
     "RAN",
     "TIME_LINE_FILE",
     "UNKNOWN",
-    "Call",
-    "Caller",
     "ChannelError",
     "Connection",
     "DamagedJournalError",
@@ -87,7 +84,6 @@
     "open_time_line",
     "repeating",
     "run_from_settings",
-    "serving_calls",
     "set_liveness",
     "split_address",
     "stamp_to_wall_s",
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
@@ -8,14 +8,8 @@
 import contextlib
 from collections.abc import AsyncIterator, Sequence
 
-from damaskvalve_core import (
-    Call,
-    Caller,
-    ChannelError,
-    RefusedError,
-    boot_clock_s,
-    split_address,
-)
+from damaskvalve_core import ChannelError, RefusedError, boot_clock_s, split_address
+from damaskvalve_core.calls import Call, Caller
 from damaskvalve_core.messages import (
     AdmitEnd,
     AdmitReply,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -7,15 +7,14 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 from damaskvalve_core import (
-    Caller,
     DecisionLog,
     RetryLaterError,
     boot_clock_s,
     decision_log,
     dialing,
     listening,
-    serving_calls,
 )
+from damaskvalve_core.calls import Caller, serving_calls
 from damaskvalve_core.http import (
     BackendPool,
     HttpServer,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
@@ -6,13 +6,13 @@
 from typing import Any
 
 from damaskvalve_core import (
-    Caller,
     ChannelError,
     DecisionLog,
     RetryLaterError,
     SettingsError,
     boot_clock_s,
 )
+from damaskvalve_core.calls import Caller
 from damaskvalve_core.messages import (
     Command,
     CommandResult,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -8,13 +8,8 @@
 import asyncio
 from collections.abc import Sequence
 
-from damaskvalve_core import (
-    Call,
-    ChannelError,
-    DecisionLog,
-    RetryLaterError,
-    boot_clock_s,
-)
+from damaskvalve_core import ChannelError, DecisionLog, RetryLaterError, boot_clock_s
+from damaskvalve_core.calls import Call
 from damaskvalve_core.messages import (
     BackendNotice,
     ConfirmReply,
