--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -384,6 +384,8 @@
   6: double share
   7: double share_s
   8: i32 hosts
+  // Seconds since the leader heard of backend servers that it misses, by instance.
+  9: optional map<string, double> silent
 }
 struct CrashNotice { 1: string fingerprint  2: string instance_id  3: double age_s }
 
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/__init__.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/__init__.py
@@ -1,13 +1,9 @@
 """Permits: which requests start at an engine, and which adapters it holds."""
 
 from damaskvalve_agent._permits._desk import Admission, Grant
-from damaskvalve_agent._permits._run import (
-    EngineCall,
-    EngineDialect,
-    OrderTerms,
-    PermitSettings,
-    run_permits,
-)
+from damaskvalve_agent._permits._engine import EngineCall, EngineDialect, OrderTerms
+from damaskvalve_agent._permits._run import PermitServer, run_permits
+from damaskvalve_agent._permits._settings import PermitSettings
 from damaskvalve_agent._permits._types import (
     ACCEPTED,
     CONFLICT,
@@ -41,6 +37,7 @@
     "Limits",
     "Order",
     "OrderTerms",
+    "PermitServer",
     "PermitSettings",
     "run_permits",
 ]
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_desk.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_desk.py
@@ -10,6 +10,7 @@
 import collections
 from collections.abc import Sequence
 
+from damaskvalve_agent._permits._pace import PREFILL_PART, PrefillPace, prefill_s
 from damaskvalve_agent._permits._types import (
     ACCEPTED,
     CONFLICT,
@@ -28,15 +29,9 @@
 # Loads that one agent keeps on their way. The store slows down beyond eight over all
 # engines, and the smallest deployment has five.
 MAX_LOADS = 2
-# From both users' sheets: the time of a load, of a base model and of reading prompts.
+# From both users' sheets: the time of a load of an adapter and of a base model.
 LOAD_S = 0.25
 LOAD_MODEL_S = 2.9
-PREFILL_TOKENS_PER_S = 25_800.0
-# Reading a prompt also takes time that grows with the square of its length.
-PREFILL_S_PER_SQUARE_TOKEN = 1.1e-9
-# The part of the longest pause between two events that may go into reading prompts:
-# an event holds a few tokens, each of a step that takes its own time.
-PREFILL_PART = 0.72
 # Waiting for so long counts like one more request for an adapter: two loads.
 DEMAND_S = 0.5
 # A load that the engine does not show as on its way after this has failed.
@@ -54,44 +49,6 @@
 NEVER_S = 60.0
 
 
-def prefill_s(prompt_tokens: int) -> float:
-    """Return how long an engine reads a prompt."""
-    square_s = PREFILL_S_PER_SQUARE_TOKEN * prompt_tokens * prompt_tokens
-    return prompt_tokens / PREFILL_TOKENS_PER_S + square_s
-
-
-class PrefillPace:
-    """Spreads the reading of prompts, so that running streams do not pause too long.
-
-    An engine reads prompts between the tokens of its running requests. Prompts that
-    arrive together are read in one go, and every stream of the engine pauses for
-    that; spread over the length of a pause they hold up none for longer.
-    """
-
-    __slots__ = ("_reads",)
-
-    def __init__(self) -> None:
-        self._reads: collections.deque[tuple[float, float]] = collections.deque()
-
-    def wait_s(self, ask: Ask, now_s: float) -> float:
-        """Return how long until the prompt may be read; 0 for now."""
-        while self._reads and self._reads[0][0] <= now_s - ask.pause_s:
-            self._reads.popleft()
-        held_s = sum(cost_s for _, cost_s in self._reads)
-        allowed_s = PREFILL_PART * ask.pause_s - prefill_s(ask.prompt_tokens)
-        for at_s, cost_s in self._reads:
-            if held_s <= allowed_s:
-                break
-            held_s -= cost_s
-            if held_s <= max(0.0, allowed_s):
-                return at_s + ask.pause_s - now_s
-        return 0.0
-
-    def note(self, ask: Ask, now_s: float) -> None:
-        """Note that the engine reads a prompt from now on."""
-        self._reads.append((now_s, prefill_s(ask.prompt_tokens)))
-
-
 class _Run:
     __slots__ = ("ask", "began_s", "started")
 
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine.py
@@ -0,0 +1,85 @@
+"""Calls to the engine: what they look like, and making them."""
+
+import asyncio
+from collections.abc import Callable
+
+from damaskvalve_agent._permits._types import EngineReport, Order
+from damaskvalve_core import boot_clock_s
+from damaskvalve_core.http import BackendPool, Headers
+
+# A connection that was idle for longer is not trusted with a call.
+MAX_IDLE_S = 2.0
+
+
+class EngineCall:
+    """One HTTP call to the engine."""
+
+    __slots__ = ("method", "target", "headers", "body")
+
+    def __init__(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+class OrderTerms:
+    """What goes with every order: who gives it, and on what state of the engine."""
+
+    __slots__ = ("holder", "fence_number", "order_count", "instance_id")
+
+    def __init__(
+        self, holder: str, fence_number: int, order_count: int, instance_id: str
+    ) -> None:
+        self.holder = holder
+        self.fence_number = fence_number
+        # The engine takes the order only if it has accepted so many before.
+        self.order_count = order_count
+        self.instance_id = instance_id
+
+
+class EngineDialect:
+    """The functions that translate the engine's wire format."""
+
+    __slots__ = ("report_call", "read_report", "order_call", "read_outcome")
+
+    def __init__(
+        self,
+        report_call: Callable[[], EngineCall],
+        read_report: Callable[[bytes], EngineReport],
+        order_call: Callable[[Order, OrderTerms], EngineCall],
+        read_outcome: Callable[[int], str],
+    ) -> None:
+        self.report_call = report_call
+        # Raises ValueError for a report that cannot be read.
+        self.read_report = read_report
+        self.order_call = order_call
+        # Returns one of the outcomes of an order for a status.
+        self.read_outcome = read_outcome
+
+
+class EngineClient:
+    """Makes calls to one engine, over connections that it keeps."""
+
+    def __init__(self, address: str, pool: BackendPool) -> None:
+        self._address = address
+        self._pool = pool
+
+    async def call(self, call: EngineCall, timeout_s: float) -> tuple[int, bytes]:
+        """Make one call; raises :class:`ChannelError` or :class:`TimeoutError`."""
+        address = self._address
+        async with asyncio.timeout(timeout_s):
+            now_s = boot_clock_s()
+            connection = await self._pool.take(address, address, now_s, MAX_IDLE_S)
+            try:
+                connection.send(call.method, call.target, call.headers, call.body)
+                head = await connection.head()
+                parts = []
+                while (piece := await connection.piece()) is not None:
+                    parts.append(piece)
+            except BaseException:
+                connection.close()
+                raise
+            connection.complete(head, boot_clock_s())
+            self._pool.give_back(address, connection, boot_clock_s())
+            return head.status, b"".join(parts)
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -4,22 +4,26 @@
 import contextlib
 import signal
 import uuid
-from collections.abc import Callable, Sequence
 
 from damaskvalve_agent._permits._desk import Admission, Grant
+from damaskvalve_agent._permits._engine import (
+    EngineCall,
+    EngineClient,
+    EngineDialect,
+    OrderTerms,
+)
+from damaskvalve_agent._permits._settings import PermitSettings
 from damaskvalve_agent._permits._types import (
     CONFLICT,
     NO_ANSWER,
     REJECTED,
     Ask,
-    EngineReport,
     Limits,
     Order,
 )
 from damaskvalve_core import (
     ChannelError,
     DecisionLog,
-    Identity,
     LeaderClient,
     RetryLaterError,
     boot_clock_s,
@@ -27,7 +31,7 @@
     dialing,
 )
 from damaskvalve_core.calls import Call, serving_calls
-from damaskvalve_core.http import BackendPool, Headers, pooled_backends
+from damaskvalve_core.http import BackendPool, pooled_backends
 from damaskvalve_core.messages import (
     AdmitEnd,
     AdmitReply,
@@ -53,74 +57,6 @@
 STARTED = "started"
 
 
-class EngineCall:
-    """One HTTP call to the engine."""
-
-    __slots__ = ("method", "target", "headers", "body")
-
-    def __init__(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-
-
-class OrderTerms:
-    """What goes with every order: who gives it, and on what state of the engine."""
-
-    __slots__ = ("holder", "fence_number", "order_count", "instance_id")
-
-    def __init__(
-        self, holder: str, fence_number: int, order_count: int, instance_id: str
-    ) -> None:
-        self.holder = holder
-        self.fence_number = fence_number
-        # The engine takes the order only if it has accepted so many before.
-        self.order_count = order_count
-        self.instance_id = instance_id
-
-
-class EngineDialect:
-    """The functions that translate the engine's wire format."""
-
-    __slots__ = ("report_call", "read_report", "order_call", "read_outcome")
-
-    def __init__(
-        self,
-        report_call: Callable[[], EngineCall],
-        read_report: Callable[[bytes], EngineReport],
-        order_call: Callable[[Order, OrderTerms], EngineCall],
-        read_outcome: Callable[[int], str],
-    ) -> None:
-        self.report_call = report_call
-        # Raises ValueError for a report that cannot be read.
-        self.read_report = read_report
-        self.order_call = order_call
-        # Returns one of the outcomes of an order for a status.
-        self.read_outcome = read_outcome
-
-
-class PermitSettings:
-    """What an agent is told before it starts."""
-
-    __slots__ = ("name", "address", "engine_address", "call_hosts", "identity")
-
-    def __init__(
-        self,
-        name: str,
-        address: str,
-        engine_address: str,
-        call_hosts: Sequence[str],
-        identity: Identity | None = None,
-    ) -> None:
-        self.name = name
-        self.address = address
-        self.engine_address = engine_address
-        # Where hosts take calls, to find the leader from.
-        self.call_hosts = tuple(call_hosts)
-        self.identity = identity
-
-
 class PermitServer:
     """Answers hosts, follows the engine's reports and gives it orders."""
 
@@ -133,7 +69,7 @@
     ) -> None:
         self._settings = settings
         self._dialect = dialect
-        self._pool = pool
+        self._engine = EngineClient(settings.engine_address, pool)
         self._log = log
         self._admission = Admission()
         self._waiting: dict[str, asyncio.Future[Grant | None]] = {}
@@ -251,29 +187,6 @@
 
     # ---- the engine ----
 
-    async def _call_engine(
-        self, call: EngineCall, timeout_s: float
-    ) -> tuple[int, bytes]:
-        """Make one call; raises :class:`ChannelError` or :class:`TimeoutError`."""
-        address = self._settings.engine_address
-        async with asyncio.timeout(timeout_s):
-            now_s = boot_clock_s()
-            connection = await self._pool.take(
-                address, address, now_s, CALM_REPORT_S * 4
-            )
-            try:
-                connection.send(call.method, call.target, call.headers, call.body)
-                head = await connection.head()
-                parts = []
-                while (piece := await connection.piece()) is not None:
-                    parts.append(piece)
-            except BaseException:
-                connection.close()
-                raise
-            connection.complete(head, boot_clock_s())
-            self._pool.give_back(address, connection, boot_clock_s())
-            return head.status, b"".join(parts)
-
     async def follow_reports(self) -> None:
         """Fetch reports for ever, often while a load is on its way."""
         heard = True
@@ -299,7 +212,7 @@
             await self._take_report(call)
 
     async def _take_report(self, call: EngineCall) -> None:
-        status, body = await self._call_engine(call, REPORT_TIMEOUT_S)
+        status, body = await self._engine.call(call, REPORT_TIMEOUT_S)
         if status != 200:
             raise ValueError(f"the report came with status {status}")
         report = self._dialect.read_report(body)
@@ -331,7 +244,7 @@
             self._instance_id,
         )
         try:
-            status, _ = await self._call_engine(
+            status, _ = await self._engine.call(
                 self._dialect.order_call(order, terms), ORDER_TIMEOUT_S
             )
             outcome = self._dialect.read_outcome(status)
@@ -411,11 +324,4 @@
         log.line("stop")
 
 
-__all__ = [
-    "EngineCall",
-    "EngineDialect",
-    "OrderTerms",
-    "PermitServer",
-    "PermitSettings",
-    "run_permits",
-]
+__all__ = ["PermitServer", "run_permits"]
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_settings.py
@@ -0,0 +1,26 @@
+"""What an agent is told before it starts."""
+
+from collections.abc import Sequence
+
+from damaskvalve_core import Identity
+
+
+class PermitSettings:
+    """What an agent is told before it starts."""
+
+    __slots__ = ("name", "address", "engine_address", "call_hosts", "identity")
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        engine_address: str,
+        call_hosts: Sequence[str],
+        identity: Identity | None = None,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.engine_address = engine_address
+        # Where hosts take calls, to find the leader from.
+        self.call_hosts = tuple(call_hosts)
+        self.identity = identity
--- a/packages/damaskvalve-core/damaskvalve_core/_channel.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_channel.py
@@ -160,8 +160,9 @@
 class Dialer:
     """Keeps idle connections to peers and makes calls over them."""
 
-    def __init__(self, identity: Identity | None) -> None:
+    def __init__(self, identity: Identity | None, source_ip: str = "") -> None:
         self._context = identity.context(server=False) if identity else None
+        self._source = (source_ip, 0) if source_ip else None
         self._lock = threading.Lock()
         self._idle: dict[str, list[Connection]] = {}
         self._closed = False
@@ -169,7 +170,9 @@
     def _connect(self, address: str, timeout_s: float) -> Connection:
         try:
             raw = socket.create_connection(
-                split_address(address), timeout=min(timeout_s, CONNECT_TIMEOUT_S)
+                split_address(address),
+                min(timeout_s, CONNECT_TIMEOUT_S),
+                self._source,
             )
             set_liveness(raw)
             if self._context is not None:
@@ -349,9 +352,12 @@
 
 
 @contextlib.contextmanager
-def dialing(identity: Identity | None) -> Iterator[Dialer]:
-    """Yield a dialer; its idle connections are closed at the end."""
-    dialer = Dialer(identity)
+def dialing(identity: Identity | None, source_ip: str = "") -> Iterator[Dialer]:
+    """Yield a dialer; its idle connections are closed at the end.
+
+    It connects from ``source_ip``, or from whatever the system chooses.
+    """
+    dialer = Dialer(identity, source_ip)
     try:
         yield dialer
     finally:
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2072,6 +2072,7 @@
      - share
      - share_s
      - hosts
+     - silent
 
     """
 
@@ -2084,10 +2085,11 @@
         'share',
         'share_s',
         'hosts',
+        'silent',
     )
 
 
-    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None, share_s=None, hosts=None,):
+    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None, share_s=None, hosts=None, silent=None,):
         self.leader_address = leader_address
         self.leader_id = leader_id
         self.seen = seen
@@ -2096,6 +2098,7 @@
         self.share = share
         self.share_s = share_s
         self.hosts = hosts
+        self.silent = silent
 
 
 class CrashNotice(TBase):
@@ -2950,6 +2953,7 @@
     (6, TType.DOUBLE, 'share', None, None, ),  # 6
     (7, TType.DOUBLE, 'share_s', None, None, ),  # 7
     (8, TType.I32, 'hosts', None, None, ),  # 8
+    (9, TType.MAP, 'silent', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 9
 )
 all_structs.append(CrashNotice)
 CrashNotice.thrift_spec = (
--- a/packages/damaskvalve-core/damaskvalve_core/calls.py
+++ b/packages/damaskvalve-core/damaskvalve_core/calls.py
@@ -77,15 +77,19 @@
 class Caller:
     """Keeps idle connections to peers and makes calls over them."""
 
-    def __init__(self, identity: Identity | None) -> None:
+    def __init__(self, identity: Identity | None, source_ip: str = "") -> None:
         self._context = identity.context(server=False) if identity else None
+        self._source = (source_ip, 0) if source_ip else None
         self._idle: dict[str, list[Call]] = {}
 
     async def _connect(self, address: str, timeout_s: float) -> Call:
         ip, port = split_address(address)
         try:
             reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(ip, port, ssl=self._context), timeout_s
+                asyncio.open_connection(
+                    ip, port, ssl=self._context, local_addr=self._source
+                ),
+                timeout_s,
             )
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
--- a/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
@@ -7,14 +7,8 @@
     ReplyHead,
     pooled_backends,
 )
-from damaskvalve_core.http._server import (
-    Headers,
-    HttpServer,
-    Incoming,
-    Responder,
-    ServerLimits,
-    serving_http,
-)
+from damaskvalve_core.http._incoming import Headers, Incoming, ServerLimits
+from damaskvalve_core.http._server import HttpServer, Responder, serving_http
 
 __all__ = [
     "BackendConnection",
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -3,13 +3,12 @@
 import asyncio
 import contextlib
 import re
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 
 import h11
 
 from damaskvalve_core import ChannelError, NotSentError, set_liveness, split_address
-
-Headers = Sequence[tuple[bytes, bytes]]
+from damaskvalve_core.http._incoming import Headers
 
 CONNECT_TIMEOUT_S = 1.0
 # Idle connections kept for one backend server by one host; the bound on all callers
@@ -178,7 +177,8 @@
 class BackendPool:
     """Idle connections to backend servers, by instance."""
 
-    def __init__(self) -> None:
+    def __init__(self, source_ip: str = "") -> None:
+        self._source = (source_ip, 0) if source_ip else None
         self._idle: dict[str, list[BackendConnection]] = {}
         self.opened = 0
 
@@ -203,7 +203,12 @@
         loop = asyncio.get_running_loop()
         try:
             _, made = await asyncio.wait_for(
-                loop.create_connection(lambda: BackendConnection(address), ip, port),
+                loop.create_connection(
+                    lambda: BackendConnection(address),
+                    ip,
+                    port,
+                    local_addr=self._source,
+                ),
                 CONNECT_TIMEOUT_S,
             )
         except (OSError, TimeoutError) as error:
@@ -233,9 +238,9 @@
 
 
 @contextlib.asynccontextmanager
-async def pooled_backends() -> AsyncIterator[BackendPool]:
+async def pooled_backends(source_ip: str = "") -> AsyncIterator[BackendPool]:
     """Yield a pool whose connections are closed at the end."""
-    pool = BackendPool()
+    pool = BackendPool(source_ip)
     try:
         yield pool
     finally:
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -6,19 +6,18 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
 
 from damaskvalve_core import OperatorError, RefusedError, set_liveness, split_address
+from damaskvalve_core.http._incoming import Headers, Incoming, ServerLimits
 from damaskvalve_core.http._strict import (
     check_fields,
     check_framing,
     has_bare_line_feed,
 )
 
-Headers = Sequence[tuple[bytes, bytes]]
-
 # Bytes of a next request that are read ahead while one is being answered.
 READ_AHEAD_BYTES = 64 * 1024
 # A caller that takes in nothing fills this much before its stream is held back.
@@ -26,40 +25,6 @@
 BACKLOG = 512
 
 
-class ServerLimits:
-    """Bounds on what a caller may send; read anew for each request."""
-
-    __slots__ = ("header_bytes", "body_bytes", "header_timeout_s", "idle_timeout_s")
-
-    def __init__(
-        self,
-        header_bytes: int,
-        body_bytes: int,
-        header_timeout_s: float,
-        idle_timeout_s: float,
-    ) -> None:
-        self.header_bytes = header_bytes
-        self.body_bytes = body_bytes
-        self.header_timeout_s = header_timeout_s
-        self.idle_timeout_s = idle_timeout_s
-
-
-class Incoming:
-    """One request as it was read."""
-
-    __slots__ = ("method", "target", "headers", "body", "peer")
-
-    def __init__(
-        self, method: str, target: str, headers: Headers, body: bytes, peer: str
-    ) -> None:
-        self.method = method
-        self.target = target
-        # Names in lower case.
-        self.headers = headers
-        self.body = body
-        self.peer = peer
-
-
 class Responder:
     """Sends the answer to one request."""
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -1,12 +1,15 @@
 """The backend servers that a host knows: announced, spread, tried and given up."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from damaskvalve_gateway._model import GONE, LEAVING, READY, Announcement
 
 # An announcement comes about every second and may be seconds late; after four of them
 # a silent backend server is not sent new work.
 SILENT_S = 6.0
+# A leader that has heard a backend server within this says nothing; two announcements
+# may be late before it names the silence.
+VOUCHED_S = 3.0
 # How long an end is remembered, so that late announcements do not bring it back.
 REMEMBER_GONE_S = 60.0
 # A backend server that broke a connection is tried again after this, then twice as
@@ -30,6 +33,8 @@
         "announcement",
         "heard_s",
         "changed",
+        "told_resident",
+        "told_s",
         "active",
         "failures",
         "paused_until_s",
@@ -42,8 +47,11 @@
         self.announcement = announcement
         # When the newest announcement was made, by this host's clock.
         self.heard_s = heard_s
-        # The number of this host's table at the newest change.
+        # The number of this host's table at the newest change that others are told.
         self.changed = 0
+        # The adapters that others were told, and when.
+        self.told_resident = announcement.resident
+        self.told_s = heard_s
         # Requests that this host has running there.
         self.active = 0
         self.failures = 0
@@ -108,6 +116,8 @@
     def __init__(self) -> None:
         self._backends: dict[str, Backend] = {}
         self.number = 0
+        # Adapters come and go all the time; others are told at most this often.
+        self.resident_every_s = 0.0
 
     def take(self, announcement: Announcement, heard_s: float) -> bool:
         """Take an announcement made at ``heard_s``; False if a newer one is known."""
@@ -123,14 +133,41 @@
             return True
         if _rank(announcement) <= _rank(held):
             return False
+        was_silent = heard_s - known.heard_s > VOUCHED_S
         known.announcement = announcement
         known.heard_s = max(known.heard_s, heard_s)
-        self._set(known)
+        if was_silent or _differ(held, announcement) or self._tells_resident(known):
+            self._set(known)
         return True
 
+    def _tells_resident(self, backend: Backend) -> bool:
+        if backend.announcement.resident == backend.told_resident:
+            return False
+        return backend.heard_s - backend.told_s >= self.resident_every_s
+
+    def silent(self, now_s: float) -> dict[str, float]:
+        """Return the ages of what was heard last of those that are missed."""
+        return {
+            instance_id: now_s - backend.heard_s
+            for instance_id, backend in self._backends.items()
+            if now_s - backend.heard_s > VOUCHED_S
+        }
+
+    def vouch(self, silent: Mapping[str, float], now_s: float) -> None:
+        """Take a leader's word that it hears all but the ``silent`` ones.
+
+        One that is silent here already comes back only with an announcement.
+        """
+        for instance_id, backend in self._backends.items():
+            age_s = silent.get(instance_id, VOUCHED_S)
+            if now_s - backend.heard_s < SILENT_S:
+                backend.heard_s = max(backend.heard_s, now_s - age_s)
+
     def _set(self, backend: Backend) -> None:
         self.number += 1
         backend.changed = self.number
+        backend.told_resident = backend.announcement.resident
+        backend.told_s = backend.heard_s
         self._backends[backend.announcement.instance_id] = backend
 
     def end(self, instance_id: str, now_s: float) -> None:
@@ -193,6 +230,14 @@
         return old
 
 
+def _differ(one: Announcement, other: Announcement) -> bool:
+    """Return whether requests would go elsewhere after one than after the other."""
+    return any(
+        getattr(one, name) != getattr(other, name)
+        for name in ("service", "address", "data_centre", "state", "slots")
+    )
+
+
 def _rank(announcement: Announcement) -> tuple[int, int]:
     """Order the announcements of one start: an end is final, then by sequence."""
     return int(announcement.state == GONE), announcement.sequence
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
@@ -26,9 +26,10 @@
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._model import READY, EngineSpec
 
-# The part of a route's time to the first event that is left to the engine: it reads
-# the prompt between the steps of a full batch.
-ENGINE_S = 0.3
+# The part of a route's time to the first event that is left to the engine, which
+# reads the prompt between the steps of a full batch, and to waits that are longer than
+# predicted.
+ENGINE_S = 0.55
 # A request that is late already accepts this wait at least.
 PROMPT_WAIT_S = 0.45
 # How many engines are asked for a prompt start before the request waits for the one
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -95,10 +95,10 @@
         open_group=True,
     )
     with (
-        dialing(settings.identity) as dialer,
+        dialing(settings.identity, settings.bind_ip) as dialer,
         running_group(node, dialer) as group,
         listening(
-            settings.group_address,
+            settings.bound(settings.group_address),
             settings.identity,
             lambda request, _: [group.ask_peer(request, PEER_ANSWER_S)],
         ),
@@ -144,7 +144,7 @@
     loop.add_signal_handler(signal.SIGINT, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: log.line("reload"))
     knowledge = Knowledge()
-    caller = Caller(settings.identity)
+    caller = Caller(settings.identity, settings.bind_ip)
     link = StateLink(settings, group, caller, knowledge, dialect, log)
     desk = LeaderDesk(settings, link, knowledge, log)
     quota = HostQuota(settings.quota_slack, began_s)
@@ -153,7 +153,7 @@
     metrics = GatewayMetrics(settings.name, knowledge, quota, link, log)
     terms = settings.retries
     async with contextlib.AsyncExitStack() as stack:
-        pool = await stack.enter_async_context(pooled_backends())
+        pool = await stack.enter_async_context(pooled_backends(settings.bind_ip))
         gateway = Gateway(
             knowledge,
             dialect,
@@ -167,7 +167,7 @@
             log,
             metrics,
         )
-        calls = settings.call_address(settings.group_address)
+        calls = settings.bound(settings.call_address(settings.group_address))
         await stack.enter_async_context(
             serving_calls(calls, settings.identity, desk.answer)
         )
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
@@ -38,6 +38,7 @@
         "quota_slack",
         "retries",
         "grace_s",
+        "bind_ip",
     )
 
     def __init__(
@@ -59,6 +60,7 @@
         *,
         may_found: bool,
         identity: Identity | None = None,
+        bind_ip: str = "",
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -83,6 +85,14 @@
         self.may_found = may_found
         # None where the network between the system's processes is trusted.
         self.identity = identity
+        # The own IP number where others reach this host under another one; empty if
+        # they are the same.
+        self.bind_ip = bind_ip
+
+    def bound(self, address: str) -> str:
+        """Return where this host listens for what others reach at an address."""
+        ip, port = split_address(address)
+        return f"{self.bind_ip or ip}:{port}"
 
     def call_address(self, address: str) -> str:
         """Return where the host at any of its addresses takes calls."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -23,7 +23,7 @@
     TokensReply,
     TokensRequest,
 )
-from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._backends import VOUCHED_S, Backend
 from damaskvalve_gateway._knowledge import Knowledge
 from damaskvalve_gateway._model import Announcement, Workspace
 from damaskvalve_gateway._quota import SHARE_LEASE_S, HostQuota, LeaderQuota
@@ -37,6 +37,9 @@
 LEADERLESS_S = 0.1
 SYNC_TIMEOUT_S = 0.8
 TOKENS_TIMEOUT_S = 0.3
+# Hosts are told which adapters an engine holds at most once in this for each host:
+# what the leader sends then grows with the engines, not with engines times hosts.
+RESIDENT_S_PER_HOST = 0.05
 # Crashes are repeated in replies for this long, so that each host hears of them over
 # a few lost calls.
 REPEAT_CRASHES_S = 3.0
@@ -169,7 +172,10 @@
             for mark, instance_id, at_s in self._knowledge.crashes.recent(now_s):
                 self._crashes.append((mark, instance_id, at_s))
         sent = dict(self._outbox)
-        numbers = {key: backend.changed for key, backend in sent.items()}
+        told = {key: backend.announcement for key, backend in sent.items()}
+        if now_s - self._knowledge.contact_s > VOUCHED_S:
+            # What was vouched for meanwhile was not heard here.
+            self._seen = 0
         crashes = list(self._crashes)
         request = SyncRequest(
             self._settings.call_address(self._settings.group_address),
@@ -182,9 +188,9 @@
         reply = await self._link.ask_leader(request, SYNC_TIMEOUT_S)
         if not reply.leader_id:
             raise ChannelError("the host that was asked does not lead")
-        for key, number in numbers.items():
+        for key, announcement in told.items():
             held = self._outbox.get(key)
-            if held is not None and held.changed == number:
+            if held is not None and held.announcement is announcement:
                 del self._outbox[key]
         del self._crashes[: len(crashes)]
         self._take_reply(reply, now_s)
@@ -195,6 +201,7 @@
         now_s = boot_clock_s()
         for notice in reply.notices:
             self._knowledge.backends.take(from_notice(notice), now_s - notice.age_s)
+        self._knowledge.backends.vouch(reply.silent or {}, now_s)
         for crash in reply.crashes:
             at_s = now_s - crash.age_s
             self._knowledge.crashes.note(crash.fingerprint, crash.instance_id, at_s)
@@ -322,6 +329,7 @@
             return SyncReply(self._link.leader_address(), "", 0, [], [], 0.0, 0.0, 0)
         self._standing(now_s)
         backends = self._knowledge.backends
+        backends.resident_every_s = RESIDENT_S_PER_HOST * self.hosts(now_s)
         for notice in request.notices:
             backends.take(from_notice(notice), now_s - notice.age_s)
         for crash in request.crashes:
@@ -337,6 +345,7 @@
             share,
             lease_s,
             self.hosts(now_s),
+            backends.silent(now_s),
         )
 
     def _recent_crashes(self, now_s: float) -> Sequence[CrashNotice]:
--- a/packages/damaskvalve-state/damaskvalve_state/_machine.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_machine.py
@@ -1,10 +1,9 @@
 """The replicated state machine: configuration, claims, jobs, credit, fences."""
 
-from collections import OrderedDict
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from damaskvalve_core import decode_struct, encode_struct
+from damaskvalve_core import decode_struct
 from damaskvalve_core.messages import (
     AnswerOnce,
     AuditRecord,
@@ -14,7 +13,6 @@
     ClearSuspect,
     Command,
     CommandResult,
-    CreditRecord,
     DocumentRecord,
     DropJob,
     ExpireClaims,
@@ -28,12 +26,12 @@
     ReserveCredit,
     ResolveOnce,
     Row,
-    StateSnapshot,
     StoredAnswer,
     SubmitJob,
     SuspectRecord,
     VersionRecord,
 )
+from damaskvalve_state._machine_state import MachineState
 
 RUNNING = "running"
 ANSWERED = "answered"
@@ -47,30 +45,12 @@
 QUARANTINE_CRASHES = 2
 
 
-class Machine:
+class Machine(MachineState):
     """Applies committed commands; equal logs give equal states.
 
     Nothing here reads a clock or a random source.
     """
 
-    def __init__(self) -> None:
-        self.revision = 0
-        self._tables: dict[str, dict[str, Row]] = {}
-        self.recent: list[Row] = []
-        # Every row changed after this revision is in ``recent``.
-        self.recent_floor = 0
-        self.operations: OrderedDict[str, OperationRecord] = OrderedDict()
-        self.audit: list[AuditRecord] = []
-        self.claims: OrderedDict[str, ClaimRecord] = OrderedDict()
-        self.jobs: OrderedDict[str, JobRecord] = OrderedDict()
-        self.credits: dict[str, CreditRecord] = {}
-        self.fences: dict[str, FenceRecord] = {}
-        self.suspects: OrderedDict[str, SuspectRecord] = OrderedDict()
-        self.suspects_version = 0
-        self._crash_reports: OrderedDict[str, None] = OrderedDict()
-        self.documents: dict[str, DocumentRecord] = {}
-        self.adapter_versions: dict[str, int] = {}
-
     def apply(self, index: int, data: bytes) -> CommandResult:
         """Apply one committed command and return its result."""
         command = decode_struct(Command(), data)
@@ -333,67 +313,6 @@
 
     # ---- snapshot ----
 
-    def _all_rows(self) -> list[Row]:
-        return [
-            self._tables[table][key]
-            for table in sorted(self._tables)
-            for key in sorted(self._tables[table])
-        ]
-
-    def to_bytes(self) -> bytes:
-        """Return the whole state; equal states give equal bytes."""
-        return encode_struct(
-            StateSnapshot(
-                self.revision,
-                self._all_rows(),
-                list(self.operations.values()),
-                list(self.claims.values()),
-                list(self.jobs.values()),
-                [self.credits[key] for key in sorted(self.credits)],
-                [self.fences[key] for key in sorted(self.fences)],
-                list(self.suspects.values()),
-                self.audit,
-                self.recent,
-                list(self._crash_reports),
-                self.suspects_version,
-                self.recent_floor,
-                [self.documents[key] for key in sorted(self.documents)],
-                [
-                    VersionRecord(key, self.adapter_versions[key])
-                    for key in sorted(self.adapter_versions)
-                ],
-            )
-        )
-
-    @classmethod
-    def from_bytes(cls, data: bytes) -> "Machine":
-        """Return the state that :meth:`to_bytes` described; empty for no bytes."""
-        machine = cls()
-        if not data:
-            return machine
-        snapshot = decode_struct(StateSnapshot(), data)
-        machine.revision = snapshot.revision
-        for row in snapshot.rows:
-            machine._tables.setdefault(row.table, {})[row.key] = row
-        machine.recent = list(snapshot.recent)
-        machine.recent_floor = snapshot.recent_floor
-        machine.audit = list(snapshot.audit)
-        machine.operations.update(
-            (item.operation_id, item) for item in snapshot.operations
-        )
-        machine.claims.update((item.claim_id, item) for item in snapshot.claims)
-        machine.jobs.update((item.job_id, item) for item in snapshot.jobs)
-        machine.credits = {item.workspace: item for item in snapshot.credits}
-        machine.fences = {item.backend_server: item for item in snapshot.fences}
-        machine.suspects.update((item.fingerprint, item) for item in snapshot.suspects)
-        machine._crash_reports.update((item, None) for item in snapshot.crash_reports)
-        machine.suspects_version = snapshot.suspects_version
-        machine.documents = {item.name: item for item in snapshot.documents or ()}
-        machine.adapter_versions = {
-            item.adapter: item.version for item in snapshot.adapter_versions or ()
-        }
-        return machine
-
 
 _HANDLERS: dict[str, Callable[[Machine, int, Any], CommandResult]] = {
     "change": Machine.change,
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -1,21 +1,13 @@
 """The actor that runs agreement on a control host: disk, peers and callers."""
 
-import contextlib
-import errno
 import os
-import random
 import signal
-import time
-import uuid
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import logbook
-import pykka
 
 from damaskvalve_core import (
-    DamagedJournalError,
-    Dialer,
     boot_clock_s,
     encode_struct,
 )
@@ -30,22 +22,11 @@
     HelloRequest,
     LogEntry,
     Member,
-    SnapshotFile,
     VoteReply,
     VoteRequest,
 )
-from damaskvalve_state._agreement import Agreement
 from damaskvalve_state._agreement_state import LEADER
-from damaskvalve_state._journal import (
-    JOURNAL_FILE,
-    Journal,
-    MemoryJournal,
-    read_or_make_member_id,
-    recover,
-    set_aside,
-)
 from damaskvalve_state._log import Log, empty_snapshot
-from damaskvalve_state._machine import Machine
 from damaskvalve_state._membership import (
     founders,
     is_founder,
@@ -53,21 +34,15 @@
     next_members,
 )
 from damaskvalve_state._node_messages import Answer, Flush, Request, Run, Tick
-from damaskvalve_state._node_settings import NodeSettings, NodeStatus, StatusBoard
-from damaskvalve_state._peers import PeerSender
-from damaskvalve_state._timing import Output
+from damaskvalve_state._stored_member import StoredMember
 
 HELLO_S = 0.3
 # A member that hears a leader may still be unknown to it: what it hears may be meant
 # for the lost disk of its address. So it goes on saying hello, but rarely.
 KNOWN_HELLO_S = 1.0
-SNAPSHOT_ENTRIES = 5_000
 # A member that is not heard for so long is given up: longer than a restart or a
 # freeze takes, shorter than the time after which another loss has to be borne.
 GIVE_UP_SILENT_S = 8.0
-FULL_DISK_ERRORS = (errno.ENOSPC, errno.EDQUOT)
-# Between two tries to write to a full disk.
-DISK_RETRY_S = 0.2
 
 _log = logbook.Logger("group")
 
@@ -75,94 +50,13 @@
 ResultCallback = Callable[[CommandResult | None], None]
 
 
-class GroupNode(pykka.ThreadingActor):
-    """Owns one member's agreement, journal and state machine.
+class GroupNode(StoredMember):
+    """Runs a member: messages, founding, members that join and leave.
 
     All proposals that wait in the mailbox share one sync. An answer never
     leaves before what it promises is on the disk.
     """
 
-    use_daemon_thread = True
-
-    def __init__(
-        self,
-        settings: NodeSettings,
-        dialer: Dialer,
-        board: StatusBoard | None = None,
-    ) -> None:
-        super().__init__()
-        self._board = board or StatusBoard()
-        self.settings = settings
-        self.machine = Machine()
-        self.applied_index = 0
-        self._dialer = dialer
-        self._senders: dict[str, PeerSender] = {}
-        self._replies: list[tuple[Any, Any]] = []
-        self._callbacks: dict[int, tuple[int, ResultCallback]] = {}
-        self._flush_asked = False
-        self._hellos: dict[str, tuple[Member, bool]] = {}
-        self._next_hello_s = 0.0
-        # The leader that another member named when this one looked for it.
-        self._told_leader = ""
-        # The time of the step that runs now.
-        self.step_at_s = boot_clock_s()
-        # Called inside the actor after committed commands were applied.
-        self.apply_hooks: list[Callable[[GroupNode], None]] = []
-        self._stopping = False
-        self.tick_hooks: list[Callable[[GroupNode, float], None]] = []
-        self._open_folder(boot_clock_s())
-
-    # ---- the folder ----
-
-    def _open_folder(self, now_s: float) -> None:
-        folder = self.settings.folder
-        if folder is None:
-            self._start_without_disk(now_s)
-            return
-        try:
-            recovered = recover(folder)
-        except DamagedJournalError as error:
-            kept = set_aside(folder, str(time.time_ns()))
-            _log.error("{}; set aside as {}; joining anew", error, kept)
-            recovered = None
-        self.member = Member(
-            read_or_make_member_id(folder),
-            self.settings.address,
-            self.settings.data_centre,
-        )
-        self.founded = recovered is not None
-        log = recovered.log if recovered else Log(empty_snapshot())
-        hard_state = recovered.hard_state if recovered else HardState(0, "")
-        if recovered is None:
-            (folder / JOURNAL_FILE).unlink(missing_ok=True)
-        elif recovered.cut_bytes:
-            _log.warning("cut a torn tail of {} bytes", recovered.cut_bytes)
-        self.journal: Journal | MemoryJournal = Journal(folder)
-        self._start_agreement(log, hard_state, now_s)
-        self._restore(log.snapshot)
-
-    def _start_without_disk(self, now_s: float) -> None:
-        address = self.settings.address
-        self.member = Member(uuid.uuid4().hex, address, self.settings.data_centre, True)
-        self.founded = False
-        self.journal = MemoryJournal()
-        self._start_agreement(Log(empty_snapshot()), HardState(0, ""), now_s)
-        self._restore(self.agreement.log.snapshot)
-
-    def _start_agreement(self, log: Log, hard_state: HardState, now_s: float) -> None:
-        self.agreement = Agreement(
-            self.member,
-            log,
-            hard_state,
-            self.settings.timing,
-            random.Random(self.member.member_id),
-            now_s,
-        )
-
-    def _restore(self, snapshot: SnapshotFile) -> None:
-        self.machine = Machine.from_bytes(snapshot.data)
-        self.applied_index = snapshot.last_index
-
     # ---- the mailbox ----
 
     def on_receive(self, message: Any) -> None:
@@ -199,18 +93,6 @@
             hook(self, now_s)
         self._publish(now_s)
 
-    def _publish(self, now_s: float) -> None:
-        agreement = self.agreement
-        leads = agreement.may_serve(now_s)
-        self._board.status = NodeStatus(
-            f"{agreement.leader_id}/{agreement.term}" if agreement.leader_id else "",
-            agreement.leader_address,
-            is_leader=leads,
-            lease_until_s=now_s + agreement.lease_left_s(now_s) if leads else 0.0,
-            contact_s=now_s if leads else agreement.leader_contact_s(),
-            applied_index=self.applied_index,
-        )
-
     def _on_run(self, message: "Run[Any]", now_s: float) -> None:
         try:
             message.future.set(message.work(self, now_s))
@@ -347,116 +229,6 @@
             self.agreement.propose_members(members, now_s)
             _log.info("changing the group to {} voters", len(members))
 
-    # ---- output ----
-
-    def _flush(self, now_s: float) -> None:
-        while True:
-            output = self.agreement.take_output()
-            replies, self._replies = self._replies, []
-            if not self._work_in(output) and not replies:
-                return
-            self._send_all(output.early_messages)
-            self._write(output)
-            self.agreement.synced(self.agreement.log.last_index, now_s)
-            self._send_all(output.messages)
-            for future, reply in replies:
-                future.set(reply)
-            self._apply(output.committed)
-
-    @staticmethod
-    def _work_in(output: Output) -> bool:
-        return bool(
-            output.install
-            or output.records
-            or output.early_messages
-            or output.messages
-            or output.committed
-        )
-
-    def _write(self, output: Output) -> None:
-        if output.install is not None:
-            snapshot = output.install
-            hard_state = HardState(self.agreement.term, self.agreement.voted_for)
-            self._insist(lambda: self.journal.install(snapshot, [], hard_state))
-            self._restore(snapshot)
-            self._run_apply_hooks()
-        self._insist(lambda: self.journal.append(output.records))
-
-    def _insist(self, write: Callable[[], None]) -> None:
-        """Repeat a write until a full disk has room again.
-
-        The actor does nothing else meanwhile, so a leader stops its heartbeats and
-        another is elected, and nothing is promised that is not on the disk.
-        """
-        failed = False
-        while True:
-            try:
-                write()
-                break
-            except OSError as error:
-                if error.errno not in FULL_DISK_ERRORS:
-                    raise
-                if not failed:
-                    _log.error("the disk is full, trying again: {}", error)
-                failed = True
-                if self._stopping:
-                    raise
-                time.sleep(DISK_RETRY_S)
-        if failed:
-            _log.info("the disk has room again")
-
-    def _run_apply_hooks(self) -> None:
-        for hook in self.apply_hooks:
-            hook(self)
-
-    def _send_all(self, messages: Sequence[tuple[Member, Any]]) -> None:
-        for member, message in messages:
-            self._send(member, message)
-
-    def _send(self, member: Member, message: Any) -> None:
-        sender = self._senders.get(member.address)
-        if sender is None:
-            timeout_s = self.settings.timing.election_timeout_s
-            sender = PeerSender(
-                member.address, self._dialer, timeout_s, self._take_answer
-            )
-            self._senders[member.address] = sender
-        sender.send(member, message)
-
-    def _take_answer(self, member: Member, reply: Any) -> None:
-        with contextlib.suppress(pykka.ActorDeadError):
-            self.actor_ref.tell(Answer(member, reply))
-
-    def _apply(self, entries: Sequence[LogEntry]) -> None:
-        for entry in entries:
-            result = None
-            if entry.kind == EntryKind.COMMAND:
-                result = self.machine.apply(entry.index, entry.command)
-            self.applied_index = entry.index
-            term, callback = self._callbacks.pop(entry.index, (0, None))
-            if callback is not None:
-                callback(result if term == entry.term else None)
-        if self.agreement.role != LEADER:
-            self._fail_callbacks()
-        if entries:
-            self._publish(self.step_at_s)
-            self._run_apply_hooks()
-        covered = self.agreement.log.snapshot.last_index
-        if self.applied_index - covered >= SNAPSHOT_ENTRIES:
-            self._snapshot()
-
-    def _fail_callbacks(self) -> None:
-        callbacks, self._callbacks = self._callbacks, {}
-        for _, callback in callbacks.values():
-            callback(None)
-
-    def _snapshot(self) -> None:
-        data = self.machine.to_bytes()
-        snapshot = self.agreement.compact(self.applied_index, data)
-        entries = self.agreement.log.entries_after_snapshot()
-        hard_state = HardState(self.agreement.term, self.agreement.voted_for)
-        self._insist(lambda: self.journal.install(snapshot, entries, hard_state))
-
     def propose(self, command: Command, callback: ResultCallback, now_s: float) -> bool:
         """Propose from inside the actor; False if this is not the leader."""
         indexes = self.agreement.propose([encode_struct(command)], now_s)
--- a/packages/damaskvalve/damaskvalve/_backend_table.py
+++ b/packages/damaskvalve/damaskvalve/_backend_table.py
@@ -12,6 +12,8 @@
 from damaskvalve_core.messages import BackendReport
 
 BACKEND_LEASE_S = 2.5
+# One that came back so often within the window gets no new work for a while, unless
+# no other one can take it.
 FLAP_WINDOW_S = 60.0
 FLAP_LIMIT = 4
 HOLD_BACK_S = 20.0
@@ -113,14 +115,27 @@
         self._version += 1
         known.version = self._version
 
-    @staticmethod
-    def _update_usable(known: _Known, now_s: float) -> bool:
-        held_back = now_s < known.held_until_s
+    def _update_usable(self, known: _Known, now_s: float) -> bool:
+        held_back = now_s < known.held_until_s and self._has_steady_other(known, now_s)
         usable = not (known.expired or known.report.leaving or held_back)
         changed = usable != known.usable
         known.usable = usable
         return changed
 
+    def _has_steady_other(self, known: _Known, now_s: float) -> bool:
+        """Return whether another one can take the work of one that is held back.
+
+        If not, one that comes and goes is better for callers than none.
+        """
+        terms = (known.report.kind, known.report.serves)
+        return any(
+            not (other.expired or other.report.leaving)
+            and now_s >= other.held_until_s
+            and (other.report.kind, other.report.serves) == terms
+            for other in self._known.values()
+            if other is not known
+        )
+
     def changes_since(self, version: int) -> TableChanges:
         """Return what changed after a version; all of it for version 0."""
         with self._lock:
--- a/packages/damaskvalve/damaskvalve/_entry_role.py
+++ b/packages/damaskvalve/damaskvalve/_entry_role.py
@@ -111,7 +111,7 @@
         view,
         subscription,
         chain,
-        JobDesk(leader, subscription),
+        JobDesk(leader),
         AdminApi(view, leader, subscription, wall_clock),
         metrics,
     )
--- a/packages/damaskvalve/damaskvalve/_jobs.py
+++ b/packages/damaskvalve/damaskvalve/_jobs.py
@@ -16,7 +16,6 @@
     Next,
     Reply,
 )
-from damaskvalve._subscription import Subscription
 from damaskvalve._view import ConfigurationView
 from damaskvalve_core import (
     UNKNOWN,
@@ -38,6 +37,8 @@
 )
 
 COMMIT_TIMEOUT_S = 3.0
+# A caller that waits for its answer asks again anyway.
+READ_TIMEOUT_S = 1.5
 IDLE_S = 0.5
 JOB_DEADLINE_S = 600.0
 JOBS_PATH = "/v1/jobs/"
@@ -106,9 +107,8 @@
 class JobDesk:
     """Reads and drops jobs for their own workspace."""
 
-    def __init__(self, leader: LeaderClient, subscription: Subscription) -> None:
+    def __init__(self, leader: LeaderClient) -> None:
         self._leader = leader
-        self._subscription = subscription
 
     def fetch(self, workspace: str, job_id: str) -> Reply:
         """Return the answer of a job, or 202 while it waits."""
@@ -134,12 +134,22 @@
         return Reply(204, JSON)
 
     def _find(self, workspace: str, job_id: str) -> JobRecord:
-        reply = self._subscription.read(ReadRequest("job", job_id))
+        """Ask the leader: another control host may still hold a dropped job."""
+        try:
+            reply = self._leader.ask(ReadRequest("job", job_id), READ_TIMEOUT_S)
+        except RetryLaterError as error:
+            raise _cannot_read(str(error)) from error
+        if not reply.fresh:
+            raise _cannot_read("the leader has lost touch with its group")
         if not reply.jobs or reply.jobs[0].workspace != workspace:
             raise RefusedError(404, "no_job", "no such job in this workspace")
         return reply.jobs[0]
 
 
+def _cannot_read(reason: str) -> RefusedError:
+    return RefusedError(503, "no_control", reason, retry_after_s=1.0)
+
+
 class JobRunner:
     """Leases waiting jobs and runs them through the common chain."""
 
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -15,7 +15,7 @@
 from damaskvalve import ConfigurationView, _view
 from damaskvalve._filters import _claim
 from damaskvalve_agent import Fence, Slots
-from damaskvalve_agent._permits._desk import PrefillPace
+from damaskvalve_agent._permits._pace import PrefillPace
 from damaskvalve_agent.permits import Admission
 from damaskvalve_core import RefusedError
 from damaskvalve_gateway import _backends
