Copies of adapters count; agents serve metrics

Change: hosts ask engines that hold an adapter, then those with a copy, then its home; agents load from copies beside two loads from the store. Agents show asks, orders, waits and what they hold on the metrics address; the library is loaded with the first look.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_desk.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_desk.py
@@ -8,7 +8,7 @@
 """
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from damaskvalve_agent._permits._pace import PREFILL_PART, PrefillPace, prefill_s
 from damaskvalve_agent._permits._types import (
@@ -29,11 +29,15 @@
 # Loads that one agent keeps on their way. The store slows down beyond eight over all
 # engines, and the smallest deployment has five.
 MAX_LOADS = 2
+# The same with those that an engine loads from its own copies; it takes no more.
+MAX_IN_TRANSIT = 4
+# Engines keep copies of about so many adapters that they held lately.
+MAX_COPIES = 100
 # From both users' sheets: the time of a load of an adapter and of a base model.
 LOAD_S = 0.25
+# The same from a copy: a tenth.
+LOAD_COPY_S = 0.03
 LOAD_MODEL_S = 2.9
-# Waiting for so long counts like one more request for an adapter: two loads.
-DEMAND_S = 0.5
 # A load that the engine does not show as on its way after this has failed.
 LOST_LOAD_S = 1.0
 # An unload that an engine accepted waits for runs that this agent does not know of:
@@ -80,6 +84,8 @@
         self._newest: dict[str, int] = {}
         # When each load on its way was ordered.
         self._loads: dict[str, float] = {}
+        # Adapters that the engine held lately, the newest at the end.
+        self._copies: collections.OrderedDict[str, None] = collections.OrderedDict()
         # When each unload was ordered that waits for runs at the engine.
         self._unloads: dict[str, float] = {}
         # Those of them that had no answer: the next accepted order makes them void.
@@ -156,21 +162,30 @@
             return wait_s
         name = self._name(ask)
         if name in self._loads:
-            return wait_s + LOAD_S
+            return wait_s + self._load_s(name)
         if self.slots.state(name) == "resident":
             # A newer version waits for the runs on the older one.
             return wait_s + LOAD_S + (self._run_s if self.slots.pins(name) else 0.0)
-        return wait_s + self._load_wait_s()
+        return wait_s + self._load_wait_s(name)
 
-    def _load_wait_s(self) -> float:
+    def _load_s(self, name: str) -> float:
+        return LOAD_COPY_S if name in self._copies else LOAD_S
+
+    def _from_store(self, names: Collection[str]) -> int:
+        """Return how many of these adapters have to come from the store."""
+        return sum(name not in self._copies for name in names)
+
+    def _load_wait_s(self, name: str) -> float:
         """Return how long until one more adapter would be here."""
         wanted = {
             self._name(ask)
             for ask in self._queue
             if ask.adapter and not self._is_ready(ask)
         }
-        ahead = len(wanted | set(self._loads))
-        wait_s = LOAD_S * (1 + ahead // MAX_LOADS)
+        ahead = self._from_store(wanted | set(self._loads))
+        wait_s = self._load_s(name)
+        if name not in self._copies:
+            wait_s += LOAD_S * (ahead // MAX_LOADS)
         if not self.slots.has_room() and self.slots.victim(wanted, 0.0) is None:
             wait_s += self._run_s * (1 + ahead) / max(1, self.limits.adapter_slots)
         return wait_s
@@ -211,7 +226,7 @@
     def _is_late(self, ask: Ask, now_s: float) -> bool:
         need_s = prefill_s(ask.prompt_tokens)
         if not self._is_ready(ask) and self._name(ask) not in self._loads:
-            need_s += LOAD_S
+            need_s += self._load_s(self._name(ask))
         return now_s + need_s > ask.aim_s
 
     def _want_model(self, ask: Ask, now_s: float) -> None:
@@ -286,15 +301,15 @@
         """Return the asks that wait, those for the most wanted adapters first.
 
         When an engine has restarted empty, each load takes its turn at the store: one
-        that many wait for lets more start. Waiting counts too, so that rare adapters
-        get their turn; the order among equals is the queue's.
+        that many wait for lets more start. The order among equals is the queue's.
         """
-        wanted = collections.Counter(self._name(ask) for ask in self._queue)
-
-        def demand(ask: Ask) -> float:
-            return wanted[self._name(ask)] + (now_s - ask.arrived_s) / DEMAND_S
-
-        return sorted(self._queue, key=demand, reverse=True)
+        wanted = collections.Counter(
+            self._name(ask) for ask in self._queue if not self._is_late(ask, now_s)
+        )
+        return sorted(
+            self._queue,
+            key=lambda ask: (self._is_late(ask, now_s), -wanted[self._name(ask)]),
+        )
 
     def _order_for(self, ask: Ask, now_s: float) -> Order | None:
         if ask.model not in self._models:
@@ -303,7 +318,7 @@
         name = self._name(ask)
         if not ask.adapter or self._is_ready(ask) or name in self._loads:
             return None
-        if len(self._loads) >= MAX_LOADS or name in self._replacing:
+        if not self._may_load(name) or name in self._replacing:
             return None
         if name in self._unloads:
             return None
@@ -322,6 +337,11 @@
         model, _, adapter = victim.partition("/")
         return Order(UNLOAD, model, adapter, 0)
 
+    def _may_load(self, name: str) -> bool:
+        if len(self._loads) >= MAX_IN_TRANSIT:
+            return False
+        return name in self._copies or self._from_store(self._loads) < MAX_LOADS
+
     def order_ended(self, order: Order, outcome: str, now_s: float) -> None:
         """Take note of the engine's answer to an order."""
         name = f"{order.model}/{order.adapter}"
@@ -381,6 +401,7 @@
         }
         pending = {item.partition("@")[0] for item in report.pending}
         for name, version in held.items():
+            self._note_copy(name)
             if name in self._loads:
                 del self._loads[name]
                 self.slots.end_load(name, loaded=True)
@@ -404,11 +425,18 @@
                 self.slots.drop(name)
                 self._versions.pop(name, None)
 
+    def _note_copy(self, name: str) -> None:
+        self._copies[name] = None
+        self._copies.move_to_end(name)
+        if len(self._copies) > MAX_COPIES:
+            self._copies.popitem(last=False)
+
     def _forget(self) -> None:
         """Forget what was held before the engine restarted."""
         self.slots.clear()
         self._versions.clear()
         self._loads.clear()
+        self._copies.clear()
         self._unloads.clear()
         self._unsure_unloads.clear()
         self._replacing.clear()
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_metrics.py
@@ -0,0 +1,49 @@
+"""The metrics of an agent."""
+
+from damaskvalve_agent._permits._desk import Admission
+from damaskvalve_agent._permits._types import Order
+from damaskvalve_core import DecisionLog
+from damaskvalve_core.metrics import ProcessMetrics
+
+GRANTED = "granted"
+BUSY = "busy"
+EXPIRED = "expired"
+# The library is loaded with the first look, since agents have little memory; before
+# that the newest records are kept, about 200 bytes each.
+MAX_EARLY_RECORDS = 2_000
+
+
+class PermitMetrics:
+    """Counts asks and orders, and reads the rest where it is kept."""
+
+    def __init__(self, process: str, admission: Admission, log: DecisionLog) -> None:
+        self._metrics = ProcessMetrics(
+            process,
+            {
+                "asks": "requests that asked for a permit, by outcome",
+                "orders": "orders to the engine, by kind and outcome",
+            },
+            {"permit_wait": "time from the ask to the permit"},
+            {
+                "running": admission.running,
+                "waiting": lambda: len(admission.waiting()),
+                "loads": admission.loads,
+                "adapters": lambda: len(admission.slots.resident()),
+                "log_lines_dropped": lambda: log.dropped_total,
+            },
+            MAX_EARLY_RECORDS,
+        )
+
+    def note_ask(self, outcome: str, waited_s: float) -> None:
+        """Count an ask that was granted, turned down or ran out of time."""
+        self._metrics.count("asks", outcome=outcome)
+        if outcome == GRANTED:
+            self._metrics.time("permit_wait", waited_s)
+
+    def note_order(self, order: Order, outcome: str) -> None:
+        """Count an order and what the engine made of it."""
+        self._metrics.count("orders", order=order.kind, outcome=outcome)
+
+    def render(self) -> bytes:
+        """Return all values as text; the first call loads the library."""
+        return self._metrics.render()
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -12,6 +12,12 @@
     EngineDialect,
     OrderTerms,
 )
+from damaskvalve_agent._permits._metrics import (
+    BUSY,
+    EXPIRED,
+    GRANTED,
+    PermitMetrics,
+)
 from damaskvalve_agent._permits._settings import PermitSettings
 from damaskvalve_agent._permits._types import (
     CONFLICT,
@@ -25,13 +31,22 @@
     ChannelError,
     DecisionLog,
     LeaderClient,
+    RefusedError,
     RetryLaterError,
     boot_clock_s,
     decision_log,
     dialing,
 )
 from damaskvalve_core.calls import Call, serving_calls
-from damaskvalve_core.http import BackendPool, pooled_backends
+from damaskvalve_core.http import (
+    BackendPool,
+    Headers,
+    Incoming,
+    Responder,
+    ServerLimits,
+    pooled_backends,
+    serving_http,
+)
 from damaskvalve_core.messages import (
     AdmitEnd,
     AdmitReply,
@@ -40,6 +55,7 @@
     GrantFence,
     Problem,
 )
+from damaskvalve_core.metrics import CONTENT_TYPE
 
 # While a load is on its way the engine is asked often, because a request waits for
 # it; otherwise only to notice a restart.
@@ -72,6 +88,7 @@
         self._engine = EngineClient(settings.engine_address, pool)
         self._log = log
         self._admission = Admission()
+        self._metrics = PermitMetrics(settings.name, self._admission, log)
         self._waiting: dict[str, asyncio.Future[Grant | None]] = {}
         self._changed = asyncio.Event()
         self._holder = f"{settings.name}/{uuid.uuid4().hex[:8]}"
@@ -112,7 +129,8 @@
         wait_s = self._admission.ask(ask, now_s)
         if wait_s > 0:
             self._changed.set()
-            call.send(AdmitReply(False, 0, wait_s, "busy", 0.0))
+            self._metrics.note_ask(BUSY, 0.0)
+            call.send(AdmitReply(False, 0, wait_s, BUSY, 0.0))
             return
         await self._wait_and_hold(ask, call)
 
@@ -133,8 +151,9 @@
                 raise ChannelError(f"{call.peer} spoke out of turn")
             grant = future.result()
             waited_s = boot_clock_s() - ask.arrived_s
+            self._metrics.note_ask(GRANTED if grant else EXPIRED, waited_s)
             if grant is None:
-                call.send(AdmitReply(False, 0, 1.0, "expired", waited_s))
+                call.send(AdmitReply(False, 0, 1.0, EXPIRED, waited_s))
                 return
             call.send(AdmitReply(True, grant.version, 0.0, "", waited_s))
             if waited_s > ask.wait_s:
@@ -185,6 +204,12 @@
         if future is not None and not future.done():
             future.set_result(grant)
 
+    async def show_metrics(self, incoming: Incoming, responder: Responder) -> None:
+        """Answer with the metrics, whatever was asked."""
+        text = await asyncio.to_thread(self._metrics.render)
+        headers = [(b"content-type", CONTENT_TYPE.encode())]
+        await responder.send(200, headers, text)
+
     # ---- the engine ----
 
     async def follow_reports(self) -> None:
@@ -251,6 +276,7 @@
         except (ChannelError, TimeoutError):
             status, outcome = 0, NO_ANSWER
         self._admission.order_ended(order, outcome, boot_clock_s())
+        self._metrics.note_order(order, outcome)
         self._log.line(
             "order",
             order=order.kind,
@@ -287,6 +313,15 @@
                 await asyncio.sleep(FENCE_RETRY_S)
 
 
+def _metrics_limits() -> ServerLimits:
+    """Return the bounds for whoever reads the metrics."""
+    return ServerLimits(16 * 1024, 0, 5.0, 30.0)
+
+
+def _plain_refusal(error: RefusedError) -> tuple[Headers, bytes]:
+    return [(b"content-type", b"text/plain")], str(error).encode()
+
+
 async def _serve(
     settings: PermitSettings, dialect: EngineDialect, log: DecisionLog
 ) -> None:
@@ -299,8 +334,14 @@
         server = PermitServer(settings, dialect, pool, log)
         with dialing(settings.identity) as dialer:
             leader = LeaderClient(settings.call_hosts, dialer)
-            async with serving_calls(
-                settings.address, settings.identity, server.answer
+            async with (
+                serving_calls(settings.address, settings.identity, server.answer),
+                serving_http(
+                    settings.metrics_address,
+                    server.show_metrics,
+                    _metrics_limits,
+                    _plain_refusal,
+                ),
             ):
                 tasks = [
                     loop.create_task(server.fetch_fence(leader)),
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_settings.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_settings.py
@@ -8,19 +8,28 @@
 class PermitSettings:
     """What an agent is told before it starts."""
 
-    __slots__ = ("name", "address", "engine_address", "call_hosts", "identity")
+    __slots__ = (
+        "name",
+        "address",
+        "engine_address",
+        "metrics_address",
+        "call_hosts",
+        "identity",
+    )
 
     def __init__(
         self,
         name: str,
         address: str,
         engine_address: str,
+        metrics_address: str,
         call_hosts: Sequence[str],
         identity: Identity | None = None,
     ) -> None:
         self.name = name
         self.address = address
         self.engine_address = engine_address
+        self.metrics_address = metrics_address
         # Where hosts take calls, to find the leader from.
         self.call_hosts = tuple(call_hosts)
         self.identity = identity
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
@@ -209,6 +209,20 @@
         admission.take_report(report(rest, order_count=1), 0.2)
         self.assertEqual(admission.next_order(0.2).kind, LOAD)
 
+    def test_an_adapter_that_was_held_lately_does_not_wait_for_the_store(self):
+        """It is loaded beside those that do, and its wait is short."""
+        admission = desk(adapters={"a9": 1})
+        admission.take_report(report(order_count=1), 0.1)
+        for number in range(3):
+            admission.ask(ask(number, f"a{number}"), 0.2)
+        loads = []
+        admission.ask(ask(9, "a9", wait_s=0.2), 0.2)
+        while (order := admission.next_order(0.2)) is not None:
+            admission.order_ended(order, ACCEPTED, 0.2)
+            loads.append(order.adapter)
+        self.assertEqual(len(loads), 3)
+        self.assertIn("a9", loads)
+
     def test_an_unload_without_an_answer_is_void_after_the_next_order(self):
         """The engine takes an order only on the count that it names."""
         held = {"a1": 1, "a2": 1}
--- a/packages/damaskvalve-core/damaskvalve_core/metrics.py
+++ b/packages/damaskvalve-core/damaskvalve_core/metrics.py
@@ -32,6 +32,7 @@
         counters: Mapping[str, str],
         latencies: Mapping[str, str],
         gauges: Mapping[str, Reading],
+        most_early: int = MAX_EARLY_RECORDS,
     ) -> None:
         self._process = process
         self._descriptions = {**counters, **latencies}
@@ -39,7 +40,7 @@
         self._gauges = gauges
         self._lock = threading.Lock()
         self._early: collections.deque[tuple[str, float, Mapping[str, str]]] = (
-            collections.deque(maxlen=MAX_EARLY_RECORDS)
+            collections.deque(maxlen=most_early)
         )
         self._instruments: dict[str, Any] | None = None
         self._registry: Any = None
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -1,5 +1,6 @@
 """The backend servers that a host knows: announced, spread, tried and given up."""
 
+import collections
 from collections.abc import Mapping, Sequence
 
 from damaskvalve_gateway._model import GONE, LEAVING, READY, Announcement
@@ -23,7 +24,12 @@
 # An adapter with which a request has started stays for at least this long; after it
 # the engine's own announcement tells.
 STARTED_HERE_S = 3.0
-MAX_STARTED = 256
+# Engines keep copies of about so many adapters that they held lately, and load those
+# in a tenth of the time.
+MAX_COPIES = 100
+# How near an adapter is to an engine.
+HOLDS, HELD_LATELY, ELSEWHERE = 0, 1, 2
+NEVER_S = -1e9
 
 
 class Backend:
@@ -40,7 +46,7 @@
         "paused_until_s",
         "bad_share",
         "service_s",
-        "_started_s",
+        "_lately_s",
     )
 
     def __init__(self, announcement: Announcement, heard_s: float) -> None:
@@ -60,8 +66,8 @@
         self.bad_share = 0.0
         # Recent time to the head of a reply.
         self.service_s = 0.0
-        # When this host last had a request started with an adapter there.
-        self._started_s: dict[str, float] = {}
+        # When this host last knew of each adapter there, the newest at the end.
+        self._lately_s: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     def is_live(self, now_s: float) -> bool:
         """Return whether new work may go there by what it announced."""
@@ -70,27 +76,37 @@
 
     def note_adapter(self, adapter: str, now_s: float) -> None:
         """Remember that a request has started there with an adapter."""
-        if len(self._started_s) >= MAX_STARTED:
-            self._started_s = {
-                name: at_s
-                for name, at_s in self._started_s.items()
-                if now_s - at_s < STARTED_HERE_S
-            }
-        self._started_s[adapter] = now_s
+        self._lately_s[adapter] = now_s
+        self._lately_s.move_to_end(adapter)
+        if len(self._lately_s) > MAX_COPIES:
+            self._lately_s.popitem(last=False)
 
-    def holds(self, adapter: str, version: int, now_s: float) -> bool:
-        """Return whether an engine holds an adapter, as far as this host knows.
+    def note_announced(self) -> None:
+        """Remember the adapters that the engine has announced."""
+        for name in self.announcement.resident:
+            adapter = name.partition("@")[0]
+            self.note_adapter(adapter, self._lately_s.get(adapter, NEVER_S))
+
+    def holds(self, adapter: str, version: int) -> bool:
+        """Return whether an engine announced that it holds an adapter.
 
         ``adapter`` is ``model/adapter``; a ``version`` of 0 means any.
         """
-        if not version and now_s - self._started_s.get(adapter, -1e9) < STARTED_HERE_S:
-            return True
         for name in self.announcement.resident:
             held, _, held_version = name.partition("@")
             if held == adapter:
                 return not version or held_version == str(version)
         return False
 
+    def distance(self, adapter: str, now_s: float) -> int:
+        """Return how near an adapter is, as far as this host knows."""
+        at_s = self._lately_s.get(adapter)
+        if at_s is None:
+            return ELSEWHERE
+        if now_s - at_s < STARTED_HERE_S or self.holds(adapter, 0):
+            return HOLDS
+        return HELD_LATELY
+
     def note_success(self, took_s: float) -> None:
         """Count an answer that was the backend server's own."""
         self.failures = 0
@@ -135,6 +151,7 @@
             return False
         was_silent = heard_s - known.heard_s > VOUCHED_S
         known.announcement = announcement
+        known.note_announced()
         known.heard_s = max(known.heard_s, heard_s)
         if was_silent or _differ(held, announcement) or self._tells_resident(known):
             self._set(known)
@@ -166,6 +183,7 @@
     def _set(self, backend: Backend) -> None:
         self.number += 1
         backend.changed = self.number
+        backend.note_announced()
         backend.told_resident = backend.announcement.resident
         backend.told_s = backend.heard_s
         self._backends[backend.announcement.instance_id] = backend
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_choice.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_choice.py
@@ -19,10 +19,10 @@
 def order_engines(
     backends: Sequence[Backend], adapter: str, now_s: float
 ) -> Sequence[Backend]:
-    """Return the engines to ask for ``model/adapter``: holders, then homes.
+    """Return the engines to ask for ``model/adapter``, the nearest to it first.
 
-    A busy home sends a request to an engine that holds its adapter already before it
-    sends it to one that would load it. Rendezvous hashing over addresses decides
+    Engines that hold it go first, then those that have a copy, because a load takes
+    its turn at the store. Rendezvous hashing over addresses decides
     among equals, so that all hosts agree without talking and a lost engine moves only
     its own adapters. Engines that fail come last.
     """
@@ -30,7 +30,7 @@
         backends,
         key=lambda item: (
             _is_suspect(item, now_s),
-            not item.holds(adapter, 0, now_s),
+            item.distance(adapter, now_s),
             -_score(adapter, item.announcement.address),
         ),
     )
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
@@ -227,7 +227,7 @@
         now_s = boot_clock_s()
         for backend in candidates:
             silent = now_s < self._silent_until_s.get(self._agent_of(backend), 0.0)
-            held = not request.adapter or backend.holds(wanted, version, now_s)
+            held = not request.adapter or backend.holds(wanted, version)
             if silent and held:
                 return Permit(backend, version, None, exchange.request.request_id)
         return None
