What a leader tells is bounded: in parts, without adapters to newcomers

A leader told each host its whole table in one reply: 3,000 backend servers with 20 adapters each are 1.2 MB, more than a link carries to 100 hosts within the 0.8 s of a call, which then began anew; hosts sent a new leader as much.

Change: at most 200 notices a message, newest changes last, asked again at once; newcomers get notices without adapters; hosts repeat to a new leader only what they heard themselves and who leaves. Tests without a network (test_sync). Retry-After without a configuration is 0.5 s, since hosts that start together elect sooner.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -363,7 +363,8 @@
   6: i64 started_at_ms
   7: i64 sequence
   8: double age_s
-  9: list<string> resident
+  // Absent where it is left out: what is known of the adapters stays.
+  9: optional list<string> resident
   10: i32 slots
 }
 
@@ -386,6 +387,8 @@
   8: i32 hosts
   // Seconds since the leader heard of backend servers that it misses, by instance.
   9: optional map<string, double> silent
+  // There are more notices than fit: ask again at once.
+  10: optional bool more
 }
 struct CrashNotice { 1: string fingerprint  2: string instance_id  3: double age_s }
 
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2073,6 +2073,7 @@
      - share_s
      - hosts
      - silent
+     - more
 
     """
 
@@ -2086,10 +2087,11 @@
         'share_s',
         'hosts',
         'silent',
+        'more',
     )
 
 
-    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None, share_s=None, hosts=None, silent=None,):
+    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None, share_s=None, hosts=None, silent=None, more=None,):
         self.leader_address = leader_address
         self.leader_id = leader_id
         self.seen = seen
@@ -2099,6 +2101,7 @@
         self.share_s = share_s
         self.hosts = hosts
         self.silent = silent
+        self.more = more
 
 
 class CrashNotice(TBase):
@@ -2954,6 +2957,7 @@
     (7, TType.DOUBLE, 'share_s', None, None, ),  # 7
     (8, TType.I32, 'hosts', None, None, ),  # 8
     (9, TType.MAP, 'silent', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 9
+    (10, TType.BOOL, 'more', None, None, ),  # 10
 )
 all_structs.append(CrashNotice)
 CrashNotice.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -1,6 +1,7 @@
 """The backend servers that a host knows: announced, spread, tried and given up."""
 
 import collections
+import itertools
 from collections.abc import Mapping, Sequence
 
 from damaskvalve_gateway._model import GONE, LEAVING, READY, Announcement
@@ -41,6 +42,7 @@
         "changed",
         "told_resident",
         "told_s",
+        "direct_s",
         "active",
         "failures",
         "paused_until_s",
@@ -58,6 +60,8 @@
         # The adapters that others were told, and when.
         self.told_resident = announcement.resident
         self.told_s = heard_s
+        # When it last announced itself to this host.
+        self.direct_s = NEVER_S
         # Requests that this host has running there.
         self.active = 0
         self.failures = 0
@@ -130,7 +134,10 @@
     """Takes announcements in any order and keeps the newest of each instance."""
 
     def __init__(self) -> None:
-        self._backends: dict[str, Backend] = {}
+        # In the order of their changes.
+        self._backends: collections.OrderedDict[str, Backend] = (
+            collections.OrderedDict()
+        )
         self.number = 0
         # Adapters come and go all the time; others are told at most this often.
         self.resident_every_s = 0.0
@@ -186,7 +193,9 @@
         backend.note_announced()
         backend.told_resident = backend.announcement.resident
         backend.told_s = backend.heard_s
-        self._backends[backend.announcement.instance_id] = backend
+        instance_id = backend.announcement.instance_id
+        self._backends[instance_id] = backend
+        self._backends.move_to_end(instance_id)
 
     def end(self, instance_id: str, now_s: float) -> None:
         """Note that an instance has said that it is gone."""
@@ -233,8 +242,18 @@
         return sum(item.announcement.state == READY for item in self._backends.values())
 
     def changed_since(self, number: int) -> Sequence[Backend]:
-        """Return the backend servers that changed after a number of this table."""
-        return [item for item in self._backends.values() if item.changed > number]
+        """Return what changed after a number of this table, the oldest change first."""
+        newest_first = reversed(self._backends.values())
+        changed = itertools.takewhile(lambda item: item.changed > number, newest_first)
+        return list(changed)[::-1]
+
+    def worth_repeating(self, now_s: float) -> Sequence[Backend]:
+        """Return what a new leader may lack and no other host is sure to tell it."""
+        return [
+            item
+            for item in self._backends.values()
+            if item.announcement.state != READY or now_s - item.direct_s < SILENT_S
+        ]
 
     def expire(self, now_s: float) -> Sequence[str]:
         """Forget instances that have not been heard for long; return their ids."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -40,8 +40,8 @@
     relay,
 )
 
-# A host without a configuration will have one within seconds of its start.
-NO_CONFIGURATION_RETRY_S = 1.0
+# A host has a configuration so soon after its start, also if all start together.
+NO_CONFIGURATION_RETRY_S = 0.5
 NO_BACKEND_RETRY_S = 0.5
 # A host that has heard no leader for so long keeps backend servers that it does not
 # hear of either.
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -6,7 +6,8 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+import itertools
+from collections.abc import Mapping, Sequence
 
 from damaskvalve_core import ChannelError, DecisionLog, RetryLaterError, boot_clock_s
 from damaskvalve_core.calls import Call
@@ -40,6 +41,9 @@
 # Hosts are told which adapters an engine holds at most once in this for each host:
 # what the leader sends then grows with the engines, not with engines times hosts.
 RESIDENT_S_PER_HOST = 0.05
+# Notices in one message: some ten thousand bytes, which even a slow link carries well
+# within the time-out.
+MAX_NOTICES = 200
 # Crashes are repeated in replies for this long, so that each host hears of them over
 # a few lost calls.
 REPEAT_CRASHES_S = 3.0
@@ -47,8 +51,11 @@
 HOST_SILENT_S = SHARE_LEASE_S
 
 
-def to_notice(backend: Backend, now_s: float) -> BackendNotice:
-    """Return the message for what is known of a backend server."""
+def to_notice(backend: Backend, now_s: float, *, brief: bool = False) -> BackendNotice:
+    """Return the message for what is known of a backend server.
+
+    A ``brief`` one leaves its adapters out.
+    """
     held = backend.announcement
     return BackendNotice(
         held.instance_id,
@@ -59,13 +66,16 @@
         held.started_at_ms,
         held.sequence,
         now_s - backend.heard_s,
-        list(held.resident),
+        None if brief else list(held.resident),
         held.slots,
     )
 
 
-def from_notice(notice: BackendNotice) -> Announcement:
+def from_notice(notice: BackendNotice, known: Backend | None) -> Announcement:
     """Return the announcement that a message carries."""
+    resident = notice.resident
+    if resident is None:
+        resident = known.announcement.resident if known is not None else ()
     return Announcement(
         notice.instance_id,
         notice.service_name,
@@ -75,7 +85,7 @@
         notice.started_at_ms,
         notice.sequence,
         notice.slots,
-        notice.resident,
+        resident,
     )
 
 
@@ -103,12 +113,17 @@
         self._outbox: dict[str, Backend] = {}
         self._crashes: list[tuple[str, str, float]] = []
         self._lock = asyncio.Lock()
+        # Whether the leader has more to tell, or this host to send.
+        self._more = False
 
     def announce(self, announcement: Announcement, now_s: float) -> None:
         """Take what a backend server told this host."""
         backends = self._knowledge.backends
         if backends.take(announcement, now_s):
             self._queue(announcement.instance_id)
+        backend = backends.find(announcement.instance_id)
+        if backend is not None:
+            backend.direct_s = now_s
 
     def end(self, instance_id: str, now_s: float) -> None:
         """Take the end of a backend server."""
@@ -137,7 +152,10 @@
                 if connected:
                     self._log.line("leader_lost", reason=str(error))
                 connected = False
-            await asyncio.sleep(SYNC_S if connected else LEADERLESS_S)
+            if not connected:
+                await asyncio.sleep(LEADERLESS_S)
+            elif not self._more:
+                await asyncio.sleep(SYNC_S)
 
     async def sync_now(self) -> None:
         """Exchange with the leader once; raises :class:`RetryLaterError`."""
@@ -150,6 +168,7 @@
             await self._follow(now_s)
 
     def _lead(self, now_s: float) -> None:
+        self._more = False
         self._outbox.clear()
         for mark, instance_id, at_s in self._crashes:
             self._desk.note_crash(mark, instance_id, at_s)
@@ -167,11 +186,11 @@
         leader_id = self._link.status().leader_id
         if leader_id != self._leader_id:
             # A new leader may lack what the one before was told.
-            for backend in self._knowledge.backends.changed_since(0):
+            for backend in self._knowledge.backends.worth_repeating(now_s):
                 self._outbox[backend.announcement.instance_id] = backend
             for mark, instance_id, at_s in self._knowledge.crashes.recent(now_s):
                 self._crashes.append((mark, instance_id, at_s))
-        sent = dict(self._outbox)
+        sent = dict(itertools.islice(self._outbox.items(), MAX_NOTICES))
         told = {key: backend.announcement for key, backend in sent.items()}
         if now_s - self._knowledge.contact_s > VOUCHED_S:
             # What was vouched for meanwhile was not heard here.
@@ -194,14 +213,17 @@
                 del self._outbox[key]
         del self._crashes[: len(crashes)]
         self._take_reply(reply, now_s)
+        self._more = bool(reply.more or len(self._outbox) >= MAX_NOTICES)
 
     def _take_reply(self, reply: SyncReply, asked_s: float) -> None:
         self._leader_id = reply.leader_id
         self._seen = reply.seen
         now_s = boot_clock_s()
+        backends = self._knowledge.backends
         for notice in reply.notices:
-            self._knowledge.backends.take(from_notice(notice), now_s - notice.age_s)
-        self._knowledge.backends.vouch(reply.silent or {}, now_s)
+            announcement = from_notice(notice, backends.find(notice.instance_id))
+            backends.take(announcement, now_s - notice.age_s)
+        backends.vouch(reply.silent or {}, now_s)
         for crash in reply.crashes:
             at_s = now_s - crash.age_s
             self._knowledge.crashes.note(crash.fingerprint, crash.instance_id, at_s)
@@ -246,6 +268,8 @@
         self._heard_s: dict[str, float] = {}
         self._began_s = 0.0
         self._registering: asyncio.Future[None] | None = None
+        self._silent_ids: Mapping[str, float] = {}
+        self._silent_at_s = 0.0
 
     def _standing(self, now_s: float) -> None:
         """Start anew when this host has become leader since the last call."""
@@ -331,23 +355,35 @@
         backends = self._knowledge.backends
         backends.resident_every_s = RESIDENT_S_PER_HOST * self.hosts(now_s)
         for notice in request.notices:
-            backends.take(from_notice(notice), now_s - notice.age_s)
+            announcement = from_notice(notice, backends.find(notice.instance_id))
+            backends.take(announcement, now_s - notice.age_s)
         for crash in request.crashes:
             self.note_crash(crash.fingerprint, crash.instance_id, now_s - crash.age_s)
         share, lease_s = self.grant_share(request.host_address, request.share, now_s)
         seen = request.seen if request.leader_id == self._leader_id else 0
+        news = backends.changed_since(seen)
+        told = news[:MAX_NOTICES]
+        more = len(told) < len(news)
         return SyncReply(
             self._link.leader_address(),
             self._leader_id,
-            backends.number,
-            [to_notice(item, now_s) for item in backends.changed_since(seen)],
+            told[-1].changed if told else backends.number,
+            [to_notice(item, now_s, brief=more or not seen) for item in told],
             self._recent_crashes(now_s),
             share,
             lease_s,
             self.hosts(now_s),
-            backends.silent(now_s),
+            self._silent(now_s),
+            more,
         )
 
+    def _silent(self, now_s: float) -> Mapping[str, float]:
+        """Return what is missed; hosts that call at the same time get the same."""
+        if now_s - self._silent_at_s > SYNC_S / 2:
+            self._silent_ids = self._knowledge.backends.silent(now_s)
+            self._silent_at_s = now_s
+        return self._silent_ids
+
     def _recent_crashes(self, now_s: float) -> Sequence[CrashNotice]:
         return [
             CrashNotice(mark, instance_id, now_s - at_s)
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
@@ -0,0 +1,131 @@
+"""What hosts tell a leader and hear from it, without a network."""
+
+import asyncio
+import types
+import unittest
+
+from damaskvalve_core import boot_clock_s
+from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._model import LEAVING, READY, Announcement
+from damaskvalve_gateway._quota import HostQuota, QuotaSlack
+from damaskvalve_gateway._sync import MAX_NOTICES, LeaderDesk, SyncController
+
+SLACK = QuotaSlack(0.0, 0.0, 8.0)
+
+
+class FakeLog:
+    """Takes lines and keeps none."""
+
+    def line(self, kind, **fields):
+        """Drop a line."""
+
+
+class FakeLink:
+    """A group whose leader is reached at once."""
+
+    def __init__(self, leader=None):
+        # None for the leader's own.
+        self.leader = leader
+        self.leader_id = "L/1"
+        self.replies = []
+
+    def status(self):
+        return types.SimpleNamespace(leader_id=self.leader_id)
+
+    def leads(self, now_s):
+        return self.leader is None
+
+    def leader_address(self):
+        return "10.0.0.1:2"
+
+    async def ask_leader(self, request, timeout_s):
+        reply = self.leader.desk._sync(request)
+        self.replies.append((request, reply))
+        return reply
+
+
+class Host:
+    """One host's side and, if it leads, the leader's."""
+
+    def __init__(self, number, leader=None):
+        address = f"10.0.0.{number}:1"
+        settings = types.SimpleNamespace(
+            group_address=address,
+            quota_slack=SLACK,
+            call_address=lambda group: group.replace(":1", ":2"),
+        )
+        self.link = FakeLink(leader)
+        self.knowledge = Knowledge()
+        self.knowledge.registered_hosts = frozenset(f"10.0.0.{n}:2" for n in range(9))
+        log = FakeLog()
+        self.desk = LeaderDesk(settings, self.link, self.knowledge, log)
+        quota = HostQuota(SLACK, boot_clock_s())
+        self.sync = SyncController(
+            settings, self.link, self.knowledge, quota, self.desk, log
+        )
+
+    def exchange(self):
+        """Call until nothing is left to say; return the number of calls."""
+        before = len(self.link.replies)
+        asyncio.run(self.sync.sync_now())
+        while self.sync._more:
+            asyncio.run(self.sync.sync_now())
+        return len(self.link.replies) - before
+
+    def live(self):
+        return len(self.knowledge.backends.live("svc", boot_clock_s(), stale=False))
+
+
+def announcement(number, state=READY, sequence=1):
+    address = f"10.1.{number // 200}.{number % 200}:80"
+    held = tuple(f"m/a{number}.{place}@1" for place in range(20))
+    return Announcement(
+        f"i-{number}", "svc", address, "dc", state, 1, sequence, 64, held
+    )
+
+
+class SyncTests(unittest.TestCase):
+    def test_a_large_fleet_is_told_in_bounded_messages(self):
+        """Also to a host that knows nothing, after a restart of all."""
+        leader = Host(1)
+        for number in range(1_000):
+            leader.sync.announce(announcement(number), boot_clock_s())
+        host = Host(2, leader)
+        calls = host.exchange()
+        self.assertEqual(host.live(), 1_000)
+        self.assertEqual(calls, 5)
+        for _, reply in host.link.replies:
+            self.assertLessEqual(len(reply.notices), MAX_NOTICES)
+        self.assertEqual(host.exchange(), 1)
+        self.assertEqual(host.link.replies[-1][1].notices, [])
+
+    def test_a_host_tells_a_new_leader_only_what_it_heard_itself(self):
+        """Others tell the rest; who leaves is told by all."""
+        first = Host(1)
+        for number in range(300):
+            first.sync.announce(announcement(number), boot_clock_s())
+        host = Host(2, first)
+        host.exchange()
+        host.sync.announce(announcement(300), boot_clock_s())
+        first.sync.announce(announcement(7, LEAVING, 2), boot_clock_s())
+        host.exchange()
+        second = Host(3)
+        second.link.leader_id = host.link.leader_id = "M/2"
+        host.link.leader = second
+        host.exchange()
+        told = {
+            notice.instance_id
+            for request, _ in host.link.replies[-1:]
+            for notice in request.notices
+        }
+        self.assertEqual(told, {"i-7", "i-300"})
+
+    def test_what_was_left_out_does_not_take_adapters_away(self):
+        """A brief notice says nothing of adapters."""
+        leader = Host(1)
+        leader.sync.announce(announcement(1), boot_clock_s())
+        host = Host(2, leader)
+        host.sync.announce(announcement(1), boot_clock_s())
+        leader.sync.announce(announcement(1, sequence=2), boot_clock_s())
+        host.exchange()
+        self.assertTrue(host.knowledge.backends.find("i-1").holds("m/a1.3", 1))
