--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_agreement.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_agreement.py
@@ -131,6 +131,16 @@
         group.run(0.9 * group.timing.election_timeout_s)
         self.assertIsNotNone(group.leader())
 
+    def test_a_member_that_has_just_started_hears_no_leader(self):
+        """It looks for one at once, though it still keeps an older promise."""
+        group = FakeGroup(1, 3, loss=0.0, crash_rate=0.0)
+        group.run(6)
+        host = next(item for item in group.hosts.values() if item is not group.leader())
+        self.assertTrue(host.agreement.hears_leader(group.local(host)))
+        group.crash(host)
+        group.boot(host)
+        self.assertFalse(host.agreement.hears_leader(group.local(host)))
+
     @settings(max_examples=60)
     @given(seed=SEEDS, size=SIZES)
     def test_voters_that_restart_at_once_leave_a_leader_its_lease(self, seed, size):
