An agent records the end of a request before it says so

The agent sent the end and then recorded it; on a loaded machine the host recorded the end of the request in between, so the time line showed the cause behind its effect.

Change: the last message leaves after the record.

Ruled out: clocks (both on one machine), the merge of the files (it orders what the processes stamped).

--- a/packages/damaskvalve-agent/damaskvalve_agent/_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -201,6 +201,9 @@
         number = self._fence.number(now_s)
         self._note_start(work, outcome, queued_s)
         delivered_tokens = 0
+        # Sent after the end is on record, so that the time line has what the caller
+        # makes of it behind its cause.
+        last: WorkEnd | WorkRefused | None = None
         try:
             if number is None:
                 yield _refused(work, "not_fenced", NOT_RUN, 1.0)
@@ -212,7 +215,7 @@
                     yield WorkChunk(work.request_id, item.text, item.tokens)
                 else:
                     delivered = True
-                    yield _end(work, item)
+                    last = _end(work, item)
         except UnknownAdapterError:
             _log.warning("the engine lost {}; it has restarted", ticket.adapter)
             self._room.run(lambda scheduler, now_s: scheduler.engine_restarted())
@@ -221,9 +224,11 @@
             crashed = error.crashed
             if crashed or not error.sent:
                 self.ask_backend()
-            yield self._failed(work, error, delivered_tokens)
+            last = self._failed(work, error, delivered_tokens)
         finally:
             self._note_end(work, ticket, delivered=delivered, crashed=crashed)
+        if last is not None:
+            yield last
         return True
 
     def _pieces(self, work: WorkRequest, number: int) -> Iterator[Piece | Finish]:
