--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import h11
 
@@ -18,7 +18,14 @@
 # names a shorter time; replicas are known to drop idle connections early.
 IDLE_S = 4.0
 READ_AHEAD_BYTES = 256 * 1024
+# Informational replies before the final one: one or two are usual.
+MAX_INFORMATIONAL = 8
 MAX_HEAD_BYTES = 64 * 1024
+# Hosts have 200 MB; a process needs some 30 of them, and connections the rest.
+MAX_HELD_BYTES = 48 * 1024 * 1024
+# A reply up to this size is read whatever the others hold: four hundred at a time are
+# as much as all others may have.
+UNSHARED_BYTES = 128 * 1024
 _TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -137,10 +144,13 @@
 
     async def head(self) -> ReplyHead:
         """Return the head of the reply; informational replies are passed over."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._event()
             if isinstance(event, h11.Response):
                 return ReplyHead(event.status_code, list(event.headers))
+        raise BackendFailedError(
+            f"{self.address} sent more than {MAX_INFORMATIONAL} informational replies"
+        )
 
     async def piece(self) -> bytes | None:
         """Return the next bytes of the body, None at its complete end."""
@@ -174,6 +184,44 @@
             self.close()
 
 
+class HeldReply:
+    """The bytes of one reply that is read whole before it goes on."""
+
+    __slots__ = ("size", "_memory")
+
+    def __init__(self, memory: "ReplyMemory") -> None:
+        self.size = 0
+        self._memory = memory
+
+    def add(self, size: int) -> None:
+        """Count bytes; raises :class:`BackendFailedError` if there is no room."""
+        self.size += size
+        self._memory.held += size
+        if self.size > UNSHARED_BYTES and self._memory.held > self._memory.limit:
+            raise BackendFailedError(
+                f"replies hold over {self._memory.limit} bytes; this one {self.size}"
+            )
+
+
+class ReplyMemory:
+    """Bounds what all replies hold together; small ones always have room."""
+
+    __slots__ = ("limit", "held")
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.held = 0
+
+    @contextlib.contextmanager
+    def holding(self) -> Iterator[HeldReply]:
+        """Yield the count of one reply, which ends with the context."""
+        reply = HeldReply(self)
+        try:
+            yield reply
+        finally:
+            self.held -= reply.size
+
+
 class BackendPool:
     """Idle connections to backend servers, by instance."""
 
@@ -181,6 +229,8 @@
         self._source = (source_ip, 0) if source_ip else None
         self._idle: dict[str, list[BackendConnection]] = {}
         self.opened = 0
+        # What replies that are not complete yet may hold, all of them together.
+        self.reply_memory = ReplyMemory(MAX_HELD_BYTES)
 
     async def take(
         self, instance_id: str, address: str, now_s: float, max_idle_s: float
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -18,6 +18,9 @@
 # long after each further failure in a row, up to the longest pause.
 FIRST_PAUSE_S = 0.4
 LONGEST_PAUSE_S = 5.0
+# An overloaded backend server may ask to be left alone for any time; beyond this it
+# is tried again, so that one absurd value does not take it away for ever.
+LONGEST_KEPT_OFF_S = 3600.0
 # Outcomes are counted with this weight; a share of failures above the bound over at
 # least so many outcomes makes a backend server the last choice.
 OUTCOME_WEIGHT = 0.15
@@ -46,6 +49,7 @@
         "active",
         "failures",
         "paused_until_s",
+        "kept_off_until_s",
         "bad_share",
         "service_s",
         "_lately_s",
@@ -66,6 +70,8 @@
         self.active = 0
         self.failures = 0
         self.paused_until_s = 0.0
+        # An overloaded backend server asked for nothing from this host until then.
+        self.kept_off_until_s = 0.0
         # Share of failed outcomes, newest weighted most.
         self.bad_share = 0.0
         # Recent time to the head of a reply.
@@ -78,6 +84,18 @@
         fresh = now_s - self.heard_s < SILENT_S
         return fresh and self.announcement.state == READY
 
+    def takes_work(self, now_s: float) -> bool:
+        """Return whether this host may send a request there now.
+
+        Asked again right before a send: it may have changed during any wait.
+        """
+        return self.announcement.state == READY and now_s >= self.kept_off_until_s
+
+    def keep_off(self, for_s: float, now_s: float) -> None:
+        """Send nothing there for a time; a shorter one does not end a longer one."""
+        until_s = now_s + min(for_s, LONGEST_KEPT_OFF_S)
+        self.kept_off_until_s = max(self.kept_off_until_s, until_s)
+
     def note_adapter(self, adapter: str, now_s: float) -> None:
         """Remember that a request has started there with an adapter."""
         self._lately_s[adapter] = now_s
@@ -155,6 +173,9 @@
             self._set(Backend(announcement, heard_s))
             return True
         if _rank(announcement) <= _rank(held):
+            if announcement.sequence > held.sequence:
+                # It is running still, though what it said before goes on to count.
+                known.heard_s = max(known.heard_s, heard_s)
             return False
         was_silent = heard_s - known.heard_s > VOUCHED_S
         known.announcement = announcement
@@ -164,6 +185,21 @@
             self._set(known)
         return True
 
+    def note_leaving(self, backend: Backend, now_s: float) -> bool:
+        """Note that a start of a backend server said in a reply that it leaves.
+
+        Return False if that was known.
+        """
+        held = backend.announcement
+        if held.state != READY:
+            return False
+        backend.announcement = held.with_state(LEAVING, held.resident)
+        known = self._backends.get(held.instance_id)
+        if known is backend:
+            backend.heard_s = max(backend.heard_s, now_s)
+            self._set(backend)
+        return True
+
     def _tells_resident(self, backend: Backend) -> bool:
         if backend.announcement.resident == backend.told_resident:
             return False
@@ -205,17 +241,7 @@
             self._set(Backend(held, now_s))
             return
         held = known.announcement
-        known.announcement = Announcement(
-            instance_id,
-            held.service,
-            held.address,
-            held.data_centre,
-            GONE,
-            held.started_at_ms,
-            held.sequence,
-            held.slots,
-            (),
-        )
+        known.announcement = held.with_state(GONE, ())
         known.heard_s = now_s
         self._set(known)
 
@@ -267,6 +293,9 @@
         return old
 
 
+_STATE_ORDER = {READY: 0, LEAVING: 1, GONE: 2}
+
+
 def _differ(one: Announcement, other: Announcement) -> bool:
     """Return whether requests would go elsewhere after one than after the other."""
     return any(
@@ -276,8 +305,12 @@
 
 
 def _rank(announcement: Announcement) -> tuple[int, int]:
-    """Order the announcements of one start: an end is final, then by sequence."""
-    return int(announcement.state == GONE), announcement.sequence
+    """Order the announcements of one start.
+
+    A start only ever goes from ready to leaving to gone: leaving may be known from a
+    reply, which has no sequence, before any announcement says so.
+    """
+    return _STATE_ORDER[announcement.state], announcement.sequence
 
 
 def _newest_by_address(backends: Sequence[Backend]) -> Sequence[Backend]:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
@@ -37,6 +37,14 @@
         return len(self._rest) > MAX_EVENT_BYTES
 
 
+def has_event(events: bytes) -> bool:
+    """Return whether any of these blocks is more than comments and empty lines."""
+    return any(
+        line and not line.startswith(b":")
+        for line in events.replace(b"\r\n", b"\n").split(b"\n")
+    )
+
+
 def event_id(event: bytes) -> int | None:
     """Return the id of one event, None if it has no numeric one."""
     for line in event.split(b"\n"):
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -27,6 +27,7 @@
     Route,
     Workspace,
 )
+from damaskvalve_gateway._overload import ComeBackQueue
 from damaskvalve_gateway._permits import Permit, PermitDesk
 from damaskvalve_gateway._quota import HostQuota
 from damaskvalve_gateway._retries import RetryAllowance
@@ -53,6 +54,8 @@
 AskLeader = Callable[[Workspace, float, str], Awaitable[float]]
 #: Tells the other hosts of a broken run.
 TellCrash = Callable[[str, str], None]
+#: Takes a backend server out of choice, here and at the other hosts.
+NoteLeaving = Callable[[Backend], None]
 
 
 class Gateway:
@@ -68,6 +71,7 @@
         retries: RetryAllowance,
         ask_leader: AskLeader,
         tell_crash: TellCrash,
+        note_leaving: NoteLeaving,
         data_centre: str,
         log: DecisionLog,
         metrics: GatewayMetrics,
@@ -80,6 +84,8 @@
         self._retries = retries
         self._ask_leader = ask_leader
         self._tell_crash = tell_crash
+        self._note_leaving = note_leaving
+        self._come_back = ComeBackQueue()
         self._data_centre = data_centre
         self._log = log
         self._metrics = metrics
@@ -296,11 +302,22 @@
         stale = now_s - self._knowledge.contact_s > CUT_OFF_S
         service = exchange.service.name
         live = self._knowledge.backends.live(service, now_s, stale=stale)
+        willing = [item for item in live if item.takes_work(now_s)]
+        if live and not willing:
+            hosts = self._knowledge.hosts
+            raise RefusedError(
+                503,
+                "backends_overloaded",
+                f"every backend server of {service} has asked to be left alone",
+                retry_after_s=self._come_back.wait_s(service, live, hosts, now_s),
+            )
         fresh = [
-            item for item in live if item.announcement.instance_id not in exchange.tried
+            item
+            for item in willing
+            if item.announcement.instance_id not in exchange.tried
         ]
         # The only one left is tried again, unless it may still be running it.
-        return fresh or ([] if exchange.runs else live)
+        return fresh or ([] if exchange.runs else willing)
 
     async def _one_send(self, exchange: Exchange) -> "_Attempt":
         candidates = self._candidates(exchange)
@@ -343,6 +360,7 @@
             self._pool,
             self._dialect,
             permit.note_started,
+            self._note_leaving,
         )
         outcome = await send.run()
         return _Attempt(outcome, exchange.backend, send.reason, send.failure)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -264,14 +264,26 @@
 class ReplyMark:
     """What the head of a backend server's reply says beyond its status."""
 
-    __slots__ = ("request_id", "not_run", "encoded")
+    __slots__ = ("request_id", "not_run", "encoded", "leaving", "keep_off_s")
 
-    def __init__(self, request_id: str, *, not_run: bool, encoded: bool) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        *,
+        not_run: bool,
+        encoded: bool,
+        leaving: bool = False,
+        keep_off_s: float = 0.0,
+    ) -> None:
         self.request_id = request_id
         # The backend server states that it has not run the request and will not.
         self.not_run = not_run
         # The body was encoded on the way; it is not the backend server's.
         self.encoded = encoded
+        # The backend server has begun to leave and wants no further request.
+        self.leaving = leaving
+        # For how long an overloaded backend server wants nothing from this host.
+        self.keep_off_s = keep_off_s
 
 
 class Announcement:
@@ -313,3 +325,17 @@
         self.slots = slots
         # Adapters that it holds, as ``model/adapter@version``.
         self.resident = tuple(resident)
+
+    def with_state(self, state: str, resident: Sequence[str]) -> "Announcement":
+        """Return the same in another state."""
+        return Announcement(
+            self.instance_id,
+            self.service,
+            self.address,
+            self.data_centre,
+            state,
+            self.started_at_ms,
+            self.sequence,
+            self.slots,
+            resident,
+        )
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
@@ -24,7 +24,7 @@
 )
 from damaskvalve_gateway._backends import Backend
 from damaskvalve_gateway._exchange import Exchange
-from damaskvalve_gateway._model import READY, EngineSpec
+from damaskvalve_gateway._model import EngineSpec
 
 # The part of a route's time to the first event that is left to the engine, which
 # reads the prompt between the steps of a full batch, and to waits that are longer than
@@ -179,11 +179,11 @@
             reply = await self._first_reply(call)
             if reply.reason == QUEUED:
                 reply = await self._turn(call, backend)
-            if not takes_work(backend):
-                raise ChannelError("the backend server is leaving")
+            if not backend.takes_work(boot_clock_s()):
+                raise ChannelError("the backend server takes no work any more")
         except (ChannelError, TimeoutError) as error:
             await _close(own, error)
-            if takes_work(backend):
+            if backend.takes_work(boot_clock_s()):
                 self._silent_until_s[agent] = boot_clock_s() + SILENT_AGENT_S
             return None
         except BaseException as error:
@@ -206,12 +206,12 @@
 
     @staticmethod
     async def _turn(call: Call, backend: Backend) -> AdmitReply:
-        """Wait for the request's turn, but not at a backend server that leaves."""
+        """Wait for the request's turn, as long as the backend server takes work."""
         receiving = asyncio.ensure_future(call.receive())
         try:
             while not receiving.done():
-                if not takes_work(backend):
-                    raise ChannelError("the backend server is leaving")
+                if not backend.takes_work(boot_clock_s()):
+                    raise ChannelError("the backend server takes no work any more")
                 await asyncio.wait((receiving,), timeout=LEAVING_LOOK_S)
             reply: AdmitReply = receiving.result()
             return reply
@@ -233,11 +233,6 @@
         return None
 
 
-def takes_work(backend: Backend) -> bool:
-    """Return whether a backend server still takes new work."""
-    return backend.announcement.state == READY
-
-
 def prompt_wait_s(exchange: Exchange, now_s: float) -> float:
     """Return the wait after which the first event may still be on time."""
     left_s = exchange.arrived_s + exchange.route.objective_s - now_s
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
@@ -1,7 +1,8 @@
 """One send of a request to one backend server, and its reply to the caller."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from damaskvalve_core import NotSentError, boot_clock_s
 from damaskvalve_core.http import (
@@ -12,9 +13,14 @@
 )
 from damaskvalve_gateway._backends import Backend
 from damaskvalve_gateway._dialect import Dialect
-from damaskvalve_gateway._events import EventSplitter, first_event_id
+from damaskvalve_gateway._events import EventSplitter, first_event_id, has_event
 from damaskvalve_gateway._exchange import Exchange
-from damaskvalve_gateway._model import STREAMING
+from damaskvalve_gateway._model import STREAMING, ReplyMark
+from damaskvalve_gateway._stall import (
+    StallWatch,
+    first_event_limit_s,
+    pause_limit_s,
+)
 
 # The request was answered to the caller.
 ANSWERED = "answered"
@@ -29,13 +35,15 @@
 # one that the other side drops meanwhile would leave its outcome unknown.
 UNSAFE_IDLE_S = 0.5
 ANY_IDLE_S = 60.0
-# Callers give a stream up after a gap of two seconds at the least; after this one a
-# stream that may be resumed goes on elsewhere.
-STREAM_GAP_S = 2.2
-# The same before the first event: a permit is given when the prompt can be read, which
-# takes some 0.2 s, and callers hope for it within a second.
-FIRST_EVENT_S = 1.5
 MAX_WHOLE_BYTES = 16 * 1024 * 1024
+# A reply that says that the request has not run is complete with its head; its body
+# is read so far only to keep the connection.
+REFUSAL_BODY_BYTES = 64 * 1024
+REFUSAL_BODY_S = 0.1
+# The status of a reply that may be another instance's, at an address used again.
+MISDIRECTED = 421
+
+_T = TypeVar("_T")
 
 _HOP_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"proxy-connection", b"te")
@@ -64,6 +72,7 @@
         pool: BackendPool,
         dialect: Dialect,
         started: Callable[[], None],
+        note_leaving: Callable[[Backend], None],
     ) -> None:
         self._exchange = exchange
         self._backend = backend
@@ -72,6 +81,8 @@
         self._dialect = dialect
         # Called when the first event or the answer has come.
         self._started = started
+        # Called when the reply says that the backend server has begun to leave.
+        self._note_leaving = note_leaving
         self.failure: Failure | None = None
         self.reason = ""
 
@@ -90,6 +101,12 @@
             backend.note_broken(began_s)
             self.reason = str(error)
             return NOT_RUN
+        now_s = boot_clock_s()
+        if not backend.takes_work(now_s) or exchange.left_s(now_s) <= 0:
+            # It changed, or this host was suspended, while the connection was made.
+            self._pool.give_back(instance_id, connection, now_s)
+            self.reason = "the backend server takes no work any more"
+            return NOT_RUN
         backend.active += 1
         try:
             outcome = await self._over(connection, began_s)
@@ -118,11 +135,12 @@
         exchange.runs += 1
         exchange.tried.add(instance_id)
         connection.send(request.method, request.target, headers, request.body)
-        head = await self._within(connection.head(), FIRST_EVENT_S)
+        head = await self._head(connection, began_s)
         mark = self._dialect.read_reply(head.status, head.headers)
+        self._take_wishes(head, mark)
         if mark.not_run:
             exchange.runs -= 1
-            await self._whole(connection, head)
+            await self._skip_refusal(connection, head)
             self.reason = f"status {head.status}, not run"
             return NOT_RUN
         if mark.request_id != request.request_id or mark.encoded:
@@ -132,28 +150,48 @@
         body = await self._whole(connection, head)
         return await self._relay_whole(head, body, began_s)
 
-    async def _within(self, step, limit_s):  # type: ignore[no-untyped-def]
-        """Await a step; a stream that may be resumed waits only so long for it."""
-        exchange = self._exchange
-        if exchange.route.kind != STREAMING or not exchange.may_run_again():
-            return await step
+    def _take_wishes(self, head: ReplyHead, mark: ReplyMark) -> None:
+        """Act on what a backend server says of further requests."""
+        if head.status == MISDIRECTED:
+            return
+        if mark.leaving:
+            self._note_leaving(self._backend)
+        if mark.keep_off_s > 0:
+            self._backend.keep_off(mark.keep_off_s, boot_clock_s())
+
+    async def _skip_refusal(
+        self, connection: BackendConnection, head: ReplyHead
+    ) -> None:
+        """Read a refusal's body if it comes at once; else give up the connection."""
         try:
-            async with asyncio.timeout(limit_s):
-                return await step
-        except TimeoutError as error:
-            raise BackendFailedError(f"silent for {limit_s} s") from error
+            async with asyncio.timeout(REFUSAL_BODY_S):
+                await self._whole(connection, head, REFUSAL_BODY_BYTES)
+        except (BackendFailedError, TimeoutError) as error:
+            connection.close()
+            self.reason = f"the body of a refusal did not end: {error}"
 
-    async def _whole(self, connection: BackendConnection, head: ReplyHead) -> bytes:
+    async def _head(self, connection: BackendConnection, began_s: float) -> ReplyHead:
+        if self._exchange.route.kind != STREAMING:
+            return await connection.head()
+        watch = StallWatch(first_event_limit_s(self._exchange), began_s)
+        return await _watched(connection.head, watch)
+
+    async def _whole(
+        self,
+        connection: BackendConnection,
+        head: ReplyHead,
+        max_bytes: int = MAX_WHOLE_BYTES,
+    ) -> bytes:
         parts: list[bytes] = []
-        size = 0
-        while True:
-            piece = await connection.piece()
-            if piece is None:
-                break
-            parts.append(piece)
-            size += len(piece)
-            if size > MAX_WHOLE_BYTES:
-                raise BackendFailedError("the reply is too large")
+        with self._pool.reply_memory.holding() as held:
+            while True:
+                piece = await connection.piece()
+                if piece is None:
+                    break
+                parts.append(piece)
+                held.add(len(piece))
+                if held.size > max_bytes:
+                    raise BackendFailedError("the reply is too large")
         now_s = boot_clock_s()
         connection.complete(head, now_s)
         instance_id = self._backend.announcement.instance_id
@@ -184,15 +222,21 @@
         exchange = self._exchange
         responder = exchange.responder
         splitter = EventSplitter(exchange.last_event_id)
+        # What counts as a sign of life is a whole event: bytes of one that never ends,
+        # or comments, do not keep a stream.
+        watch = StallWatch(first_event_limit_s(exchange), began_s)
         while True:
-            limit_s = FIRST_EVENT_S if exchange.first_event_s is None else STREAM_GAP_S
-            piece = await self._within(connection.piece(), limit_s)
+            piece = await _watched(connection.piece, watch)
             if piece is None:
                 break
             events = splitter.feed(piece)
             if splitter.is_too_large():
                 raise BackendFailedError("an event without an end")
-            if not events:
+            if not has_event(events):
+                if watch.is_stalled(boot_clock_s()):
+                    raise BackendFailedError(f"no event for {watch.limit_s:.2f} s")
+                if events and responder.started:
+                    await responder.write(events)
                 continue
             self._check_order(events)
             if not responder.started:
@@ -204,6 +248,7 @@
             self._started()
             await responder.write(events)
             exchange.last_event_id = splitter.last_event_id
+            watch = StallWatch(pause_limit_s(exchange), boot_clock_s())
         if splitter.has_part():
             raise BackendFailedError("the stream ends inside an event")
         now_s = boot_clock_s()
@@ -225,6 +270,19 @@
             raise BackendFailedError(f"event {first} after event {last}")
 
 
+async def _watched(step: Callable[[], Awaitable[_T]], watch: StallWatch) -> _T:
+    """Await a step of a stream, which may be begun anew, until the stream stalls."""
+    while True:
+        try:
+            async with asyncio.timeout(watch.left_s(boot_clock_s())):
+                return await step()
+        except TimeoutError as error:
+            if watch.is_stalled(boot_clock_s()):
+                raise BackendFailedError(
+                    f"no event for {watch.limit_s:.2f} s"
+                ) from error
+
+
 def reply_headers(head: ReplyHead) -> list[tuple[bytes, bytes]]:
     """Return the headers of a reply that concern more than one connection."""
     return [(name, value) for name, value in head.headers if name not in _HOP_HEADERS]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -26,7 +26,7 @@
 )
 from damaskvalve_gateway._backends import VOUCHED_S, Backend
 from damaskvalve_gateway._knowledge import Knowledge
-from damaskvalve_gateway._model import Announcement, Workspace
+from damaskvalve_gateway._model import LEAVING, Announcement, Workspace
 from damaskvalve_gateway._quota import SHARE_LEASE_S, HostQuota, LeaderQuota
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_link import StateLink
@@ -130,6 +130,19 @@
         self._knowledge.backends.end(instance_id, now_s)
         self._queue(instance_id)
 
+    def note_leaving(self, backend: Backend) -> None:
+        """Take a backend server out of choice that said in a reply that it leaves."""
+        held = backend.announcement
+        if self._knowledge.backends.note_leaving(backend, boot_clock_s()):
+            self._queue(held.instance_id)
+            self._log.line(
+                "backend_leaving",
+                backend=held.instance_id,
+                state=LEAVING,
+                sequence=held.sequence,
+                said_in="reply",
+            )
+
     def _queue(self, instance_id: str) -> None:
         backend = self._knowledge.backends.find(instance_id)
         if backend is not None:
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/sending.py
@@ -0,0 +1,197 @@
+"""A scripted backend server on loopback, and a send to it without a gateway."""
+
+import asyncio
+import contextlib
+from unittest import mock
+
+from damaskvalve_core import boot_clock_s
+from damaskvalve_core.http import BackendPool
+from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._dialect import Dialect
+from damaskvalve_gateway._exchange import Exchange
+from damaskvalve_gateway._model import (
+    READY,
+    STREAMING,
+    UNSAFE,
+    Announcement,
+    CallerRequest,
+    ReplyMark,
+    Route,
+    Service,
+)
+from damaskvalve_gateway._send import Send
+
+IP = "127.0.0.1"
+OK = b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n"
+CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number):
+    return chunk(b"id: %d\ndata: t%d\n\n" % (number, number))
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def read_reply(status, headers):
+    values = dict(headers)
+    return ReplyMark(
+        values.get(b"request-id", b"").decode(),
+        not_run=b"not-run" in values,
+        encoded=False,
+        leaving=b"leaving" in values,
+        keep_off_s=float(values.get(b"keep-off", 0)),
+    )
+
+
+DIALECT = Dialect(
+    mock.Mock(),
+    lambda request, plan: [(b"host", b"h"), (b"content-length", b"0")],
+    read_reply,
+    mock.Mock(),
+    mock.Mock(),
+)
+
+
+class Caller:
+    """Takes an answer as a caller would see it."""
+
+    def __init__(self):
+        self.started = self.finished = False
+        self.status, self.body = 0, b""
+
+    async def send(self, status, headers, body):
+        await self.start(status, headers)
+        await self.write(body)
+        await self.finish()
+
+    async def start(self, status, headers):
+        self.started, self.status = True, status
+
+    async def write(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.finished = True
+
+
+def make_exchange(
+    *, kind=STREAMING, resumable=False, objective_s=1.0, pause_s=0.25, timeout_s=30.0
+):
+    route = Route(
+        "r",
+        "h",
+        "/",
+        kind,
+        timeout_s,
+        objective_s,
+        0,
+        (("s", 1.0),),
+        2,
+        public=False,
+        resumable=resumable,
+        pause_s=pause_s,
+    )
+    request = CallerRequest("r-1", "POST", "/x", "h", (), b"")
+    service = Service("s", 10, None)
+    now_s = boot_clock_s()
+    return Exchange(request, route, None, service, Caller(), now_s, "")
+
+
+class ScriptedServer:
+    """Answers each connection with what a script writes, once a request is there."""
+
+    def __init__(self, script):
+        self._script = script
+        self.requests = 0
+        self.closed = asyncio.Event()
+
+    async def _serve(self, reader, writer):
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                self.requests += 1
+                await self._script(writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+    @contextlib.asynccontextmanager
+    async def listening(self):
+        server = await asyncio.start_server(self._serve, IP, 0)
+        port = server.sockets[0].getsockname()[1]
+        try:
+            yield f"{IP}:{port}"
+        finally:
+            server.close()
+
+
+def backend_at(address, slots=1):
+    held = Announcement("i-1", "s", address, "dc", READY, 1, 1, slots, ())
+    return Backend(held, boot_clock_s())
+
+
+def flood(data, every_s=0.0):
+    """Return a script that writes for ever."""
+
+    async def script(writer):
+        while True:
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(every_s)
+
+    return script
+
+
+def once(*parts):
+    """Return a script that writes these bytes."""
+
+    async def script(writer):
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+
+    return script
+
+
+async def send_to(server, exchange, *, within_s, pool=None, backend=None, left=None):
+    """Send a request; return its outcome, the reason and the time that it took."""
+    async with server.listening() as address:
+        backend = backend or backend_at(address)
+        left = left if left is not None else []
+        send = Send(
+            exchange,
+            backend,
+            0,
+            pool or BackendPool(),
+            DIALECT,
+            lambda: None,
+            left.append,
+        )
+        began_s = boot_clock_s()
+        async with asyncio.timeout(within_s):
+            outcome = await send.run()
+        return outcome, send.reason, boot_clock_s() - began_s
+
+
+__all__ = [
+    "CHUNKED",
+    "DIALECT",
+    "LAST_CHUNK",
+    "OK",
+    "UNSAFE",
+    "Caller",
+    "ScriptedServer",
+    "backend_at",
+    "chunk",
+    "event",
+    "flood",
+    "make_exchange",
+    "once",
+    "send_to",
+]
