--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -50,8 +50,8 @@
 # Sends of one request that backend servers may turn down before it is refused.
 MAX_TURNED_DOWN = 3
 
-#: Asks the leader for tokens; returns 0 or how long until they are there.
-AskLeader = Callable[[Workspace, float, str], Awaitable[float]]
+#: Gets tokens from the hosts that lend; raises RefusedError if they have none.
+AskTokens = Callable[[Workspace, float, str], Awaitable[None]]
 #: Tells the other hosts of a broken run.
 TellCrash = Callable[[str, str], None]
 #: Takes a backend server out of choice, here and at the other hosts.
@@ -69,7 +69,7 @@
         permits: PermitDesk,
         quota: HostQuota,
         retries: RetryAllowance,
-        ask_leader: AskLeader,
+        ask_tokens: AskTokens,
         tell_crash: TellCrash,
         note_leaving: NoteLeaving,
         data_centre: str,
@@ -82,7 +82,7 @@
         self._permits = permits
         self._quota = quota
         self._retries = retries
-        self._ask_leader = ask_leader
+        self._ask_tokens = ask_tokens
         self._tell_crash = tell_crash
         self._note_leaving = note_leaving
         self._come_back = ComeBackQueue()
@@ -212,21 +212,16 @@
                 self._quota.give_back(workspace, own, boot_clock_s())
 
     async def _take_tokens(self, exchange: Exchange, workspace: Workspace) -> float:
-        """Take tokens, here or from the leader; return how many came from here."""
+        """Take tokens, here or from lenders; return how many came from here."""
         tokens = workspace.cost(exchange.request)
         own = self._quota.take(workspace, tokens, boot_clock_s())
-        if own >= tokens:
-            return own
-        wait_s = await self._ask_leader(workspace, tokens - own, exchange.fingerprint)
-        if wait_s <= 0:
-            return own
-        self._quota.give_back(workspace, own, boot_clock_s())
-        raise RefusedError(
-            429,
-            "over_rate",
-            f"workspace {workspace.name} is over its rate",
-            retry_after_s=wait_s,
-        )
+        if own < tokens:
+            try:
+                await self._ask_tokens(workspace, tokens - own, exchange.fingerprint)
+            except RefusedError:
+                self._quota.give_back(workspace, own, boot_clock_s())
+                raise
+        return own
 
     # ---- sending ----
 
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_desk.py
@@ -0,0 +1,239 @@
+"""The leader's side of what hosts tell each other, and of lending tokens."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+
+from damaskvalve_core import DecisionLog, RetryLaterError, boot_clock_s
+from damaskvalve_core.calls import Call
+from damaskvalve_core.messages import (
+    ConfirmReply,
+    ConfirmRequest,
+    CrashNotice,
+    Problem,
+    ProposeReply,
+    ProposeRequest,
+    SyncReply,
+    SyncRequest,
+    TokensReply,
+    TokensRequest,
+)
+from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._model import Workspace
+from damaskvalve_gateway._notices import from_notice, to_notice
+from damaskvalve_gateway._quota import (
+    SHARE_LEASE_S,
+    HostCount,
+    HostQuota,
+    LeaderQuota,
+)
+from damaskvalve_gateway._settings import GatewaySettings
+from damaskvalve_gateway._state_link import StateLink
+
+# Hosts are told which adapters an engine holds at most once in this for each host:
+# what the leader sends then grows with the engines, not with engines times hosts.
+RESIDENT_S_PER_HOST = 0.05
+# Notices in one message: at most some 80 kB with 20 adapters each, which a link of
+# 5 Mbit/s carries well within the time-out.
+MAX_NOTICES = 200
+# Crashes are repeated in replies for this long, so that each host hears of them over
+# a few lost calls.
+REPEAT_CRASHES_S = 3.0
+# A host that has not called for so long is not counted any more.
+HOST_SILENT_S = SHARE_LEASE_S
+# Hosts that call at nearly the same time are told the same of silent backend servers.
+SILENT_AGE_S = 0.2
+# A workspace that this host does not know yet is in its next configuration.
+UNKNOWN_WORKSPACE_S = 0.4
+
+
+class LeaderDesk:
+    """The leader's side: takes calls of hosts and agents."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        link: StateLink,
+        knowledge: Knowledge,
+        own_quota: HostQuota,
+        log: DecisionLog,
+    ) -> None:
+        self._settings = settings
+        self._link = link
+        self._knowledge = knowledge
+        # This host's own part, which it lends whether it leads or not.
+        self._own_quota = own_quota
+        self._log = log
+        self._leader_id = ""
+        self._quota = LeaderQuota(settings.quota_slack, 0.0)
+        self._heard_s: dict[str, float] = {}
+        self._began_s = 0.0
+        self._registering: asyncio.Future[None] | None = None
+        self._silent_ids: Mapping[str, float] = {}
+        self._silent_at_s = 0.0
+
+    def _standing(self, now_s: float) -> None:
+        """Start anew when this host has become leader since the last call."""
+        leader_id = self._link.status().leader_id
+        if leader_id != self._leader_id:
+            self._leader_id = leader_id
+            self._quota = LeaderQuota(self._settings.quota_slack, now_s)
+            self._heard_s = {}
+            self._began_s = now_s
+            self._log.line("leading", leader=leader_id)
+
+    def _recent_hosts(self, now_s: float) -> set[str]:
+        own = self._settings.call_address(self._settings.group_address)
+        recent = {
+            name for name, at_s in self._heard_s.items() if now_s - at_s < HOST_SILENT_S
+        }
+        return recent | {own}
+
+    def hosts(self, now_s: float) -> int:
+        """Return how many hosts have called of late, this one included."""
+        return len(self._recent_hosts(now_s))
+
+    def grant_share(self, host: str, held: float, now_s: float) -> tuple[float, float]:
+        """Return a host's part of every rate and the lease of it.
+
+        A host has to be registered first, so that a later leader counts with it.
+        """
+        self._standing(now_s)
+        self._heard_s[host] = now_s
+        registered = self._knowledge.registered_hosts
+        if host not in registered:
+            self._register(now_s)
+            return 0.0, SHARE_LEASE_S
+        recent = self._recent_hosts(now_s)
+        lenders = set(self._link.lenders())
+        lends = host in lenders
+        if now_s - self._began_s >= HOST_SILENT_S:
+            # The parts of those that are lost go to the others.
+            lenders &= recent
+        unheard = registered - recent
+        count = HostCount(
+            len(recent | registered),
+            len(lenders),
+            len(unheard),
+            len(unheard & lenders),
+        )
+        return self._quota.grant_share(host, held, count, now_s, lends=lends)
+
+    def _register(self, now_s: float) -> None:
+        """Commit the list of hosts, unless that is under way."""
+        if self._registering is not None and not self._registering.done():
+            return
+        hosts = self._recent_hosts(now_s)
+        if now_s - self._began_s < HOST_SILENT_S:
+            hosts |= self._knowledge.registered_hosts
+        self._registering = asyncio.ensure_future(self._commit_hosts(hosts))
+
+    async def _commit_hosts(self, hosts: set[str]) -> None:
+        try:
+            await self._link.register_hosts(hosts)
+        except RetryLaterError as error:
+            self._log.line("hosts_not_registered", reason=str(error))
+
+    def take_tokens(
+        self, workspace: Workspace, tokens: float, mark: str, now_s: float
+    ) -> float:
+        """Take tokens of the leader's part; return 0 or how long to wait."""
+        self._standing(now_s)
+        return self._quota.take(workspace, tokens, mark, now_s)
+
+    def note_crash(self, mark: str, instance_id: str, at_s: float) -> None:
+        """Count a broken run."""
+        self._knowledge.crashes.note(mark, instance_id, at_s)
+
+    async def answer(self, request: object, call: Call) -> None:
+        """Answer one call of a host or an agent."""
+        if isinstance(request, SyncRequest):
+            call.send(self._sync(request))
+        elif isinstance(request, TokensRequest):
+            call.send(self._tokens(request))
+        elif isinstance(request, ConfirmRequest):
+            call.send(self._confirm())
+        elif isinstance(request, ProposeRequest):
+            call.send(await self._propose(request))
+        else:
+            call.send(Problem("unknown", f"no answer to {type(request).__name__}"))
+
+    def _sync(self, request: SyncRequest) -> SyncReply:
+        now_s = boot_clock_s()
+        if not self._link.leads(now_s):
+            return SyncReply(self._link.leader_address(), "", 0, [], [], 0.0, 0.0, 0)
+        self._standing(now_s)
+        backends = self._knowledge.backends
+        backends.resident_every_s = RESIDENT_S_PER_HOST * self.hosts(now_s)
+        for notice in request.notices:
+            announcement = from_notice(notice, backends.find(notice.instance_id))
+            backends.take(announcement, now_s - notice.age_s)
+        for crash in request.crashes:
+            self.note_crash(crash.fingerprint, crash.instance_id, now_s - crash.age_s)
+        share, lease_s = self.grant_share(request.host_address, request.share, now_s)
+        seen = request.seen if request.leader_id == self._leader_id else 0
+        news = backends.changed_since(seen)
+        told = news[:MAX_NOTICES]
+        more = len(told) < len(news)
+        return SyncReply(
+            self._link.leader_address(),
+            self._leader_id,
+            told[-1].changed if told else backends.number,
+            [to_notice(item, now_s, brief=more or not seen) for item in told],
+            self._recent_crashes(now_s),
+            share,
+            lease_s,
+            self.hosts(now_s),
+            self._silent(now_s),
+            more,
+        )
+
+    def _silent(self, now_s: float) -> Mapping[str, float]:
+        """Return what is missed; hosts that call at the same time get the same."""
+        if now_s - self._silent_at_s > SILENT_AGE_S:
+            self._silent_ids = self._knowledge.backends.silent(now_s)
+            self._silent_at_s = now_s
+        return self._silent_ids
+
+    def _recent_crashes(self, now_s: float) -> Sequence[CrashNotice]:
+        return [
+            CrashNotice(mark, instance_id, now_s - at_s)
+            for mark, instance_id, at_s in self._knowledge.crashes.recent(now_s)
+            if now_s - at_s < REPEAT_CRASHES_S
+        ]
+
+    def _tokens(self, request: TokensRequest) -> TokensReply:
+        """Lend what this host has, and as the leader what the others have not."""
+        now_s = boot_clock_s()
+        address = self._link.leader_address()
+        configuration = self._knowledge.configuration
+        workspace = configuration and configuration.workspaces.get(request.workspace)
+        if not workspace:
+            return TokensReply(address, False, UNKNOWN_WORKSPACE_S)
+        own = self._own_quota.take(workspace, request.tokens, now_s)
+        lacking = request.tokens - own
+        if lacking <= 0:
+            return TokensReply(address, True, 0.0)
+        if self._link.leads(now_s):
+            mark = request.fingerprint or ""
+            wait_s = self.take_tokens(workspace, lacking, mark, now_s)
+        else:
+            wait_s = self._own_quota.wait_s(workspace, lacking, now_s)
+        if wait_s > 0:
+            # All or nothing: parts lent for requests that do not run would be lost.
+            self._own_quota.give_back(workspace, own, now_s)
+        return TokensReply(address, wait_s <= 0, wait_s)
+
+    def _confirm(self) -> ConfirmReply:
+        leads = self._link.leads(boot_clock_s())
+        index = self._link.status().applied_index
+        return ConfirmReply(leads, index, self._link.leader_address())
+
+    async def _propose(self, request: ProposeRequest) -> ProposeReply:
+        address = self._link.leader_address()
+        if not self._link.leads(boot_clock_s()):
+            return ProposeReply(False, address, None, "this host does not lead")
+        try:
+            result = await self._link.commit(request.command)
+        except RetryLaterError as error:
+            return ProposeReply(False, address, None, str(error))
+        return ProposeReply(True, address, result, "")
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
@@ -1,9 +1,11 @@
 """Rate and burst of a workspace over all hosts together.
 
-A part of each rate is split evenly between the hosts and spent without asking; the
-rest stays with the leader, which hands out what a request lacks. So an even load
-costs few messages, a skewed one a round trip, and while nobody leads each host still
-has its part.
+A small part of each rate is split evenly between all hosts and spent without asking.
+A large one is split between the lenders: the hosts that vote, which any host asks for
+what a request lacks. The rest stays with the leader. So while one lender or the leader
+is frozen, lost or newly elected, the others go on lending, and what quiet hosts do not
+use is not stranded: the load that this answers is a leader that freezes while seventy
+hosts with a few requests a second each need tokens.
 
 Each part is a token bucket whose rate and burst are a part of the workspace's, and
 the parts never add up to more than the whole: a host's part is a lease that the
@@ -15,9 +17,13 @@
 
 from damaskvalve_gateway._model import Workspace
 
-# The part of every rate that hosts may spend without asking, also while nobody leads.
-# What the others do not use of it is lost to a host with a burst.
-LOCAL_PART = 0.5
+# The part of every rate that all hosts have together. What the others do not use of it
+# is lost to a host with a burst.
+HOST_PART = 0.1
+# The part that the lenders have together; the leader is one of them.
+LENDER_PART = 0.7
+# What hosts and lenders may spend and lend while nobody leads.
+LOCAL_PART = HOST_PART + LENDER_PART
 # The same for workspaces whose burst is below some requests, so that the leader's part
 # has room for a whole one.
 SMALL_LOCAL_PART = 0.1
@@ -28,8 +34,8 @@
 # goes on serving within it.
 SHARE_LEASE_S = 10.0
 # What a host may have grown before its first grant: the part that it had before it
-# restarted was its own for that long.
-START_CREDIT_S = 2.0
+# restarted was its own for that long, unless it has become a lender meanwhile.
+START_CREDIT_S = 0.5
 # Clocks of two hosts drift apart by less than this.
 CLOCK_DRIFT = 0.1
 # Fewer hosts than this are never assumed, so that the first to ask do not get all.
@@ -133,13 +139,42 @@
         self._kept[mark] = (due_s, tokens)
 
 
+class HostCount:
+    """How many hosts there are, as a leader knows them."""
+
+    __slots__ = ("hosts", "lenders", "unheard_hosts", "unheard_lenders")
+
+    def __init__(
+        self, hosts: int, lenders: int, unheard_hosts: int = 0, unheard_lenders: int = 0
+    ) -> None:
+        # Lenders count as hosts too.
+        self.hosts = hosts
+        self.lenders = lenders
+        # Those that may hold a part that this leader does not know of.
+        self.unheard_hosts = unheard_hosts
+        self.unheard_lenders = unheard_lenders
+
+    def part(self, *, lends: bool) -> float:
+        """Return the part of every rate that is due to one host."""
+        own = HOST_PART / max(MIN_HOSTS, self.hosts)
+        return own + LENDER_PART / max(1, self.lenders) if lends else own
+
+    def unheard_part(self) -> float:
+        """Return what those not heard may hold together."""
+        plain = self.unheard_hosts - self.unheard_lenders
+        lending = self.unheard_lenders * self.part(lends=True)
+        return lending + plain * self.part(lends=False)
+
+
 class HostQuota:
-    """What one host may spend without asking."""
+    """What one host may spend, or lend to others, without asking."""
 
     def __init__(self, slack: QuotaSlack, began_s: float) -> None:
         self._slack = slack
         self._began_s = began_s
         self._buckets: dict[str, TokenBucket] = {}
+        # As they were when their buckets were last used.
+        self._workspaces: dict[str, Workspace] = {}
         self.share = 0.0
         self._share_until_s = 0.0
 
@@ -152,6 +187,10 @@
             self._began_s = max(self._began_s, now_s - START_CREDIT_S)
             for bucket in self._buckets.values():
                 bucket.skip_to(now_s)
+        # What has grown until now grew with the part until now.
+        for name, bucket in self._buckets.items():
+            rate_per_s, depth = self._terms(self._workspaces[name], now_s)
+            bucket.refill(rate_per_s, depth, now_s)
         self.share = share
         self._share_until_s = until_s
 
@@ -162,27 +201,35 @@
     def _part_now(self, workspace: Workspace, now_s: float) -> float:
         return self.share_now(now_s) / LOCAL_PART * local_part(workspace)
 
-    def _depth(self, workspace: Workspace, part: float) -> float:
-        return part * (workspace.burst + self._slack.tokens_for(workspace))
+    def _terms(self, workspace: Workspace, now_s: float) -> tuple[float, float]:
+        """Return the rate and the depth of this host's bucket of a workspace."""
+        part = self._part_now(workspace, now_s)
+        depth = part * (workspace.burst + self._slack.tokens_for(workspace))
+        return part * workspace.rate_per_s, depth
 
     def take(self, workspace: Workspace, tokens: float, now_s: float) -> float:
         """Take up to so many tokens of this host's part; return how many."""
-        part = self._part_now(workspace, now_s)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             # Empty, because this host may have spent it just before it restarted.
             bucket = TokenBucket(0.0, self._began_s)
             self._buckets[workspace.name] = bucket
-        rate_per_s = part * workspace.rate_per_s
-        depth = self._depth(workspace, part)
+        self._workspaces[workspace.name] = workspace
+        rate_per_s, depth = self._terms(workspace, now_s)
         return bucket.take_part(tokens, rate_per_s, depth, now_s)
 
+    def wait_s(self, workspace: Workspace, tokens: float, now_s: float) -> float:
+        """Return how long until so many tokens have grown here."""
+        rate_per_s, _ = self._terms(workspace, now_s)
+        if rate_per_s <= 0:
+            return MAX_RETRY_S
+        return max(MIN_RETRY_S, min(MAX_RETRY_S, tokens / rate_per_s))
+
     def give_back(self, workspace: Workspace, tokens: float, now_s: float) -> None:
         """Return tokens of a request that did not run."""
         bucket = self._buckets.get(workspace.name)
         if bucket is not None:
-            depth = self._depth(workspace, self._part_now(workspace, now_s))
-            bucket.give_back(tokens, depth)
+            bucket.give_back(tokens, self._terms(workspace, now_s)[1])
 
 
 class LeaderQuota:
@@ -196,9 +243,9 @@
         self._promises: dict[str, Promises] = {}
 
     def grant_share(
-        self, host: str, held: float, hosts: int, unheard: int, now_s: float
+        self, host: str, held: float, count: HostCount, now_s: float, *, lends: bool
     ) -> tuple[float, float]:
-        """Return a host's part and its lease.
+        """Return a host's part and its lease; one that ``lends`` has a larger one.
 
         A new leader does not know what was granted before. Until those leases have
         ended it sets a part aside for each host that it has not heard yet, and takes
@@ -209,9 +256,9 @@
             name: grant for name, grant in self._granted.items() if grant[1] > now_s
         }
         others = sum(part for name, (part, _) in self._granted.items() if name != host)
-        wanted = LOCAL_PART / max(MIN_HOSTS, hosts)
+        wanted = count.part(lends=lends)
         if now_s - self._began_s < lease_s:
-            others += unheard * wanted
+            others += count.unheard_part()
         part = max(0.0, min(wanted, LOCAL_PART - others))
         # A host that loses this answer goes on with what it holds.
         risk = max(part, min(held, LOCAL_PART))
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -29,13 +29,14 @@
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._gateway import Gateway
 from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._leader_desk import LeaderDesk
 from damaskvalve_gateway._metrics import GatewayMetrics
 from damaskvalve_gateway._permits import PermitDesk
 from damaskvalve_gateway._quota import HostQuota
 from damaskvalve_gateway._retries import RetryAllowance
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_link import StateLink
-from damaskvalve_gateway._sync import LeaderDesk, SyncController
+from damaskvalve_gateway._sync import SyncController
 from damaskvalve_state import (
     Group,
     NodeSettings,
@@ -146,8 +147,8 @@
     knowledge = Knowledge()
     caller = Caller(settings.identity, settings.bind_ip)
     link = StateLink(settings, group, caller, knowledge, dialect, log)
-    desk = LeaderDesk(settings, link, knowledge, log)
     quota = HostQuota(settings.quota_slack, began_s)
+    desk = LeaderDesk(settings, link, knowledge, quota, log)
     sync = SyncController(settings, link, knowledge, quota, desk, log)
     control = ControlDesk(dialect, link, sync, knowledge, log)
     metrics = GatewayMetrics(settings.name, knowledge, quota, link, log)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from typing import Any
 
 from damaskvalve_core import (
@@ -73,6 +73,11 @@
         address = self.status().leader_address
         return self._settings.call_address(address) if address else ""
 
+    def lenders(self) -> Sequence[str]:
+        """Return where the hosts take calls that lend tokens: those that vote."""
+        voters = self.status().voter_addresses
+        return [self._settings.call_address(address) for address in voters]
+
     # ---- applied state ----
 
     async def watch(self) -> None:
@@ -136,6 +141,10 @@
             raise ChannelError("no leader is known")
         return await self._caller.ask(address, request, timeout_s)
 
+    async def ask_host(self, address: str, request: Any, timeout_s: float) -> Any:
+        """Return the reply of any host; raises :class:`ChannelError` if none comes."""
+        return await self._caller.ask(address, request, timeout_s)
+
     async def commit(self, command: Command) -> CommandResult:
         """Commit a command; :class:`RetryLaterError` leaves its outcome unknown."""
         if self.leads(boot_clock_s()):
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_quota.py
@@ -9,6 +9,7 @@
 from damaskvalve_gateway._quota import (
     LOCAL_PART,
     LONGEST_PROMISE_S,
+    HostCount,
     HostQuota,
     LeaderQuota,
     QuotaSlack,
@@ -32,6 +33,8 @@
         rate = self.rng.choice([2_700.0, 40_000.0])
         self.workspace = workspace(rate, rate * self.rng.choice([0.5, 1.0, 3.0]))
         size = self.rng.choice([3, 8, 29])
+        # The first hosts lend; which ones may change with a new leader.
+        self.lenders = self.rng.choice([1, 3, 3, 5])
         self.hosts = [HostQuota(self.slack, 0.0) for _ in range(size)]
         self.cut = set()
         self.leader = LeaderQuota(self.slack, 0.0)
@@ -45,9 +48,13 @@
         name = f"h{number}"
         held = host.share_now(now_s)
         self.heard.add(number)
-        unheard = len(self.hosts) - len(self.heard)
+        unheard = set(range(len(self.hosts))) - self.heard
+        lenders = set(range(min(self.lenders, len(self.hosts))))
+        count = HostCount(
+            len(self.hosts), len(lenders), len(unheard), len(unheard & lenders)
+        )
         share, lease_s = self.leader.grant_share(
-            name, held, len(self.hosts), unheard, now_s
+            name, held, count, now_s, lends=number in lenders
         )
         if self.rng.random() > 0.1:
             host.renew(share, now_s + lease_s, now_s)
@@ -56,14 +63,26 @@
         tokens = self.rng.choice([300.0, 1_500.0, 4_000.0])
         host = self.hosts[number]
         own = host.take(self.workspace, tokens, now_s)
-        if own < tokens:
-            asked = number not in self.cut and self.leader is not None
-            lacking = tokens - own
-            if not asked or self.leader.take(self.workspace, lacking, "", now_s) > 0:
-                host.give_back(self.workspace, own, now_s)
-                return
+        if own < tokens and not self.lend(number, tokens - own, now_s):
+            host.give_back(self.workspace, own, now_s)
+            return
         self.admitted.append((now_s, tokens))
 
+    def lend(self, number, tokens, now_s):
+        if number in self.cut:
+            return False
+        for lender in range(len(self.hosts)):
+            # A host of an older list of lenders may be asked, too.
+            if lender == number or lender in self.cut or lender > 5:
+                continue
+            lent = self.hosts[lender].take(self.workspace, tokens, now_s)
+            if lent >= tokens:
+                return True
+            self.hosts[lender].give_back(self.workspace, lent, now_s)
+        if self.leader is None:
+            return False
+        return self.leader.take(self.workspace, tokens, "", now_s) <= 0
+
     def run(self, seconds):
         elected_s = 0.0
         for step in range(int(seconds / STEP_S)):
@@ -73,6 +92,7 @@
             if self.leader is None and now_s >= elected_s:
                 self.leader = LeaderQuota(self.slack, now_s)
                 self.heard = set()
+                self.lenders = self.rng.choice([1, 3, 3, 5])
                 for number in range(len(self.hosts)):
                     if self.rng.random() < 0.3:
                         # A restarted host has forgotten its part and its level.
@@ -119,9 +139,13 @@
         self.assertEqual(leader.take(small, 1_900.0 - own, "", 5.0), 0.0)
 
     def test_under_overload_those_turned_away_are_served_when_they_come_back(self):
-        """Newcomers do not take what it can still be on time with."""
+        """Newcomers do not take what it can still be on time with.
+
+        They ask for six times what the leader's part of the rate gives.
+        """
         leader = LeaderQuota(QuotaSlack(0.0, 0.0, WINDOW_S), 0.0)
-        held = workspace(50_000.0, 50_000.0)
+        rate_per_s = 25_000.0 / (1 - LOCAL_PART)
+        held = workspace(rate_per_s, rate_per_s)
         back, came_back, served = [], 0, 0
         for step in range(2_000):
             now_s = 10.0 + step * 0.01
@@ -158,14 +182,18 @@
         hosts = [HostQuota(slack, 0.0) for _ in range(8)]
         leader = LeaderQuota(slack, -60.0)
         for number, host in enumerate(hosts):
-            share, lease_s = leader.grant_share(f"h{number}", 0.0, 8, 0, 0.0)
+            share, lease_s = leader.grant_share(
+                f"h{number}", 0.0, HostCount(8, 3), 0.0, lends=number < 3
+            )
             host.renew(share, lease_s, 0.0)
         leader = LeaderQuota(slack, 1.0)
         for step in range(200):
             now_s = 1.0 + step * 0.1
             for number in range(4):
                 held = hosts[number].share_now(now_s)
-                share, lease_s = leader.grant_share(f"h{number}", held, 8, 4, now_s)
+                share, lease_s = leader.grant_share(
+                    f"h{number}", held, HostCount(8, 3, 4), now_s, lends=number < 3
+                )
                 hosts[number].renew(share, now_s + lease_s, now_s)
             total = sum(host.share_now(now_s) for host in hosts)
             self.assertLessEqual(total, LOCAL_PART + 1e-9)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
@@ -6,9 +6,10 @@
 
 from damaskvalve_core import boot_clock_s
 from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._leader_desk import MAX_NOTICES, LeaderDesk
 from damaskvalve_gateway._model import LEAVING, READY, Announcement
 from damaskvalve_gateway._quota import HostQuota, QuotaSlack
-from damaskvalve_gateway._sync import MAX_NOTICES, LeaderDesk, SyncController
+from damaskvalve_gateway._sync import SyncController
 
 SLACK = QuotaSlack(0.0, 0.0, 8.0)
 
@@ -38,6 +39,12 @@
     def leader_address(self):
         return "10.0.0.1:2"
 
+    def lenders(self):
+        return ["10.0.0.1:2"]
+
+    async def ask_host(self, address, request, timeout_s):
+        return self.leader.desk._tokens(request)
+
     async def ask_leader(self, request, timeout_s):
         reply = self.leader.desk._sync(request)
         self.replies.append((request, reply))
@@ -58,8 +65,8 @@
         self.knowledge = Knowledge()
         self.knowledge.registered_hosts = frozenset(f"10.0.0.{n}:2" for n in range(9))
         log = FakeLog()
-        self.desk = LeaderDesk(settings, self.link, self.knowledge, log)
         quota = HostQuota(SLACK, boot_clock_s())
+        self.desk = LeaderDesk(settings, self.link, self.knowledge, quota, log)
         self.sync = SyncController(
             settings, self.link, self.knowledge, quota, self.desk, log
         )
--- a/packages/damaskvalve-state/damaskvalve_state/_node_settings.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node_settings.py
@@ -53,6 +53,7 @@
         "lease_until_s",
         "contact_s",
         "applied_index",
+        "voter_addresses",
     )
 
     def __init__(
@@ -64,6 +65,7 @@
         lease_until_s: float,
         contact_s: float,
         applied_index: int,
+        voter_addresses: Sequence[str] = (),
     ) -> None:
         # Names one leader in one term.
         self.leader_id = leader_id
@@ -74,6 +76,8 @@
         # When this member last heard a leader that a quorum may follow.
         self.contact_s = contact_s
         self.applied_index = applied_index
+        # Where the members vote that this member knows to vote.
+        self.voter_addresses = tuple(voter_addresses)
 
 
 class StatusBoard:
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -259,4 +259,5 @@
             lease_until_s=now_s + agreement.lease_left_s(now_s) if leads else 0.0,
             contact_s=now_s if leads else agreement.leader_contact_s(),
             applied_index=self.applied_index,
+            voter_addresses=[voter.address for voter in agreement.voters()],
         )
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -19,7 +19,12 @@
 from damaskvalve_agent.permits import Admission
 from damaskvalve_core import RefusedError
 from damaskvalve_gateway import _backends
-from damaskvalve_gateway._quota import LeaderQuota, Promises, TokenBucket
+from damaskvalve_gateway._quota import (
+    HostCount,
+    LeaderQuota,
+    Promises,
+    TokenBucket,
+)
 from damaskvalve_standins.run_tests import use_fixed_profile
 from damaskvalve_state import (
     Agreement,
@@ -170,9 +175,18 @@
     original = LeaderQuota.grant_share
 
     def grant(
-        self: Any, host: str, held: float, hosts: int, unheard: int, now_s: float
+        self: Any,
+        host: str,
+        held: float,
+        count: HostCount,
+        now_s: float,
+        *,
+        lends: bool,
     ) -> tuple[float, float]:
-        return original(self, host, held, hosts - unheard, 0, now_s)
+        heard = HostCount(
+            count.hosts - count.unheard_hosts, count.lenders - count.unheard_lenders
+        )
+        return original(self, host, held, heard, now_s, lends=lends)
 
     with mock.patch.object(LeaderQuota, "grant_share", grant):
         yield
