--- a/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
@@ -8,6 +8,7 @@
     pooled_backends,
 )
 from damaskvalve_core.http._incoming import Headers, Incoming, ServerLimits
+from damaskvalve_core.http._memory import MemoryFullError, MessageMemory
 from damaskvalve_core.http._server import HttpServer, Responder, serving_http
 
 __all__ = [
@@ -17,6 +18,8 @@
     "Headers",
     "HttpServer",
     "Incoming",
+    "MemoryFullError",
+    "MessageMemory",
     "ReplyHead",
     "Responder",
     "ServerLimits",
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 import re
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 
 import h11
 
 from damaskvalve_core import ChannelError, NotSentError, set_liveness, split_address
 from damaskvalve_core._channel import CONNECT_TIMEOUT_S
 from damaskvalve_core.http._incoming import Headers
+from damaskvalve_core.http._memory import MessageMemory
 
 # Idle connections kept for one backend server by one host; the bound on all callers
 # together is some hundreds, and about ten hosts share it.
@@ -21,11 +22,6 @@
 # Informational replies before the final one: one or two are usual.
 MAX_INFORMATIONAL = 8
 MAX_HEAD_BYTES = 64 * 1024
-# Hosts have 200 MB; a process needs some 30 of them, and connections the rest.
-MAX_HELD_BYTES = 48 * 1024 * 1024
-# A reply up to this size is read whatever the others hold: four hundred at a time are
-# as much as all others may have.
-UNSHARED_BYTES = 128 * 1024
 _TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -184,44 +180,6 @@
             self.close()
 
 
-class HeldReply:
-    """The bytes of one reply that is read whole before it goes on."""
-
-    __slots__ = ("size", "_memory")
-
-    def __init__(self, memory: "ReplyMemory") -> None:
-        self.size = 0
-        self._memory = memory
-
-    def add(self, size: int) -> None:
-        """Count bytes; raises :class:`BackendFailedError` if there is no room."""
-        self.size += size
-        self._memory.held += size
-        if self.size > UNSHARED_BYTES and self._memory.held > self._memory.limit:
-            raise BackendFailedError(
-                f"replies hold over {self._memory.limit} bytes; this one {self.size}"
-            )
-
-
-class ReplyMemory:
-    """Bounds what all replies hold together; small ones always have room."""
-
-    __slots__ = ("limit", "held")
-
-    def __init__(self, limit: int) -> None:
-        self.limit = limit
-        self.held = 0
-
-    @contextlib.contextmanager
-    def holding(self) -> Iterator[HeldReply]:
-        """Yield the count of one reply, which ends with the context."""
-        reply = HeldReply(self)
-        try:
-            yield reply
-        finally:
-            self.held -= reply.size
-
-
 class BackendPool:
     """Idle connections to backend servers, by instance."""
 
@@ -230,7 +188,7 @@
         self._idle: dict[str, list[BackendConnection]] = {}
         self.opened = 0
         # What replies that are not complete yet may hold, all of them together.
-        self.reply_memory = ReplyMemory(MAX_HELD_BYTES)
+        self.reply_memory = MessageMemory()
 
     async def take(
         self, instance_id: str, address: str, now_s: float, max_idle_s: float
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -12,6 +12,7 @@
 
 from damaskvalve_core import OperatorError, RefusedError, set_liveness, split_address
 from damaskvalve_core.http._incoming import Headers, Incoming, ServerLimits
+from damaskvalve_core.http._memory import HeldMessage, MemoryFullError, MessageMemory
 from damaskvalve_core.http._strict import (
     check_fields,
     check_framing,
@@ -23,6 +24,10 @@
 # A caller that takes in nothing fills this much before its stream is held back.
 WRITE_AHEAD_BYTES = 64 * 1024
 BACKLOG = 512
+# How long a caller that is refused in the middle of its body may go on sending it.
+LINGER_S = 0.5
+# By then some of the bodies that fill the memory are read or given up.
+MEMORY_RETRY_S = 1.0
 
 
 class Responder:
@@ -90,6 +95,7 @@
         self._ended = False
         self._task: asyncio.Task[None] | None = None
         self._answering = False
+        self._discarding = False
         self.closing = False
         self.idle = True
         self.peer = ""
@@ -108,6 +114,8 @@
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def data_received(self, data: bytes) -> None:
+        if self._discarding:
+            return
         self._buffer += data
         self._arrived.set()
         if self._answering and len(self._buffer) > READ_AHEAD_BYTES:
@@ -168,14 +176,26 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes + 1024
         )
         responder = Responder(self, framing)
+        # A body counts until its request is answered.
+        with self._server.body_memory.holding() as held:
+            return await self._read_and_answer(framing, limits, responder, held)
+
+    async def _read_and_answer(
+        self,
+        framing: h11.Connection,
+        limits: ServerLimits,
+        responder: Responder,
+        held: HeldMessage,
+    ) -> bool:
         try:
-            incoming = await self._read(framing, limits, responder)
+            incoming = await self._read(framing, limits, held)
         except RefusedError as error:
             self.closing = True
             headers, body = self._server.refusal(error)
             # After a read error the framing may be unable to send an answer.
             with contextlib.suppress(h11.LocalProtocolError):
                 await responder.send(error.status, headers, body)
+                await self._linger()
             return False
         if incoming is None:
             return False
@@ -184,6 +204,21 @@
             return False
         return framing.their_state is h11.DONE
 
+    async def _linger(self) -> None:
+        """Let the caller read a refusal before the connection ends.
+
+        Closing while bytes of a body are unread would reset the connection, and the
+        refusal would be lost on its way.
+        """
+        self._discarding = True
+        self._buffer.clear()
+        if self._ended or self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        self._arrived.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._arrived.wait(), LINGER_S)
+
     async def _answer(self, incoming: Incoming, responder: Responder) -> None:
         self._answering = True
         self._server.active += 1
@@ -211,7 +246,7 @@
         return not self._ended
 
     async def _read(
-        self, framing: h11.Connection, limits: ServerLimits, responder: Responder
+        self, framing: h11.Connection, limits: ServerLimits, held: HeldMessage
     ) -> Incoming | None:
         self.idle = True
         while not self._buffer:
@@ -229,7 +264,12 @@
         if not isinstance(request, h11.Request):
             raise RefusedError(400, "bad_request", "the request head is incomplete")
         check_framing(request)
-        body = await self._read_body(framing, limits)
+        try:
+            body = await self._read_body(framing, limits, held)
+        except MemoryFullError as error:
+            raise RefusedError(
+                503, "bodies_too_large", str(error), retry_after_s=MEMORY_RETRY_S
+            ) from error
         return Incoming(
             request.method.decode("ascii"),
             request.target.decode("latin-1"),
@@ -260,9 +300,10 @@
                     return None
                 raise RefusedError(408, "headers_too_slow", "the headers did not come")
 
-    async def _read_body(self, framing: h11.Connection, limits: ServerLimits) -> bytes:
+    async def _read_body(
+        self, framing: h11.Connection, limits: ServerLimits, held: HeldMessage
+    ) -> bytes:
         parts: list[bytes] = []
-        size = 0
         while True:
             try:
                 event = framing.next_event()
@@ -270,8 +311,8 @@
                 raise RefusedError(400, "bad_body", str(error)) from error
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > limits.body_bytes:
+                held.add(len(event.data))
+                if held.size > limits.body_bytes:
                     message = f"the body exceeds {limits.body_bytes} bytes"
                     raise RefusedError(413, "body_too_large", message)
             elif isinstance(event, h11.EndOfMessage):
@@ -314,6 +355,8 @@
         self.connections: set[_ServerConnection] = set()
         # Requests that are being answered.
         self.active = 0
+        # What bodies that are not complete yet may hold, all of them together.
+        self.body_memory = MessageMemory()
         self._listener: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -43,6 +43,40 @@
         else:
             await responder.send(200, [], incoming.body)
 
+    async def test_many_large_bodies_at_once_stay_within_the_memory(self):
+        """What does not fit is refused as not run; small requests go through."""
+        self.limits = ServerLimits(1_000, 4_000_000, 5.0, 5.0)
+        self.server.body_memory.limit = 2_000_000
+        head = HEAD + b"Content-Length: 1000000\r\n\r\n"
+        opened = []
+        for _ in range(6):
+            reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+            writer.write(head + b"x" * 500_000)
+            opened.append((reader, writer))
+        answers = [
+            await asyncio.wait_for(reader.read(), 2.0)
+            for reader, _ in opened
+            if await self.has_answer(reader)
+        ]
+        self.assertGreaterEqual(len(answers), 2)
+        for answer in answers:
+            self.assertIn(b" 503 ", answer)
+            self.assertIn(b"bodies_too_large", answer)
+        small = HEAD + b"Content-Length: 2\r\n\r\nok"
+        self.assertIn(b" 200 ", await self.exchange(small))
+        for _, writer in opened:
+            writer.close()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.server.body_memory.held, 0)
+
+    async def has_answer(self, reader):
+        """Return whether anything was sent back within a moment."""
+        for _ in range(10):
+            if reader._buffer or reader.at_eof():
+                return True
+            await asyncio.sleep(0.01)
+        return False
+
     async def exchange(self, data):
         """Send bytes, close the sending side later, return all that comes."""
         reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
@@ -9,6 +9,7 @@
     BackendConnection,
     BackendFailedError,
     BackendPool,
+    MemoryFullError,
     ReplyHead,
 )
 from damaskvalve_gateway._backends import Backend
@@ -189,7 +190,10 @@
                 if piece is None:
                     break
                 parts.append(piece)
-                held.add(len(piece))
+                try:
+                    held.add(len(piece))
+                except MemoryFullError as error:
+                    raise BackendFailedError(str(error)) from error
                 if held.size > max_bytes:
                     raise BackendFailedError("the reply is too large")
         now_s = boot_clock_s()
