--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_quota.py
@@ -13,6 +13,7 @@
 extra rate and depth of the same buckets, divided in the same way.
 """
 
+import math
 from collections.abc import Mapping
 
 from damaskvalve_gateway._model import Workspace
@@ -53,6 +54,11 @@
 LONGEST_PROMISE_S = 0.5
 # A promise is kept for this long after it was due: callers come a little late.
 PROMISE_KEPT_S = 0.5
+# Refused tokens are averaged over about this long.
+PRESSURE_S = 2.0
+# Refused tokens a second, as a part of the rate, from which on a workspace is so far
+# over its rate that only those with a promise are told to come back soon.
+HEAVY_PRESSURE = 0.5
 # Tokens for requests that are due within this are not given to others.
 PROMISE_AHEAD_S = 0.15
 
@@ -125,6 +131,23 @@
         self.level = min(depth, self.level + tokens)
 
 
+class RecentTokens:
+    """Tokens a second of late, older ones counting less and less."""
+
+    __slots__ = ("_tokens", "_at_s")
+
+    def __init__(self, now_s: float) -> None:
+        self._tokens = 0.0
+        self._at_s = now_s
+
+    def add(self, tokens: float, now_s: float) -> float:
+        """Count tokens; return how many came a second."""
+        passed_s = max(0.0, now_s - self._at_s)
+        self._at_s = now_s
+        self._tokens = self._tokens * math.exp(-passed_s / PRESSURE_S) + tokens
+        return self._tokens / PRESSURE_S
+
+
 class Promises:
     """Requests that were told when to come back, and the tokens kept for them.
 
@@ -256,6 +279,8 @@
         self._buckets: dict[str, TokenBucket] = {}
         self._granted: dict[str, tuple[float, float]] = {}
         self._promises: dict[str, Promises] = {}
+        # What was refused of late.
+        self._refused: dict[str, RecentTokens] = {}
 
     def grant_share(
         self, host: str, held: float, count: HostCount, now_s: float, *, lends: bool
@@ -300,6 +325,8 @@
         if bucket.level - due >= tokens:
             bucket.level -= tokens
             return 0.0
+        refused = self._refused.setdefault(workspace.name, RecentTokens(now_s))
+        pressure = refused.add(tokens, now_s) / workspace.rate_per_s
         if rate_per_s <= 0 or tokens > depth:
             return MAX_RETRY_S
         ahead = promises.tokens(now_s + MAX_RETRY_S)
@@ -308,6 +335,9 @@
             return MAX_RETRY_S
         if mark and wait_s <= LONGEST_PROMISE_S:
             promises.make(mark, tokens, now_s + wait_s)
+        elif pressure > HEAVY_PRESSURE:
+            # So many come that one that returns finds others in its place.
+            return MAX_RETRY_S
         return wait_s
 
     def give_back(self, workspace: Workspace, tokens: float) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_quota.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_quota.py
@@ -225,3 +225,31 @@
                 asked += tokens
                 served += tokens * (leader.take(held, tokens, "", now_s) == 0.0)
         self.assertGreaterEqual(served / asked, 0.95)
+
+    def test_callers_far_over_a_rate_are_not_told_to_come_back_in_vain(self):
+        """The load: a workspace sends 3.3 times its rate for eleven seconds.
+
+        Its callers come back once, if that takes no longer than a third of the twelve
+        seconds that they wait.
+        """
+        leader = LeaderQuota(QuotaSlack(11_000.0, 0.1, WINDOW_S), 0.0)
+        held = workspace(40_000.0, 40_000.0)
+        asked_per_s = 3.3 * held.rate_per_s * (1 - LOCAL_PART)
+        back, came_back, in_vain, served, number = [], 0, 0, 0.0, 0
+        now_s = 10.0
+        while now_s < 21.0:
+            now_s += 1_300.0 / asked_per_s
+            for due_s, mark in [item for item in back if item[0] <= now_s]:
+                back.remove((due_s, mark))
+                came_back += 1
+                granted = leader.take(held, 1_300.0, mark, now_s) == 0.0
+                in_vain += not granted
+                served += 1_300.0 * granted
+            number += 1
+            wait_s = leader.take(held, 1_300.0, f"m{number}", now_s)
+            served += 1_300.0 * (wait_s == 0.0)
+            if 0 < wait_s <= 4.0:
+                back.append((now_s + wait_s, f"m{number}"))
+        self.assertLess(in_vain, 0.1 * number)
+        # The rate is used up all the same.
+        self.assertGreater(served, 0.95 * 11 * held.rate_per_s * (1 - LOCAL_PART))
