--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_desk.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_desk.py
@@ -10,6 +10,12 @@
 import collections
 from collections.abc import Collection, Sequence
 
+from damaskvalve_agent._permits._loads import (
+    LOAD_S,
+    LOST_LOAD_S,
+    MAX_LOADS,
+    LoadBook,
+)
 from damaskvalve_agent._permits._pace import PREFILL_PART, PrefillPace, prefill_s
 from damaskvalve_agent._permits._types import (
     ACCEPTED,
@@ -26,27 +32,10 @@
 )
 from damaskvalve_agent._slots import Slots
 
-# Loads that one agent keeps on their way. The store slows down beyond eight over all
-# engines, and the smallest deployment has five.
-MAX_LOADS = 2
-# The same with those that an engine loads from its own copies; it takes no more.
-MAX_IN_TRANSIT = 4
-# Engines keep copies of about so many adapters that they held lately.
-MAX_COPIES = 100
-# Assumed until loads have been seen: the time of a load of an adapter, as on all
-# users' sheets, and of a base model.
-LOAD_S = 0.25
-# The newest load of an adapter counts with this weight, within these bounds.
-LOAD_WEIGHT = 0.2
-MIN_LOAD_S = 0.05
-MAX_LOAD_S = 4.0
-# The same from a copy: a tenth.
-LOAD_COPY_S = 0.03
+# From both users' sheets: the time of a load of a base model.
 LOAD_MODEL_S = 2.9
 # The same from the engine's own disk.
 LOAD_MODEL_DISK_S = 1.2
-# A load that the engine does not show as on its way after this has failed.
-LOST_LOAD_S = 1.0
 # An unload that an engine accepted waits for runs that this agent does not know of:
 # those from before it started. After this it is ordered again.
 UNLOAD_S = 5.0
@@ -86,20 +75,14 @@
     def __init__(self) -> None:
         self.limits = Limits(1, 1, 1)
         self.slots = Slots(1)
+        self._loads = LoadBook(self.slots)
         self._versions: dict[str, int] = {}
         # The newest version that any ask has named.
         self._newest: dict[str, int] = {}
-        # When each load on its way was ordered.
-        self._loads: dict[str, float] = {}
-        # Adapters that the engine held lately, the newest at the end.
-        self._copies: collections.OrderedDict[str, None] = collections.OrderedDict()
         # When each unload was ordered that waits for runs at the engine.
         self._unloads: dict[str, float] = {}
         # Those of them that had no answer: the next accepted order makes them void.
         self._unsure_unloads: set[str] = set()
-        # Loads that had no answer, with the count of orders that they named. They keep
-        # their place: they may be carried out until another order is accepted.
-        self._unsure_loads: dict[str, int] = {}
         # Adapters whose newer version waits for the runs on the older one.
         self._replacing: dict[str, float] = {}
         self._models: set[str] = set()
@@ -111,7 +94,6 @@
         # When an ask that only waits for its prompt's turn may start.
         self.look_again_s = 0.0
         self._run_s = FIRST_RUN_S
-        self._store_load_s = LOAD_S
         self._started_at_ms = 0
         self.order_count = 0
         self.reported = False
@@ -128,12 +110,15 @@
 
     def loads(self) -> int:
         """Return how many loads are on their way."""
-        return len(self._loads)
+        return len(self._loads.names())
 
     def is_busy(self) -> bool:
         """Return whether an order's end is awaited."""
         return bool(
-            self._loads or self._unloads or self._replacing or self._model_ordered_s
+            self._loads.names()
+            or self._unloads
+            or self._replacing
+            or self._model_ordered_s
         )
 
     def _name(self, ask: Ask) -> str:
@@ -175,25 +160,13 @@
         if not ask.adapter or self._is_ready(ask):
             return wait_s
         name = self._name(ask)
-        if name in self._loads:
-            return wait_s + self._load_s(name)
+        if name in self._loads.names():
+            return wait_s + self._loads.load_s(name)
         if self.slots.state(name) == "resident":
             # A newer version waits for the runs on the older one.
             return wait_s + LOAD_S + (self._run_s if self.slots.pins(name) else 0.0)
         return wait_s + self._load_wait_s(name)
 
-    def _load_s(self, name: str) -> float:
-        return LOAD_COPY_S if name in self._copies else self._store_load_s
-
-    def _note_load(self, took_s: float) -> None:
-        """Learn how long the store takes: it slows down when many engines load."""
-        took_s = min(MAX_LOAD_S, max(MIN_LOAD_S, took_s))
-        self._store_load_s += LOAD_WEIGHT * (took_s - self._store_load_s)
-
-    def _from_store(self, names: Collection[str]) -> int:
-        """Return how many of these adapters have to come from the store."""
-        return sum(name not in self._copies for name in names)
-
     def _load_wait_s(self, name: str) -> float:
         """Return how long until one more adapter would be here."""
         wanted = {
@@ -201,10 +174,10 @@
             for ask in self._queue
             if ask.adapter and not self._is_ready(ask)
         }
-        ahead = self._from_store(wanted | set(self._loads))
-        wait_s = self._load_s(name)
-        if name not in self._copies:
-            wait_s += self._store_load_s * (ahead // MAX_LOADS)
+        ahead = self._loads.from_store(wanted | set(self._loads.names()))
+        wait_s = self._loads.load_s(name)
+        if not self._loads.is_copied(name):
+            wait_s += self._loads.store_load_s * (ahead // MAX_LOADS)
         if not self.slots.has_room() and self.slots.victim(wanted, 0.0) is None:
             wait_s += self._run_s * (1 + ahead) / max(1, self.limits.adapter_slots)
         return wait_s
@@ -244,8 +217,9 @@
 
     def _is_late(self, ask: Ask, now_s: float) -> bool:
         need_s = prefill_s(ask.prompt_tokens)
-        if not self._is_ready(ask) and self._name(ask) not in self._loads:
-            need_s += self._load_s(self._name(ask))
+        name = self._name(ask)
+        if not self._is_ready(ask) and name not in self._loads.names():
+            need_s += self._loads.load_s(name)
         return now_s + need_s > ask.aim_s
 
     def _want_model(self, ask: Ask, now_s: float) -> None:
@@ -349,11 +323,11 @@
         name = self._name(ask)
         if not ask.adapter or self._is_ready(ask):
             return None
-        if name in self._unsure_loads:
+        if self._loads.is_unsure(name):
             return Order(LOAD, ask.model, ask.adapter, self._newest.get(name, 0))
-        if name in self._loads:
+        if name in self._loads.names():
             return None
-        if not self._may_load(name) or name in self._replacing:
+        if not self._loads.may_load(name) or name in self._replacing:
             return None
         if name in self._unloads:
             return None
@@ -372,11 +346,6 @@
         model, _, adapter = victim.partition("/")
         return Order(UNLOAD, model, adapter, 0)
 
-    def _may_load(self, name: str) -> bool:
-        if len(self._loads) >= MAX_IN_TRANSIT:
-            return False
-        return name in self._copies or self._from_store(self._loads) < MAX_LOADS
-
     def order_ended(self, order: Order, outcome: str, now_s: float) -> None:
         """Take note of the engine's answer to an order."""
         name = f"{order.model}/{order.adapter}"
@@ -403,42 +372,17 @@
             if outcome != NO_ANSWER:
                 self._replacing[name] = now_s
             return
-        if self.slots.state(name) is None:
-            self.slots.start_load(name)
-        self._loads[name] = now_s
         if outcome == NO_ANSWER:
-            self._unsure_loads[name] = self.order_count
+            self._loads.note_unanswered(name, self.order_count, now_s)
         else:
-            self._unsure_loads.pop(name, None)
+            self._loads.note_ordered(name, now_s)
 
     def _void_unsure(self, accepted: str) -> None:
-        """Forget orders without an answer: an accepted one has made them void.
-
-        Each order names the count of those before it, so one that comes later than a
-        newer one is refused by the engine.
-        """
+        """Forget orders without an answer: an accepted one has made them void."""
         for unsure in self._unsure_unloads:
             self._unloads.pop(unsure, None)
         self._unsure_unloads.clear()
-        for name in list(self._unsure_loads):
-            if name != accepted:
-                self._drop_load(name)
-
-    def _drop_load(self, name: str) -> None:
-        """Give up a load that does not come."""
-        self._unsure_loads.pop(name, None)
-        self._loads.pop(name, None)
-        self.slots.end_load(name, loaded=False)
-
-    def _settle_unsure(self, report: EngineReport, pending: Collection[str]) -> None:
-        """Learn from the count of orders which loads were carried out after all."""
-        for name, order_count in list(self._unsure_loads.items()):
-            if report.order_count <= order_count:
-                continue
-            if name in pending:
-                del self._unsure_loads[name]
-            else:
-                self._drop_load(name)
+        self._loads.void_unsure(accepted)
 
     # ---- reports ----
 
@@ -472,21 +416,12 @@
         }
         pending = {item.partition("@")[0] for item in report.pending}
         for name, version in held.items():
-            was_copy = name in self._copies
-            self._note_copy(name)
-            if name in self._loads:
-                ordered_s = self._loads.pop(name)
-                self._unsure_loads.pop(name, None)
-                if not was_copy:
-                    self._note_load(now_s - ordered_s)
-                self.slots.end_load(name, loaded=True)
-            elif self.slots.state(name) is None:
+            loaded = self._loads.note_held(name, now_s)
+            if not loaded and self.slots.state(name) is None:
                 self.slots.adopt(name)
             self._versions[name] = version
-        self._settle_unsure(report, pending)
-        for name, ordered_s in list(self._loads.items()):
-            if name not in pending and now_s - ordered_s > LOST_LOAD_S:
-                self._drop_load(name)
+        self._loads.settle_unsure(report.order_count, pending)
+        self._loads.drop_lost(pending, now_s)
         for name, ordered_s in list(self._replacing.items()):
             done = self._versions.get(name, 0) >= self._newest.get(name, 0)
             lost = name not in pending and now_s - ordered_s > LOST_LOAD_S
@@ -500,21 +435,13 @@
                 self.slots.drop(name)
                 self._versions.pop(name, None)
 
-    def _note_copy(self, name: str) -> None:
-        self._copies[name] = None
-        self._copies.move_to_end(name)
-        if len(self._copies) > MAX_COPIES:
-            self._copies.popitem(last=False)
-
     def _forget(self) -> None:
         """Forget what was held before the engine restarted."""
         self.slots.clear()
         self._versions.clear()
         self._loads.clear()
-        self._copies.clear()
         self._unloads.clear()
         self._unsure_unloads.clear()
-        self._unsure_loads.clear()
         self._replacing.clear()
         self._model_ordered_s = {model: 0.0 for model in self._models}
 
--- a/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
@@ -9,7 +9,8 @@
 )
 from damaskvalve_core.http._incoming import Headers, Incoming, ServerLimits
 from damaskvalve_core.http._memory import MemoryFullError, MessageMemory
-from damaskvalve_core.http._server import HttpServer, Responder, serving_http
+from damaskvalve_core.http._responder import Responder
+from damaskvalve_core.http._server import HttpServer, serving_http
 
 __all__ = [
     "BackendConnection",
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import traceback
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 
 import xxhash
 
@@ -29,7 +29,7 @@
 )
 from damaskvalve_gateway._overload import ComeBackQueue
 from damaskvalve_gateway._permits import Permit, PermitDesk
-from damaskvalve_gateway._quota import HostQuota
+from damaskvalve_gateway._rate import RateFilter
 from damaskvalve_gateway._retries import RetryAllowance
 from damaskvalve_gateway._send import (
     ANSWERED,
@@ -50,10 +50,6 @@
 # Sends of one request that backend servers may turn down before it is refused.
 MAX_TURNED_DOWN = 3
 
-#: Gets tokens from the hosts that lend; raises RefusedError if they have none.
-AskTokens = Callable[[Workspace, float, str], Awaitable[str]]
-#: Returns tokens to the host that lent them.
-ReturnTokens = Callable[[str, Workspace, float], Awaitable[None]]
 #: Tells the other hosts of a broken run.
 TellCrash = Callable[[str, str], None]
 #: Takes a backend server out of choice, here and at the other hosts.
@@ -69,10 +65,8 @@
         dialect: Dialect,
         pool: BackendPool,
         permits: PermitDesk,
-        quota: HostQuota,
+        rate: RateFilter,
         retries: RetryAllowance,
-        ask_tokens: AskTokens,
-        return_tokens: ReturnTokens,
         tell_crash: TellCrash,
         note_leaving: NoteLeaving,
         data_centre: str,
@@ -83,12 +77,8 @@
         self._dialect = dialect
         self._pool = pool
         self._permits = permits
-        self._quota = quota
+        self._rate = rate
         self._retries = retries
-        self._ask_tokens = ask_tokens
-        self._return_tokens = return_tokens
-        # Returns on their way, which nobody waits for.
-        self._returning: set[asyncio.Task[None]] = set()
         self._tell_crash = tell_crash
         self._note_leaving = note_leaving
         self._come_back = ComeBackQueue()
@@ -183,13 +173,14 @@
             raise RefusedError(401, "unknown_key", "the key is not known")
         return workspace
 
-    # ---- time and rate ----
+    # ---- time ----
 
     async def _within_deadline(self, exchange: Exchange) -> None:
         left_s = exchange.left_s(boot_clock_s())
         try:
             async with asyncio.timeout(left_s):
-                await self._within_rate(exchange)
+                async with self._rate.spending(exchange):
+                    await self._dispatch(exchange)
         except TimeoutError as error:
             exchange.outcome = "timeout"
             if exchange.runs:
@@ -205,33 +196,6 @@
         finally:
             self._record(exchange)
 
-    async def _within_rate(self, exchange: Exchange) -> None:
-        workspace = exchange.workspace
-        if workspace is None or workspace.rate_per_s <= 0:
-            await self._dispatch(exchange)
-            return
-        tokens = workspace.cost(exchange.request)
-        own = self._quota.take(workspace, tokens, boot_clock_s())
-        lender = ""
-        try:
-            if own < tokens:
-                lender = await self._ask_tokens(
-                    workspace, tokens - own, exchange.fingerprint
-                )
-            await self._dispatch(exchange)
-        finally:
-            if not exchange.runs:
-                self._quota.give_back(workspace, own, boot_clock_s())
-                if lender:
-                    self._give_back(lender, workspace, tokens - own)
-
-    def _give_back(self, lender: str, workspace: Workspace, tokens: float) -> None:
-        """Return lent tokens of a request that did not run, behind its back."""
-        returning = self._return_tokens(lender, workspace, tokens)
-        task = asyncio.ensure_future(returning)
-        self._returning.add(task)
-        task.add_done_callback(self._returning.discard)
-
     # ---- sending ----
 
     async def _dispatch(self, exchange: Exchange) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -33,6 +33,7 @@
 from damaskvalve_gateway._metrics import GatewayMetrics
 from damaskvalve_gateway._permits import PermitDesk
 from damaskvalve_gateway._quota import HostQuota
+from damaskvalve_gateway._rate import RateFilter
 from damaskvalve_gateway._retries import RetryAllowance
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_link import StateLink
@@ -160,10 +161,8 @@
             dialect,
             pool,
             PermitDesk(caller, settings.agent_port),
-            quota,
+            RateFilter(quota, sync.ask_tokens, sync.return_tokens),
             RetryAllowance(terms.ratio, terms.slack, terms.window_s),
-            sync.ask_tokens,
-            sync.return_tokens,
             sync.tell_crash,
             sync.note_leaving,
             settings.data_centre,
