--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -40,9 +40,8 @@
     Send,
     relay,
 )
+from damaskvalve_gateway._starting import come_back_s
 
-# A host has a configuration so soon after its start, also if all start together.
-NO_CONFIGURATION_RETRY_S = 0.5
 NO_BACKEND_RETRY_S = 0.5
 # A host that has heard no leader for so long keeps backend servers that it does not
 # hear of either.
@@ -82,6 +81,7 @@
         self._tell_crash = tell_crash
         self._note_leaving = note_leaving
         self._come_back = ComeBackQueue()
+        self._began_s = boot_clock_s()
         self._data_centre = data_centre
         self._log = log
         self._metrics = metrics
@@ -141,7 +141,7 @@
                 503,
                 "no_configuration",
                 "no configuration has arrived yet",
-                retry_after_s=NO_CONFIGURATION_RETRY_S,
+                retry_after_s=self._start_retry_s(arrived_s, bool(request.model)),
             )
         route = configuration.find_route(request.host, request.path)
         if route is None:
@@ -162,6 +162,10 @@
         service = configuration.services[route.choose_service(point)]
         return Exchange(request, route, workspace, service, responder, arrived_s, mark)
 
+    def _start_retry_s(self, now_s: float, needs_engine: bool) -> float:
+        """Return when to come back for want of something that others tell a host."""
+        return come_back_s(self._began_s, now_s, needs_engine=needs_engine)
+
     @staticmethod
     def _authenticate(
         configuration: GatewayConfiguration, route: Route, request: CallerRequest
@@ -294,7 +298,9 @@
                 503,
                 "no_backend",
                 f"no backend server of {exchange.service.name} takes work",
-                retry_after_s=NO_BACKEND_RETRY_S,
+                retry_after_s=self._start_retry_s(
+                    boot_clock_s(), exchange.service.engine is not None
+                ),
             )
         if exchange.service.engine is None:
             now_s = boot_clock_s()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
@@ -24,6 +24,7 @@
     Route,
 )
 from damaskvalve_gateway._retries import RetryAllowance
+from damaskvalve_gateway._starting import come_back_s
 
 
 def backend(number, data_centre="dc", resident=()):
@@ -205,3 +206,22 @@
         servers[0].note_broken(0.0)
         self.assertIs(order_plain(servers, "dc", "r", 0.1)[-1], servers[0])
         self.assertIs(order_engines(servers, "m/a", 0.1)[-1], servers[0])
+
+
+class StartTests(unittest.TestCase):
+    def test_callers_of_a_host_that_starts_come_back_when_it_serves(self):
+        """The load: everybody is back after a loss of power, callers too.
+
+        Plain requests are served 1.2 s after the start, streams after 2.5 s.
+        """
+        for engine, ready_s in ((False, 1.2), (True, 2.5)):
+            for step in range(12):
+                now_s = 100.0 + 0.1 * step
+                wait_s = come_back_s(100.0, now_s, needs_engine=engine)
+                self.assertGreaterEqual(now_s + wait_s, 100.0 + ready_s)
+                self.assertLessEqual(now_s + wait_s, 100.0 + max(ready_s, 1.7))
+
+    def test_later_a_host_learns_what_it_lacks_within_half_a_second(self):
+        """It has heard the others, or it never will."""
+        for engine in (False, True):
+            self.assertEqual(come_back_s(100.0, 105.0, needs_engine=engine), 0.5)
