--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
@@ -138,14 +138,20 @@
         connection.send(request.method, request.target, headers, request.body)
         head = await self._head(connection, began_s)
         mark = self._dialect.read_reply(head.status, head.headers)
+        # A refusal may name no request; one that names another is a second copy, and
+        # says nothing of whether this request runs.
+        if mark.request_id != request.request_id and (
+            mark.request_id or not mark.not_run
+        ):
+            raise BackendFailedError("the reply belongs to another request")
         self._take_wishes(head, mark)
         if mark.not_run:
             exchange.runs -= 1
             await self._skip_refusal(connection, head)
             self.reason = f"status {head.status}, not run"
             return NOT_RUN
-        if mark.request_id != request.request_id or mark.encoded:
-            raise BackendFailedError("the reply belongs to another request")
+        if mark.encoded:
+            raise BackendFailedError("the reply was encoded on its way")
         if exchange.route.kind == STREAMING and 200 <= head.status < 300:
             return await self._relay_stream(connection, head, began_s)
         body = await self._whole(connection, head)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_hostile_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_hostile_replies.py
@@ -245,9 +245,8 @@
 
 
 class SecondCopyTests(unittest.IsolatedAsyncioTestCase):
-    async def second_copy(self, pause_s):
-        """Return what the second of two requests gets on a connection kept open."""
-        copy = OK + b"content-length: 3\r\n\r\none"
+    async def answered_twice(self, copy, pause_s):
+        """Return what two requests get on one connection, both the same answer."""
 
         async def script(writer):
             writer.write(copy)
@@ -272,8 +271,23 @@
 
     async def test_a_second_copy_of_an_answer_reaches_nobody(self):
         """While the connection is idle, or when it is in use again."""
+        copy = OK + b"content-length: 3\r\n\r\none"
         for pause_s in (0.0, 0.02, 0.06, 0.1):
-            first, second = await self.second_copy(pause_s)
+            first, second = await self.answered_twice(copy, pause_s)
             self.assertEqual(first, (ANSWERED, True))
             # The stand-in always answers as to the first request.
             self.assertEqual(second, (BROKEN, False))
+
+    async def test_a_second_copy_of_a_refusal_does_not_refuse_the_next_request(self):
+        """The next request may have run, so nobody may take it for not run."""
+        refusal = OK.replace(b"200 OK", b"503 Busy") + b"not-run: 1\r\n"
+        refusal += b"content-length: 0\r\n\r\n"
+        (first, _), (second, _) = await self.answered_twice(refusal, 0.06)
+        self.assertEqual((first, second), (NOT_RUN, BROKEN))
+
+    async def test_a_refusal_that_names_no_request_counts(self):
+        """Whoever is reached at an address that is used again may know no ids."""
+        refusal = b"HTTP/1.1 421 No\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+        server = ScriptedServer(once(refusal))
+        outcome, _, _ = await send_to(server, make_exchange(kind=UNSAFE), within_s=2.0)
+        self.assertEqual(outcome, NOT_RUN)
