--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -392,6 +392,7 @@
 }
 struct CrashNotice { 1: string fingerprint  2: string instance_id  3: double age_s }
 
+// Asked of any host that lends; tokens below 0 are returned to it.
 struct TokensRequest { 1: string host_address  2: string workspace  3: double tokens  4: string fingerprint }
 struct TokensReply { 1: string leader_address  2: bool granted  3: double retry_after_s }
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_desk.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_desk.py
@@ -212,7 +212,9 @@
     def _tokens(self, request: TokensRequest) -> TokensReply:
         """Lend what this host has, and as the leader what the others have not."""
         now_s = boot_clock_s()
-        address = self._link.leader_address()
+        # Named only by a leader: another host's refusal is no word on the rate.
+        leads = self._link.leads(now_s)
+        address = self._link.leader_address() if leads else ""
         configuration = self._knowledge.configuration
         workspace = configuration and configuration.workspaces.get(request.workspace)
         if not workspace:
@@ -224,7 +226,7 @@
         lacking = request.tokens - own
         if lacking <= 0:
             return TokensReply(address, True, 0.0)
-        if self._link.leads(now_s):
+        if leads:
             mark = request.fingerprint or ""
             wait_s = self.take_tokens(workspace, lacking, mark, now_s)
         else:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_lending.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_lending.py
@@ -180,7 +180,10 @@
             ask.lender = lender
             return
         wait_s = reply.retry_after_s or MAX_RETRY_S
-        if leads:
+        if leads and reply.leader_address:
             ask.leader_wait_s = wait_s
+        elif leads:
+            # It has ceased to lead, and its own part says nothing of the whole.
+            ask.silent.append(lender)
         else:
             self._book.note_empty(lender, ask.workspace.name, wait_s, clock())
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_lending.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_lending.py
@@ -67,15 +67,20 @@
         host = self.hosts[number]
         own = host.take(self.held, request.tokens, self.now_s)
         lacking = request.tokens - own
+        leads = number == self.leading and self.leader is not None
+        reply = types.SimpleNamespace(
+            granted=True, retry_after_s=0.0, leader_address=address if leads else ""
+        )
         if lacking <= 0:
-            return types.SimpleNamespace(granted=True, retry_after_s=0.0)
-        if number == self.leading and self.leader is not None:
+            return reply
+        if leads:
             wait_s = self.leader.take(self.held, lacking, "", self.now_s)
         else:
             wait_s = host.wait_s(self.held, lacking, self.now_s)
         if wait_s > 0:
             host.give_back(self.held, own, self.now_s)
-        return types.SimpleNamespace(granted=wait_s <= 0, retry_after_s=wait_s)
+        reply.granted, reply.retry_after_s = wait_s <= 0, wait_s
+        return reply
 
     def sync(self):
         if self.leader is None:
@@ -223,6 +228,15 @@
         for lender in lenders:
             self.assertGreater(first.count(lender), 50)
 
+    def test_a_host_that_has_ceased_to_lead_refuses_nobody_as_over_the_rate(self):
+        """Between two leaders its own part may be empty while others have plenty."""
+        fleet = FleetOfLenders(8, seed=1)
+        fleet.leader = None
+        ask = TokenAsk(fleet.held, 1e9, "", "h7")
+        asked = fleet.askers[7].find(ask, ["h0"], "h0", lambda: fleet.now_s)
+        asyncio.run(asked)
+        self.assertEqual(ask.refusal().code, "lender_silent")
+
     def test_a_refusal_says_whether_anybody_knew(self):
         """429 only on the word of a leader; a silent one is no word."""
         ask = TokenAsk(workspace(), 100.0, "", "h1")
