--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -15,10 +15,13 @@
 from damaskvalve import ConfigurationView, _view
 from damaskvalve._filters import _claim
 from damaskvalve_agent import Fence, Slots
+from damaskvalve_agent._permits._loads import LoadBook
 from damaskvalve_agent._permits._pace import PrefillPace
 from damaskvalve_agent.permits import Admission
 from damaskvalve_core import RefusedError
-from damaskvalve_gateway import _backends
+from damaskvalve_gateway import _backends, _overload, _send
+from damaskvalve_gateway._lending import LenderBook
+from damaskvalve_gateway._model import GONE, LEAVING, READY
 from damaskvalve_gateway._quota import (
     HostCount,
     LeaderQuota,
@@ -311,6 +314,42 @@
         f"{GATEWAY}.test_backends.BackendTableTests."
         "test_an_end_is_final_for_its_start",
     ),
+    Proof(
+        "leaving is final for its start",
+        _replace(_backends, "_STATE_ORDER", {READY: 0, LEAVING: 0, GONE: 1}),
+        f"{GATEWAY}.test_overload.LeavingTests."
+        "test_a_start_that_left_takes_no_work_again",
+    ),
+    Proof(
+        "hosts that vote lend tokens",
+        _replace(LenderBook, "order", lambda *_: []),
+        f"{GATEWAY}.test_lending.LendingTests."
+        "test_a_fleet_serves_what_one_bucket_would_have_served",
+    ),
+    Proof(
+        "callers come back one after the other",
+        _replace(_overload, "_step_s", lambda backends, hosts: 0.0),
+        f"{GATEWAY}.test_overload.KeptOffTests."
+        "test_callers_come_back_one_after_the_other",
+    ),
+    Proof(
+        "an unanswered load keeps its place",
+        _replace(LoadBook, "note_unanswered", lambda *_: None),
+        f"{AGENT}.test_permits.PermitTests."
+        "test_places_and_pins_hold_under_every_interleaving",
+    ),
+    Proof(
+        "an accepted order makes unanswered ones void",
+        _replace(LoadBook, "void_unsure", lambda *_: None),
+        f"{AGENT}.test_permits.PermitTests."
+        "test_a_load_without_an_answer_is_void_after_the_next_order",
+    ),
+    Proof(
+        "a stream lives by whole events",
+        _replace(_send, "has_event", lambda events: True),
+        f"{GATEWAY}.test_hostile_replies.StallTests."
+        "test_bytes_now_and_then_do_not_keep_a_stalled_stream",
+    ),
     Proof(
         "pins of permits",
         _replace(Slots, "pins", lambda self, adapter: 0),
@@ -357,11 +396,19 @@
     return result.wasSuccessful()
 
 
-def main() -> int:
-    """Run every proof both ways; return 1 if one does not prove anything."""
+def main(words: Sequence[str]) -> int:
+    """Run every proof both ways; return 1 if one does not prove anything.
+
+    With words only the proofs whose mechanism has one of them in its name.
+    """
     use_fixed_profile()
     bad = 0
-    for proof in PROOFS:
+    chosen = [
+        proof
+        for proof in PROOFS
+        if not words or any(word in proof.mechanism for word in words)
+    ]
+    for proof in chosen:
         as_it_is = _passes(proof.test)
         with proof.remove():
             without = _passes(proof.test)
@@ -370,9 +417,9 @@
         first = "passes" if as_it_is else "FAILS"
         second = "PASSES" if without else "fails"
         print(f"{proof.mechanism:<50} {first}; taken out: {second}", flush=True)
-    print(f"{len(PROOFS) - bad} passed, {bad} failed")
+    print(f"{len(chosen) - bad} passed, {bad} failed")
     return 1 if bad else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
