--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
@@ -54,7 +54,7 @@
         if request.deadline_s is not None:
             left_s = min(left_s, request.deadline_s)
         self.deadline_s = arrived_s + left_s
-        # Empty if the request has nothing to be known again by.
+        # By which the request is known when it comes again under another id.
         self.fingerprint = fingerprint
         # Instances that the request was sent to.
         self.tried: set[str] = set()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -147,17 +147,15 @@
         if route is None:
             raise RefusedError(404, "no_route", "no route matches host and path")
         workspace = self._authenticate(configuration, route, request)
-        mark = ""
-        if request.body:
-            name = workspace.name if workspace else ""
-            mark = fingerprint(name, request.path, request.body)
-            if self._knowledge.crashes.is_refused(mark, arrived_s):
-                raise RefusedError(
-                    503,
-                    "crashing_request",
-                    "this request has crashed the backend servers that ran it",
-                    retry_after_s=COME_BACK_S,
-                )
+        name = workspace.name if workspace else ""
+        mark = fingerprint(name, request.path, request.body)
+        if request.body and self._knowledge.crashes.is_refused(mark, arrived_s):
+            raise RefusedError(
+                503,
+                "crashing_request",
+                f"request {mark} has crashed the backend servers that ran it",
+                retry_after_s=COME_BACK_S,
+            )
         point = xxhash.xxh32_intdigest(request.request_id.encode()) / 2**32
         service = configuration.services[route.choose_service(point)]
         return Exchange(request, route, workspace, service, responder, arrived_s, mark)
@@ -255,7 +253,7 @@
 
     def _note_broken(self, exchange: Exchange, send: "_Attempt") -> None:
         self._metrics.note_broken_run()
-        if exchange.fingerprint:
+        if exchange.request.body:
             now_s = boot_clock_s()
             instance_id = send.instance_id
             if self._knowledge.crashes.note(exchange.fingerprint, instance_id, now_s):
@@ -263,6 +261,7 @@
         self._log.line(
             "broken_run",
             request=exchange.request.request_id,
+            fingerprint=exchange.fingerprint,
             backend=send.instance_id,
             reason=send.reason,
             runs=exchange.runs,
@@ -356,6 +355,7 @@
         self._log.line(
             "request" if eventful else "request_sample",
             request=request.request_id,
+            fingerprint=exchange.fingerprint,
             route=exchange.route.name,
             workspace=exchange.workspace.name if exchange.workspace else "",
             backend=exchange.backend,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_desk.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_desk.py
@@ -150,7 +150,8 @@
 
     def note_crash(self, mark: str, instance_id: str, at_s: float) -> None:
         """Count a broken run."""
-        self._knowledge.crashes.note(mark, instance_id, at_s)
+        if self._knowledge.crashes.note(mark, instance_id, at_s):
+            self._log.line("crash_counted", fingerprint=mark, backend=instance_id)
 
     async def answer(self, request: object, call: Call) -> None:
         """Answer one call of a host or an agent."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -60,9 +60,18 @@
     def announce(self, announcement: Announcement, now_s: float) -> None:
         """Take what a backend server told this host."""
         backends = self._knowledge.backends
+        known = backends.find(announcement.instance_id)
         if backends.take(announcement, now_s):
             self._queue(announcement.instance_id)
         backend = backends.find(announcement.instance_id)
+        if backend is not known:
+            self._log.line(
+                "backend_started",
+                backend=announcement.instance_id,
+                address=announcement.address,
+                service=announcement.service,
+                started_at_ms=announcement.started_at_ms,
+            )
         if backend is not None:
             backend.direct_s = now_s
 
