--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -121,7 +121,15 @@
 
 struct CreditRecord { 1: string workspace  2: double level_tokens  3: double outstanding_tokens }
 struct FenceRecord { 1: string backend_server  2: i64 number  3: string holder  4: string previous_holder }
-struct SuspectRecord { 1: string fingerprint  2: i32 crashes  3: bool quarantined }
+struct SuspectRecord {
+  1: string fingerprint
+  2: i32 crashes
+  3: bool quarantined
+  // Of gateways: the starts of backend servers that ended under it, and whether it is
+  // refused already while it is not proved that all of them have ended.
+  4: optional list<string> starts
+  5: optional bool refused
+}
 struct AuditRecord { 1: i64 revision  2: string actor  3: string operation_id  4: string summary  5: double at_s }
 
 struct StateSnapshot {
@@ -175,6 +183,8 @@
 struct GrantFence { 1: string backend_server  2: string holder }
 struct ReportCrash { 1: string fingerprint  2: string report_id  3: bool isolated }
 struct ClearSuspect { 1: string fingerprint }
+// Each replaces what is known of its request; one without crashes is forgotten.
+struct RecordSuspects { 1: list<SuspectRecord> suspects }
 struct ExpireClaims { 1: i64 through_index }
 
 struct Command {
@@ -193,6 +203,7 @@
   13: optional ExpireClaims expire
   14: optional DocumentRecord document
   15: optional VersionRecord name_version
+  16: optional RecordSuspects record_suspects
 }
 
 struct CommandResult {
@@ -375,13 +386,14 @@
   4: list<BackendNotice> notices
   5: list<CrashNotice> crashes
   6: double share
+  // Seconds since a run of a suspected request ended well, by fingerprint.
+  7: optional map<string, double> served
 }
 struct SyncReply {
   1: string leader_address
   2: string leader_id
   3: i64 seen
   4: list<BackendNotice> notices
-  5: list<CrashNotice> crashes
   6: double share
   7: double share_s
   8: i32 hosts
@@ -390,7 +402,15 @@
   // There are more notices than fit: ask again at once.
   10: optional bool more
 }
-struct CrashNotice { 1: string fingerprint  2: string instance_id  3: double age_s }
+// A run that did not end, on one start of a backend server.
+struct CrashNotice {
+  1: string fingerprint
+  2: string instance_id
+  3: double age_s
+  4: i64 started_at_ms
+  // Seconds since the same request last ended well at the host that tells this.
+  5: optional double served_age_s
+}
 
 // Asked of any host that lends; tokens below 0 are returned to it.
 struct TokensRequest { 1: string host_address  2: string workspace  3: double tokens  4: string fingerprint }
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -572,6 +572,8 @@
      - fingerprint
      - crashes
      - quarantined
+     - starts
+     - refused
 
     """
 
@@ -579,13 +581,17 @@
         'fingerprint',
         'crashes',
         'quarantined',
+        'starts',
+        'refused',
     )
 
 
-    def __init__(self, fingerprint=None, crashes=None, quarantined=None,):
+    def __init__(self, fingerprint=None, crashes=None, quarantined=None, starts=None, refused=None,):
         self.fingerprint = fingerprint
         self.crashes = crashes
         self.quarantined = quarantined
+        self.starts = starts
+        self.refused = refused
 
 
 class AuditRecord(TBase):
@@ -989,6 +995,22 @@
         self.fingerprint = fingerprint
 
 
+class RecordSuspects(TBase):
+    """
+    Attributes:
+     - suspects
+
+    """
+
+    __slots__ = (
+        'suspects',
+    )
+
+
+    def __init__(self, suspects=None,):
+        self.suspects = suspects
+
+
 class ExpireClaims(TBase):
     """
     Attributes:
@@ -1023,6 +1045,7 @@
      - expire
      - document
      - name_version
+     - record_suspects
 
     """
 
@@ -1042,10 +1065,11 @@
         'expire',
         'document',
         'name_version',
+        'record_suspects',
     )
 
 
-    def __init__(self, change=None, claim=None, answer=None, release=None, resolve=None, submit=None, finish=None, drop=None, reserve=None, fence=None, crash=None, clear=None, expire=None, document=None, name_version=None,):
+    def __init__(self, change=None, claim=None, answer=None, release=None, resolve=None, submit=None, finish=None, drop=None, reserve=None, fence=None, crash=None, clear=None, expire=None, document=None, name_version=None, record_suspects=None,):
         self.change = change
         self.claim = claim
         self.answer = answer
@@ -1061,6 +1085,7 @@
         self.expire = expire
         self.document = document
         self.name_version = name_version
+        self.record_suspects = record_suspects
 
 
 class CommandResult(TBase):
@@ -2039,6 +2064,7 @@
      - notices
      - crashes
      - share
+     - served
 
     """
 
@@ -2049,16 +2075,18 @@
         'notices',
         'crashes',
         'share',
+        'served',
     )
 
 
-    def __init__(self, host_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None,):
+    def __init__(self, host_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None, served=None,):
         self.host_address = host_address
         self.leader_id = leader_id
         self.seen = seen
         self.notices = notices
         self.crashes = crashes
         self.share = share
+        self.served = served
 
 
 class SyncReply(TBase):
@@ -2068,7 +2096,6 @@
      - leader_id
      - seen
      - notices
-     - crashes
      - share
      - share_s
      - hosts
@@ -2082,7 +2109,6 @@
         'leader_id',
         'seen',
         'notices',
-        'crashes',
         'share',
         'share_s',
         'hosts',
@@ -2091,12 +2117,11 @@
     )
 
 
-    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None, share_s=None, hosts=None, silent=None, more=None,):
+    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, share=None, share_s=None, hosts=None, silent=None, more=None,):
         self.leader_address = leader_address
         self.leader_id = leader_id
         self.seen = seen
         self.notices = notices
-        self.crashes = crashes
         self.share = share
         self.share_s = share_s
         self.hosts = hosts
@@ -2110,6 +2135,8 @@
      - fingerprint
      - instance_id
      - age_s
+     - started_at_ms
+     - served_age_s
 
     """
 
@@ -2117,13 +2144,17 @@
         'fingerprint',
         'instance_id',
         'age_s',
+        'started_at_ms',
+        'served_age_s',
     )
 
 
-    def __init__(self, fingerprint=None, instance_id=None, age_s=None,):
+    def __init__(self, fingerprint=None, instance_id=None, age_s=None, started_at_ms=None, served_age_s=None,):
         self.fingerprint = fingerprint
         self.instance_id = instance_id
         self.age_s = age_s
+        self.started_at_ms = started_at_ms
+        self.served_age_s = served_age_s
 
 
 class TokensRequest(TBase):
@@ -2471,6 +2502,8 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.I32, 'crashes', None, None, ),  # 2
     (3, TType.BOOL, 'quarantined', None, None, ),  # 3
+    (4, TType.LIST, 'starts', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.BOOL, 'refused', None, None, ),  # 5
 )
 all_structs.append(AuditRecord)
 AuditRecord.thrift_spec = (
@@ -2600,6 +2633,11 @@
     None,  # 0
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
 )
+all_structs.append(RecordSuspects)
+RecordSuspects.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRecord, None], False), None, ),  # 1
+)
 all_structs.append(ExpireClaims)
 ExpireClaims.thrift_spec = (
     None,  # 0
@@ -2623,6 +2661,7 @@
     (13, TType.STRUCT, 'expire', [ExpireClaims, None], None, ),  # 13
     (14, TType.STRUCT, 'document', [DocumentRecord, None], None, ),  # 14
     (15, TType.STRUCT, 'name_version', [VersionRecord, None], None, ),  # 15
+    (16, TType.STRUCT, 'record_suspects', [RecordSuspects, None], None, ),  # 16
 )
 all_structs.append(CommandResult)
 CommandResult.thrift_spec = (
@@ -2944,6 +2983,7 @@
     (4, TType.LIST, 'notices', (TType.STRUCT, [BackendNotice, None], False), None, ),  # 4
     (5, TType.LIST, 'crashes', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 5
     (6, TType.DOUBLE, 'share', None, None, ),  # 6
+    (7, TType.MAP, 'served', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 7
 )
 all_structs.append(SyncReply)
 SyncReply.thrift_spec = (
@@ -2952,7 +2992,7 @@
     (2, TType.STRING, 'leader_id', 'UTF8', None, ),  # 2
     (3, TType.I64, 'seen', None, None, ),  # 3
     (4, TType.LIST, 'notices', (TType.STRUCT, [BackendNotice, None], False), None, ),  # 4
-    (5, TType.LIST, 'crashes', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 5
+    None,  # 5
     (6, TType.DOUBLE, 'share', None, None, ),  # 6
     (7, TType.DOUBLE, 'share_s', None, None, ),  # 7
     (8, TType.I32, 'hosts', None, None, ),  # 8
@@ -2965,6 +3005,8 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'instance_id', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'age_s', None, None, ),  # 3
+    (4, TType.I64, 'started_at_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'served_age_s', None, None, ),  # 5
 )
 all_structs.append(TokensRequest)
 TokensRequest.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Mapping, Sequence
 
+from damaskvalve_gateway._crashes import ENDED, OUTLIVED, UNKNOWN, Start
 from damaskvalve_gateway._model import GONE, LEAVING, READY, Announcement
 
 # An announcement comes about every second and may be seconds late; after four of them
@@ -34,6 +35,8 @@
 # How near an adapter is to an engine.
 HOLDS, HELD_LATELY, ELSEWHERE = 0, 1, 2
 NEVER_S = -1e9
+# An announcement that arrives so soon after a run broke may have been sent before.
+ON_ITS_WAY_S = 0.5
 
 
 class Backend:
@@ -156,6 +159,8 @@
         self._backends: collections.OrderedDict[str, Backend] = (
             collections.OrderedDict()
         )
+        # The newest start that was ever announced at an address, in milliseconds.
+        self._newest_at: dict[str, int] = {}
         self.number = 0
         # Adapters come and go all the time; others are told at most this often.
         self.resident_every_s = 0.0
@@ -229,9 +234,11 @@
         backend.note_announced()
         backend.told_resident = backend.announcement.resident
         backend.told_s = backend.heard_s
-        instance_id = backend.announcement.instance_id
-        self._backends[instance_id] = backend
-        self._backends.move_to_end(instance_id)
+        held = backend.announcement
+        newest_ms = self._newest_at.get(held.address, held.started_at_ms)
+        self._newest_at[held.address] = max(newest_ms, held.started_at_ms)
+        self._backends[held.instance_id] = backend
+        self._backends.move_to_end(held.instance_id)
 
     def end(self, instance_id: str, now_s: float) -> None:
         """Note that an instance has said that it is gone."""
@@ -289,9 +296,31 @@
             if now_s - backend.heard_s > REMEMBER_GONE_S
         ]
         for instance_id in old:
-            del self._backends[instance_id]
+            held = self._backends.pop(instance_id).announcement
+            if self._newest_at.get(held.address) == held.started_at_ms:
+                del self._newest_at[held.address]
         return old
 
+    def fate(self, start: Start, since_s: float, now_s: float) -> str:
+        """Return whether a start of a backend server has outlived a time, or ended.
+
+        One that leaves by plan is not counted as ended: what it cuts off on its way out
+        is no request's fault.
+        """
+        instance_id, started_at_ms = start
+        known = self._backends.get(instance_id)
+        if known is None:
+            # Not heard of yet, as after a restart of this host, or not any more.
+            return ENDED if now_s - since_s > SILENT_S else UNKNOWN
+        held = known.announcement
+        newest_ms = self._newest_at.get(held.address, started_at_ms)
+        if max(newest_ms, held.started_at_ms) > started_at_ms:
+            return ENDED
+        if held.state != READY or known.heard_s > since_s + ON_ITS_WAY_S:
+            return OUTLIVED
+        silent = now_s - max(known.heard_s, since_s) > SILENT_S
+        return ENDED if silent else UNKNOWN
+
 
 _STATE_ORDER = {READY: 0, LEAVING: 1, GONE: 2}
 
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
@@ -0,0 +1,254 @@
+"""Keeps what is known of requests that end backend servers level on all hosts.
+
+Each host tells the leader of runs that did not end. The leader puts together what all
+hosts saw, and commits what is known of a request once two backend servers have ended
+under it: that reaches every host and survives restarts. Runs that break once, which are
+nearly all, cost one notice to the leader and nothing else.
+"""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+
+from damaskvalve_core import DecisionLog, RetryLaterError, boot_clock_s
+from damaskvalve_core.messages import (
+    Command,
+    CrashNotice,
+    RecordSuspects,
+    SuspectRecord,
+)
+from damaskvalve_gateway._crashes import (
+    NEVER_S,
+    REFUSED_AT,
+    WATCHED_AT,
+    Start,
+)
+from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._state_link import StateLink
+
+# How often the leader looks whether a verdict changes, and the least time between two
+# looks when there is news.
+SETTLE_S = 0.4
+URGENT_SETTLE_S = 0.1
+# In one command: some 15 kB, which all hosts get.
+MAX_RECORDS = 100
+# In one call to the leader.
+MAX_NOTICES = 200
+
+
+class CrashController:
+    """This host's side, and the leader's if it leads."""
+
+    def __init__(self, link: StateLink, knowledge: Knowledge, log: DecisionLog) -> None:
+        self._link = link
+        self._knowledge = knowledge
+        self._book = knowledge.crashes
+        self._log = log
+        # Set when the leader should hear of a run at once.
+        self.urgent = asyncio.Event()
+        self._changed = asyncio.Event()
+        # What the leader has not taken yet.
+        self._runs: dict[tuple[str, Start], float] = {}
+        self._served: dict[str, float] = {}
+        # Requests that ended well while all hosts refuse or watch them.
+        self._cleared: set[str] = set()
+        self._leader_id = ""
+
+    # ---- what this host sees ----
+
+    def note_unended(self, mark: str, start: Start, at_s: float) -> None:
+        """Take a run of a request that did not end."""
+        if not self._book.note(mark, start, at_s):
+            return
+        self._runs[mark, start] = at_s
+        if self._is_watched(mark):
+            self.urgent.set()
+            self._changed.set()
+
+    def note_served(self, mark: str, at_s: float) -> None:
+        """Take a run of a request that ended well."""
+        suspected = self._book.note_served(mark, at_s)
+        if suspected or mark in self._knowledge.suspicions:
+            self._served[mark] = at_s
+            self.urgent.set()
+
+    def _is_watched(self, mark: str) -> bool:
+        suspicions = self._knowledge.suspicions
+        return mark in suspicions or self._book.count(mark) >= WATCHED_AT
+
+    # ---- what the leader is told ----
+
+    def notices(self, now_s: float) -> list[CrashNotice]:
+        """Return the runs that the leader has to hear of."""
+        return [
+            CrashNotice(
+                mark,
+                instance_id,
+                now_s - at_s,
+                started_at_ms,
+                self._served_age_s(mark, now_s),
+            )
+            for (mark, (instance_id, started_at_ms)), at_s in self._next_runs()
+        ]
+
+    def _next_runs(self) -> list[tuple[tuple[str, Start], float]]:
+        return list(self._runs.items())[:MAX_NOTICES]
+
+    def _served_age_s(self, mark: str, now_s: float) -> float | None:
+        served_at_s = self._book.served_at_s(mark)
+        return None if served_at_s == NEVER_S else now_s - served_at_s
+
+    def served_ages_s(self, now_s: float) -> dict[str, float]:
+        """Return how long ago suspected requests ended well."""
+        served = list(self._served.items())[:MAX_NOTICES]
+        return {mark: now_s - at_s for mark, at_s in served}
+
+    def note_told(
+        self, notices: Sequence[CrashNotice], served: Mapping[str, float]
+    ) -> bool:
+        """Forget what the leader has taken; return whether there is more."""
+        for notice in notices:
+            start = notice.instance_id, notice.started_at_ms
+            self._runs.pop((notice.fingerprint, start), None)
+        for mark in served:
+            self._served.pop(mark, None)
+        return bool(self._runs or self._served)
+
+    def tell_again(self, now_s: float) -> None:
+        """Queue all that a new leader may lack."""
+        for mark, start, at_s in self._book.recent(now_s):
+            self._runs[mark, start] = at_s
+
+    # ---- the leader's side ----
+
+    def take(
+        self,
+        notices: Sequence[CrashNotice],
+        served: Mapping[str, float],
+        now_s: float,
+    ) -> None:
+        """Take what a host has seen."""
+        for notice in notices:
+            start = notice.instance_id, notice.started_at_ms
+            age_s = notice.served_age_s
+            served_at_s = NEVER_S if age_s is None else now_s - age_s
+            mark, at_s = notice.fingerprint, now_s - notice.age_s
+            if self._book.note(mark, start, at_s, served_at_s):
+                self._log.line("crash_counted", fingerprint=mark, backend=start[0])
+            if self._is_watched(mark):
+                self._changed.set()
+        for mark, age_s in served.items():
+            self._clear(mark, now_s - age_s)
+
+    def _clear(self, mark: str, at_s: float) -> None:
+        self._book.note_served(mark, at_s)
+        suspicion = self._knowledge.suspicions.get(mark)
+        if suspicion is not None:
+            self._cleared.add(mark)
+            self._changed.set()
+
+    def restore(self, now_s: float) -> None:
+        """Take over what was committed under earlier leaders."""
+        for mark, suspicion in self._knowledge.suspicions.items():
+            for name in suspicion.record.starts or ():
+                start = read_start(name)
+                self._book.note(mark, start, now_s)
+                if suspicion.record.quarantined:
+                    self._book.note_ended(mark, start)
+
+    def changes(self, now_s: float) -> Sequence[SuspectRecord]:
+        """Return the records that should be committed, the gravest first."""
+        held = self._knowledge.suspicions
+        changed = []
+        for mark in {*held, *self._book.watched()}:
+            record = self._judge(mark, now_s)
+            known = held.get(mark)
+            if record != (known.record if known else _sound(mark)):
+                changed.append(record)
+        changed.sort(key=lambda item: (not item.refused, item.fingerprint))
+        return changed[:MAX_RECORDS]
+
+    def _judge(self, mark: str, now_s: float) -> SuspectRecord:
+        known = self._knowledge.suspicions.get(mark)
+        if mark in self._cleared:
+            return _sound(mark)
+        if known is not None and known.record.quarantined:
+            if known.left_s(now_s) > 0:
+                return known.record
+            # One more run, and it is in quarantine again.
+            self._book.keep(mark, REFUSED_AT - 1)
+        count = self._book.count(mark)
+        if count < WATCHED_AT:
+            return _sound(mark)
+        names = sorted(start_name(start) for start in self._book.starts(mark))
+        refused = self._book.is_refused(mark)
+        return SuspectRecord(mark, count, self._book.is_proved(mark), names, refused)
+
+    # ---- as long as the host runs ----
+
+    async def run(self) -> None:
+        """Settle what is open, and as the leader commit what changes."""
+        while True:
+            now_s = boot_clock_s()
+            table = self._knowledge.backends
+            self._book.settle(
+                lambda start, since_s: table.fate(start, since_s, now_s), now_s
+            )
+            if self._link.leads(now_s):
+                await self._lead(now_s)
+            await asyncio.sleep(URGENT_SETTLE_S)
+            try:
+                async with asyncio.timeout(SETTLE_S - URGENT_SETTLE_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+            self._changed.clear()
+
+    async def _lead(self, now_s: float) -> None:
+        leader_id = self._link.status().leader_id
+        if leader_id != self._leader_id:
+            self._leader_id = leader_id
+            self.restore(now_s)
+        self._runs.clear()
+        for mark, at_s in self._served.items():
+            self._clear(mark, at_s)
+        self._served.clear()
+        records = self.changes(now_s)
+        if not records:
+            self._cleared.clear()
+            return
+        try:
+            command = Command(record_suspects=RecordSuspects(list(records)))
+            await self._link.commit(command)
+        except RetryLaterError as error:
+            self._log.line("suspects_not_recorded", reason=str(error))
+            return
+        self._cleared.difference_update(item.fingerprint for item in records)
+        for item in records:
+            self._log.line(
+                "request_suspected" if item.crashes else "request_cleared",
+                fingerprint=item.fingerprint,
+                crashes=item.crashes,
+                refused=bool(item.refused),
+                proved=item.quarantined,
+                starts=item.starts or "",
+            )
+
+
+def _sound(mark: str) -> SuspectRecord:
+    """Return the record that takes a suspicion away."""
+    return SuspectRecord(mark, 0, False)
+
+
+def start_name(start: Start) -> str:
+    """Return a start as it is committed."""
+    instance_id, started_at_ms = start
+    return f"{started_at_ms}/{instance_id}"
+
+
+def read_start(name: str) -> Start:
+    """Return the start that :func:`start_name` names."""
+    started_at_ms, _, instance_id = name.partition("/")
+    return instance_id, int(started_at_ms)
+
+
+__all__ = ["CrashController", "read_start", "start_name"]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
@@ -1,63 +1,233 @@
-"""Requests that crash the backend servers that run them.
+"""Requests that end the backend servers that run them.
 
-Such a request comes again under another id, so it is known by workspace, path and
-body. Each broken run counts against it, at most once for each instance; what other
-hosts have seen arrives through the leader.
+Such a request comes again under another id, so it is known by workspace, target, model
+and body. A run that did not end counts against it for as long as the backend server is
+not known to have outlived that run. A run that ends well takes all of it back, and a
+request that was only there when another one ended a backend server is not blamed.
 """
 
 import collections
 import hashlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
-# A run that breaks may be an accident of the connection; so many broken runs on
-# different instances are not.
+from damaskvalve_gateway._model import CallerRequest
+
+#: One start of a backend server: its id and when it started, in milliseconds.
+Start = tuple[str, int]
+
+# What is known of a backend server after a run on it did not end.
+ENDED = "ended"
+OUTLIVED = "outlived"
+UNKNOWN = "unknown"
+
+#: Returns the fate of a start since a time.
+FateOf = Callable[[Start, float], str]
+
+# A run that does not end may be an accident; so many on different starts are not.
 REFUSED_AT = 3
-# Long enough for a caller's repeats, short enough that an innocent is forgiven.
-REMEMBER_S = 90.0
+# The same for a request that ended well a short while before: many callers send it, so
+# it runs wherever another request ends a backend server.
+REFUSED_AT_IF_SERVED = 6
+SERVED_S = 60.0
+# Company is no excuse beyond so many more: the platform allows three runs more.
+EXCUSED_RUNS = 2
+# So many are told to all hosts and survive restarts; most broken runs stay alone.
+WATCHED_AT = 2
+# A run is forgotten after this. Longer than a quarantine, so that the first run after
+# it is not the first of three.
+REMEMBER_S = 3600.0
 MAX_FINGERPRINTS = 4_000
-# How long until a refused one may be tried again.
-COME_BACK_S = 30.0
+MAX_SERVED = 4_000
+NEVER_S = float("-inf")
 
 
-def fingerprint(workspace: str, path: str, body: bytes) -> str:
+def fingerprint(workspace: str, request: CallerRequest) -> str:
     """Return what identifies a request that is sent again under another id."""
     digest = hashlib.blake2b(digest_size=12)
-    for part in (workspace.encode(), path.encode(), body):
+    for part in (
+        workspace.encode(),
+        request.method.encode(),
+        request.target.encode(),
+        request.model.encode(),
+        request.adapter.encode(),
+        request.body,
+    ):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
 
 
+class _Record:
+    """The runs of one request that did not end."""
+
+    __slots__ = ("runs", "ended", "served_at_s")
+
+    def __init__(self) -> None:
+        # When each was noticed, by the start that it ran on.
+        self.runs: dict[Start, float] = {}
+        # Starts that are proved to have ended.
+        self.ended: set[Start] = set()
+        # When the request last ended well anywhere.
+        self.served_at_s = NEVER_S
+
+
 class CrashBook:
-    """Counts broken runs by fingerprint."""
+    """Counts the runs that did not end, by fingerprint and start."""
 
     def __init__(self) -> None:
-        self._seen: collections.OrderedDict[str, dict[str, float]] = (
-            collections.OrderedDict()
+        # In the order of their newest run.
+        self._records: collections.OrderedDict[str, _Record] = collections.OrderedDict()
+        self._by_start: dict[Start, set[str]] = {}
+        self._served: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    # ---- what happened ----
+
+    def note(
+        self, mark: str, start: Start, at_s: float, served_at_s: float = NEVER_S
+    ) -> bool:
+        """Count a run that did not end; False if it was counted before.
+
+        ``served_at_s`` is when another host that noticed it last saw the request end
+        well.
+        """
+        record = self._records.setdefault(mark, _Record())
+        self._records.move_to_end(mark)
+        record.served_at_s = max(
+            record.served_at_s, served_at_s, self.served_at_s(mark)
         )
+        if start in record.runs:
+            return False
+        record.runs[start] = at_s
+        self._by_start.setdefault(start, set()).add(mark)
+        if len(self._records) > MAX_FINGERPRINTS:
+            self._drop_oldest()
+        return True
+
+    def note_ended(self, mark: str, start: Start) -> None:
+        """Note that a start is proved to have ended."""
+        record = self._records.get(mark)
+        if record is not None and start in record.runs:
+            record.ended.add(start)
 
-    def note(self, mark: str, instance_id: str, at_s: float) -> bool:
-        """Count a broken run; False if it was counted before."""
-        instances = self._seen.setdefault(mark, {})
-        self._seen.move_to_end(mark)
-        if len(self._seen) > MAX_FINGERPRINTS:
-            self._seen.popitem(last=False)
-        if instance_id in instances:
+    def note_served(self, mark: str, at_s: float) -> bool:
+        """Take back what was counted before a run ended well; False if nothing was."""
+        self._served[mark] = at_s
+        self._served.move_to_end(mark)
+        if len(self._served) > MAX_SERVED:
+            self._served.popitem(last=False)
+        record = self._records.get(mark)
+        if record is None:
             return False
-        instances[instance_id] = at_s
+        record.served_at_s = max(record.served_at_s, at_s)
+        for start, noticed_s in list(record.runs.items()):
+            if noticed_s <= at_s:
+                self._drop(mark, start)
         return True
 
-    def is_refused(self, mark: str, now_s: float) -> bool:
-        """Return whether a request has broken too many runs of late."""
-        instances = self._seen.get(mark)
-        if not instances:
+    def forget(self, mark: str) -> None:
+        """Take back all that was counted against a request."""
+        record = self._records.get(mark)
+        if record is not None:
+            self.keep(mark, 0)
+
+    def keep(self, mark: str, runs: int) -> None:
+        """Keep only the newest runs of a request."""
+        record = self._records[mark]
+        for start in list(record.runs)[: max(0, len(record.runs) - runs)]:
+            self._drop(mark, start)
+
+    def settle(self, fate_of: FateOf, now_s: float) -> None:
+        """Take back runs that their backend servers have outlived, and old ones."""
+        for mark, record in list(self._records.items()):
+            for start, at_s in list(record.runs.items()):
+                if now_s - at_s > REMEMBER_S:
+                    self._drop(mark, start)
+                    continue
+                fate = fate_of(start, at_s)
+                if fate == ENDED:
+                    record.ended.add(start)
+                elif fate == OUTLIVED and start not in record.ended:
+                    self._drop(mark, start)
+
+    def _drop(self, mark: str, start: Start) -> None:
+        record = self._records[mark]
+        del record.runs[start]
+        record.ended.discard(start)
+        marks = self._by_start[start]
+        marks.discard(mark)
+        if not marks:
+            del self._by_start[start]
+        if not record.runs:
+            del self._records[mark]
+
+    def _drop_oldest(self) -> None:
+        """Forget a request; those that are watched go after all others."""
+        alone = (
+            mark
+            for mark, record in self._records.items()
+            if len(record.runs) < WATCHED_AT
+        )
+        self.forget(next(alone, next(iter(self._records))))
+
+    # ---- what follows ----
+
+    def count(self, mark: str) -> int:
+        """Return on how many starts a request has not ended."""
+        record = self._records.get(mark)
+        return len(record.runs) if record is not None else 0
+
+    def starts(self, mark: str) -> Sequence[Start]:
+        """Return the starts on which a request has not ended."""
+        record = self._records.get(mark)
+        return list(record.runs) if record is not None else ()
+
+    def served_at_s(self, mark: str) -> float:
+        """Return when a request last ended well at this host."""
+        return self._served.get(mark, NEVER_S)
+
+    def watched(self) -> Sequence[str]:
+        """Return the requests that all hosts should know of."""
+        return [
+            mark
+            for mark, record in self._records.items()
+            if len(record.runs) >= WATCHED_AT
+        ]
+
+    def is_refused(self, mark: str) -> bool:
+        """Return whether a request is to be blamed, also before that is proved."""
+        record = self._records.get(mark)
+        return record is not None and self._is_blamed(mark, record, record.runs)
+
+    def is_proved(self, mark: str) -> bool:
+        """Return whether a request is to be blamed by proved ends alone."""
+        record = self._records.get(mark)
+        return record is not None and self._is_blamed(mark, record, record.ended)
+
+    def _is_blamed(self, mark: str, record: _Record, starts: Iterable[Start]) -> bool:
+        found = list(starts)
+        if not found:
             return False
-        recent = sum(now_s - at_s < REMEMBER_S for at_s in instances.values())
-        return recent >= REFUSED_AT
+        first_s = min(record.runs.values())
+        served = first_s - record.served_at_s < SERVED_S
+        limit = REFUSED_AT_IF_SERVED if served else REFUSED_AT
+        if len(found) >= limit + EXCUSED_RUNS:
+            return True
+        blamed = sum(not self._has_excuse(mark, record, start) for start in found)
+        return blamed >= limit
+
+    def _has_excuse(self, mark: str, record: _Record, start: Start) -> bool:
+        """Return whether another request was there that ends them without this one."""
+        for other in self._by_start[start]:
+            if other == mark:
+                continue
+            elsewhere = self._records[other].runs.keys() - record.runs.keys()
+            if len(elsewhere) >= REFUSED_AT - 1:
+                return True
+        return False
 
-    def recent(self, now_s: float) -> Iterator[tuple[str, str, float]]:
-        """Yield the fingerprint, the instance and the time of each counted run."""
-        for mark, instances in self._seen.items():
-            for instance_id, at_s in instances.items():
+    def recent(self, now_s: float) -> Iterator[tuple[str, Start, float]]:
+        """Yield the fingerprint, the start and the time of each counted run."""
+        for mark, record in self._records.items():
+            for start, at_s in record.runs.items():
                 if now_s - at_s < REMEMBER_S:
-                    yield mark, instance_id, at_s
+                    yield mark, start, at_s
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -16,7 +16,8 @@
 from damaskvalve_core.http import BackendPool, Incoming, Responder
 from damaskvalve_gateway._backends import Backend
 from damaskvalve_gateway._choice import order_engines, order_plain
-from damaskvalve_gateway._crashes import COME_BACK_S, fingerprint
+from damaskvalve_gateway._crash_controller import CrashController
+from damaskvalve_gateway._crashes import fingerprint
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._knowledge import Knowledge
@@ -29,6 +30,7 @@
 )
 from damaskvalve_gateway._overload import ComeBackQueue
 from damaskvalve_gateway._permits import Permit, PermitDesk
+from damaskvalve_gateway._quarantine import check_quarantine
 from damaskvalve_gateway._rate import RateFilter
 from damaskvalve_gateway._retries import RetryAllowance
 from damaskvalve_gateway._send import (
@@ -49,8 +51,6 @@
 # Sends of one request that backend servers may turn down before it is refused.
 MAX_TURNED_DOWN = 3
 
-#: Tells the other hosts of a broken run.
-TellCrash = Callable[[str, str], None]
 #: Takes a backend server out of choice, here and at the other hosts.
 NoteLeaving = Callable[[Backend], None]
 
@@ -66,7 +66,7 @@
         permits: PermitDesk,
         rate: RateFilter,
         retries: RetryAllowance,
-        tell_crash: TellCrash,
+        crashes: CrashController,
         note_leaving: NoteLeaving,
         data_centre: str,
         log: DecisionLog,
@@ -78,7 +78,7 @@
         self._permits = permits
         self._rate = rate
         self._retries = retries
-        self._tell_crash = tell_crash
+        self._crashes = crashes
         self._note_leaving = note_leaving
         self._come_back = ComeBackQueue()
         self._began_s = boot_clock_s()
@@ -148,18 +148,20 @@
             raise RefusedError(404, "no_route", "no route matches host and path")
         workspace = self._authenticate(configuration, route, request)
         name = workspace.name if workspace else ""
-        mark = fingerprint(name, request.path, request.body)
-        if request.body and self._knowledge.crashes.is_refused(mark, arrived_s):
-            raise RefusedError(
-                503,
-                "crashing_request",
-                f"request {mark} has crashed the backend servers that ran it",
-                retry_after_s=COME_BACK_S,
-            )
+        mark = fingerprint(name, request)
+        self._check_quarantine(mark)
         point = xxhash.xxh32_intdigest(request.request_id.encode()) / 2**32
         service = configuration.services[route.choose_service(point)]
         return Exchange(request, route, workspace, service, responder, arrived_s, mark)
 
+    def _check_quarantine(self, mark: str) -> None:
+        """Raise :class:`RefusedError` if a request would end a backend server.
+
+        Asked again before each send: others may have sent it during any wait.
+        """
+        knowledge = self._knowledge
+        check_quarantine(mark, knowledge.crashes, knowledge.suspicions, boot_clock_s())
+
     def _start_retry_s(self, now_s: float, needs_engine: bool) -> float:
         """Return when to come back for want of something that others tell a host."""
         return come_back_s(self._began_s, now_s, needs_engine=needs_engine)
@@ -253,11 +255,6 @@
 
     def _note_broken(self, exchange: Exchange, send: "_Attempt") -> None:
         self._metrics.note_broken_run()
-        if exchange.request.body:
-            now_s = boot_clock_s()
-            instance_id = send.instance_id
-            if self._knowledge.crashes.note(exchange.fingerprint, instance_id, now_s):
-                self._tell_crash(exchange.fingerprint, instance_id)
         self._log.line(
             "broken_run",
             request=exchange.request.request_id,
@@ -317,7 +314,11 @@
         name = f"{request.model}/{request.adapter}"
         version = self._knowledge.adapter_versions.get(name, 0)
         ranked = order_engines(candidates, name, boot_clock_s())
-        permits = self._permits.permit(exchange, ranked, version, engine)
+
+        def check() -> None:
+            self._check_quarantine(exchange.fingerprint)
+
+        permits = self._permits.permit(exchange, ranked, version, engine, check)
         async with permits as permit:
             attempt = await self._send(exchange, permit)
             permit.release(attempt.outcome)
@@ -335,7 +336,19 @@
             permit.note_started,
             self._note_leaving,
         )
-        outcome = await send.run()
+        self._check_quarantine(exchange.fingerprint)
+        started_at_ms = backend.announcement.started_at_ms
+        try:
+            outcome = await send.run()
+        finally:
+            # Also when the caller has left or the deadline has passed: the backend
+            # server may have ended without a word.
+            start = exchange.backend, started_at_ms
+            now_s = boot_clock_s()
+            if send.is_running:
+                self._crashes.note_unended(exchange.fingerprint, start, now_s)
+            elif send.ended_well:
+                self._crashes.note_served(exchange.fingerprint, now_s)
         return _Attempt(outcome, exchange.backend, send.reason, send.failure)
 
     # ---- records ----
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_knowledge.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_knowledge.py
@@ -5,6 +5,7 @@
 from damaskvalve_gateway._backends import BackendTable
 from damaskvalve_gateway._crashes import CrashBook
 from damaskvalve_gateway._model import GatewayConfiguration
+from damaskvalve_gateway._quarantine import Suspicion
 
 # Hosts that are assumed until the leader has said how many there are.
 ASSUMED_HOSTS = 8
@@ -21,7 +22,10 @@
         # Newest versions by adapter, as far as operators have named one.
         self.adapter_versions: Mapping[str, int] = {}
         self.backends = BackendTable()
+        # What this host has seen itself, and as the leader what all have.
         self.crashes = CrashBook()
+        # What was committed about requests that end backend servers.
+        self.suspicions: Mapping[str, Suspicion] = {}
         self.hosts = ASSUMED_HOSTS
         # Every host that may hold a part of the rates, as it was committed.
         self.registered_hosts: frozenset[str] = frozenset()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_desk.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_desk.py
@@ -1,14 +1,13 @@
 """The leader's side of what hosts tell each other, and of lending tokens."""
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
 from damaskvalve_core import DecisionLog, RetryLaterError, boot_clock_s
 from damaskvalve_core.calls import Call
 from damaskvalve_core.messages import (
     ConfirmReply,
     ConfirmRequest,
-    CrashNotice,
     Problem,
     ProposeReply,
     ProposeRequest,
@@ -17,6 +16,7 @@
     TokensReply,
     TokensRequest,
 )
+from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._knowledge import Knowledge
 from damaskvalve_gateway._model import Workspace
 from damaskvalve_gateway._notices import from_notice, to_notice
@@ -35,9 +35,6 @@
 # Notices in one message: at most some 80 kB with 20 adapters each, which a link of
 # 5 Mbit/s carries well within the time-out.
 MAX_NOTICES = 200
-# Crashes are repeated in replies for this long, so that each host hears of them over
-# a few lost calls.
-REPEAT_CRASHES_S = 3.0
 # A host that has not called for so long is not counted any more.
 HOST_SILENT_S = SHARE_LEASE_S
 # Hosts that call at nearly the same time are told the same of silent backend servers.
@@ -55,6 +52,7 @@
         link: StateLink,
         knowledge: Knowledge,
         own_quota: HostQuota,
+        crashes: CrashController,
         log: DecisionLog,
     ) -> None:
         self._settings = settings
@@ -62,6 +60,7 @@
         self._knowledge = knowledge
         # This host's own part, which it lends whether it leads or not.
         self._own_quota = own_quota
+        self._crashes = crashes
         self._log = log
         self._leader_id = ""
         self._quota = LeaderQuota(settings.quota_slack, 0.0)
@@ -148,11 +147,6 @@
         else:
             self._own_quota.give_back(workspace, tokens, now_s)
 
-    def note_crash(self, mark: str, instance_id: str, at_s: float) -> None:
-        """Count a broken run."""
-        if self._knowledge.crashes.note(mark, instance_id, at_s):
-            self._log.line("crash_counted", fingerprint=mark, backend=instance_id)
-
     async def answer(self, request: object, call: Call) -> None:
         """Answer one call of a host or an agent."""
         if isinstance(request, SyncRequest):
@@ -169,15 +163,14 @@
     def _sync(self, request: SyncRequest) -> SyncReply:
         now_s = boot_clock_s()
         if not self._link.leads(now_s):
-            return SyncReply(self._link.leader_address(), "", 0, [], [], 0.0, 0.0, 0)
+            return SyncReply(self._link.leader_address(), "", 0, [], 0.0, 0.0, 0)
         self._standing(now_s)
         backends = self._knowledge.backends
         backends.resident_every_s = RESIDENT_S_PER_HOST * self.hosts(now_s)
         for notice in request.notices:
             announcement = from_notice(notice, backends.find(notice.instance_id))
             backends.take(announcement, now_s - notice.age_s)
-        for crash in request.crashes:
-            self.note_crash(crash.fingerprint, crash.instance_id, now_s - crash.age_s)
+        self._crashes.take(request.crashes, request.served or {}, now_s)
         share, lease_s = self.grant_share(request.host_address, request.share, now_s)
         seen = request.seen if request.leader_id == self._leader_id else 0
         news = backends.changed_since(seen)
@@ -188,7 +181,6 @@
             self._leader_id,
             told[-1].changed if told else backends.number,
             [to_notice(item, now_s, brief=more or not seen) for item in told],
-            self._recent_crashes(now_s),
             share,
             lease_s,
             self.hosts(now_s),
@@ -203,13 +195,6 @@
             self._silent_at_s = now_s
         return self._silent_ids
 
-    def _recent_crashes(self, now_s: float) -> Sequence[CrashNotice]:
-        return [
-            CrashNotice(mark, instance_id, now_s - at_s)
-            for mark, instance_id, at_s in self._knowledge.crashes.recent(now_s)
-            if now_s - at_s < REPEAT_CRASHES_S
-        ]
-
     def _tokens(self, request: TokensRequest) -> TokensReply:
         """Lend what this host has, and as the leader what the others have not."""
         now_s = boot_clock_s()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
@@ -99,9 +99,12 @@
         candidates: Sequence[Backend],
         version: int,
         engine: EngineSpec,
+        check: Callable[[], None],
     ) -> AsyncIterator[Permit]:
         """Yield a permit; raises :class:`RefusedError` if no engine takes the request.
 
+        ``check`` raises it too, as soon as the request need not wait any longer.
+
         The first candidates are asked for a prompt start, then the one with the
         shortest wait that still leaves time for an answer, then the others.
         """
@@ -110,7 +113,7 @@
 
             async def ask(backend: Backend, wait_s: float) -> Permit | None:
                 return await self._ask(
-                    stack, exchange, backend, version, engine, wait_s, predicted
+                    stack, exchange, backend, version, engine, wait_s, predicted, check
                 )
 
             permit = await self._first_of(exchange, candidates, predicted, ask)
@@ -151,6 +154,7 @@
         engine: EngineSpec,
         wait_s: float,
         predicted: dict[str, float],
+        check: Callable[[], None],
     ) -> Permit | None:
         agent = self._agent_of(backend)
         if boot_clock_s() < self._silent_until_s.get(agent, 0.0):
@@ -180,7 +184,7 @@
             call = await own.enter_async_context(self._caller.open(agent, ask))
             reply = await self._first_reply(call)
             if reply.reason == QUEUED:
-                reply = await self._turn(call, backend)
+                reply = await self._turn(call, backend, check)
             if not backend.takes_work(boot_clock_s()):
                 raise ChannelError("the backend server takes no work any more")
         except (ChannelError, TimeoutError) as error:
@@ -207,11 +211,14 @@
             return reply
 
     @staticmethod
-    async def _turn(call: Call, backend: Backend) -> AdmitReply:
+    async def _turn(
+        call: Call, backend: Backend, check: Callable[[], None]
+    ) -> AdmitReply:
         """Wait for the request's turn, as long as the backend server takes work."""
         receiving = asyncio.ensure_future(call.receive())
         try:
             while not receiving.done():
+                check()
                 if not backend.takes_work(boot_clock_s()):
                     raise ChannelError("the backend server takes no work any more")
                 await asyncio.wait((receiving,), timeout=LEAVING_LOOK_S)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -26,6 +26,7 @@
 )
 from damaskvalve_core.metrics import CONTENT_TYPE
 from damaskvalve_gateway._control_desk import ControlDesk
+from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._gateway import Gateway
 from damaskvalve_gateway._knowledge import Knowledge
@@ -149,8 +150,9 @@
     caller = Caller(settings.identity, settings.bind_ip)
     link = StateLink(settings, group, caller, knowledge, dialect, log)
     quota = HostQuota(settings.quota_slack, began_s)
-    desk = LeaderDesk(settings, link, knowledge, quota, log)
-    sync = SyncController(settings, link, knowledge, quota, desk, log)
+    crashes = CrashController(link, knowledge, log)
+    desk = LeaderDesk(settings, link, knowledge, quota, crashes, log)
+    sync = SyncController(settings, link, knowledge, quota, desk, crashes, log)
     control = ControlDesk(dialect, link, sync, knowledge, log)
     metrics = GatewayMetrics(settings.name, knowledge, quota, link, log)
     terms = settings.retries
@@ -163,7 +165,7 @@
             PermitDesk(caller, settings.agent_port),
             RateFilter(quota, sync.ask_tokens, sync.return_tokens),
             RetryAllowance(terms.ratio, terms.slack, terms.window_s),
-            sync.tell_crash,
+            crashes,
             sync.note_leaving,
             settings.data_centre,
             log,
@@ -194,6 +196,7 @@
         tasks = [
             loop.create_task(link.watch()),
             loop.create_task(sync.run()),
+            loop.create_task(crashes.run()),
             loop.create_task(_load_metrics(metrics)),
             loop.create_task(_watch_suspension(pool, caller, log)),
         ]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
@@ -86,6 +86,10 @@
         self._note_leaving = note_leaving
         self.failure: Failure | None = None
         self.reason = ""
+        # Whether the request may be running: it was sent, and no whole reply has come.
+        self.is_running = False
+        # Whether the request has run to a good end.
+        self.ended_well = False
 
     async def run(self) -> str:
         """Send the request; return what became of it."""
@@ -135,6 +139,7 @@
         exchange.sends += 1
         exchange.runs += 1
         exchange.tried.add(instance_id)
+        self.is_running = True
         connection.send(request.method, request.target, headers, request.body)
         head = await self._head(connection, began_s)
         mark = self._dialect.read_reply(head.status, head.headers)
@@ -146,6 +151,7 @@
             raise BackendFailedError("the reply belongs to another request")
         self._take_wishes(head, mark)
         if mark.not_run:
+            self.is_running = False
             exchange.runs -= 1
             await self._skip_refusal(connection, head)
             self.reason = f"status {head.status}, not run"
@@ -155,8 +161,17 @@
         if exchange.route.kind == STREAMING and 200 <= head.status < 300:
             return await self._relay_stream(connection, head, began_s)
         body = await self._whole(connection, head)
+        self._note_end(head)
         return await self._relay_whole(head, body, began_s)
 
+    def _note_end(self, head: ReplyHead) -> None:
+        """Note that the reply is whole.
+
+        Other statuses than success may come from before the request has run.
+        """
+        self.is_running = False
+        self.ended_well = 200 <= head.status < 300
+
     def _take_wishes(self, head: ReplyHead, mark: ReplyMark) -> None:
         """Act on what a backend server says of further requests."""
         if head.status == MISDIRECTED:
@@ -261,6 +276,7 @@
             watch = StallWatch(pause_limit_s(exchange), boot_clock_s())
         if splitter.has_part():
             raise BackendFailedError("the stream ends inside an event")
+        self._note_end(head)
         now_s = boot_clock_s()
         connection.complete(head, now_s)
         instance_id = self._backend.announcement.instance_id
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
@@ -19,9 +19,11 @@
     ConfirmRequest,
     DocumentRecord,
     ProposeRequest,
+    SuspectRecord,
 )
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._knowledge import Knowledge
+from damaskvalve_gateway._quarantine import renewed
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_state import Group, GroupNode, NodeStatus
 
@@ -57,6 +59,8 @@
         self._loop = asyncio.get_running_loop()
         self._version = -1
         self._hosts_version = 0
+        # Of what the actor of the group has handed over last.
+        self._suspects_version = -1
         self.applied_index = 0
 
     def status(self) -> NodeStatus:
@@ -106,6 +110,19 @@
         self._loop.call_soon_threadsafe(
             self._take, document, hosts, versions, node.applied_index
         )
+        if node.machine.suspects_version != self._suspects_version:
+            self._suspects_version = node.machine.suspects_version
+            suspects = dict(node.machine.suspects)
+            self._loop.call_soon_threadsafe(self._take_suspects, suspects)
+
+    def _take_suspects(self, records: dict[str, SuspectRecord]) -> None:
+        knowledge = self._knowledge
+        now_s = boot_clock_s()
+        if not self.leads(now_s):
+            # The leader knows more than what this host has counted itself.
+            for mark in knowledge.suspicions.keys() - records.keys():
+                knowledge.crashes.forget(mark)
+        knowledge.suspicions = renewed(knowledge.suspicions, records, now_s)
 
     def _take(
         self, document: Any, hosts: Any, versions: dict[str, int], index: int
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 
 from damaskvalve_core import ChannelError, DecisionLog, RetryLaterError, boot_clock_s
-from damaskvalve_core.messages import CrashNotice, SyncReply, SyncRequest
+from damaskvalve_core.messages import SyncReply, SyncRequest
 from damaskvalve_gateway._backends import VOUCHED_S, Backend
+from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._knowledge import Knowledge
 from damaskvalve_gateway._leader_desk import MAX_NOTICES, LeaderDesk
 from damaskvalve_gateway._lending import TokenAsk, TokenAsker
@@ -23,6 +25,8 @@
 # A fifth of the shortest bound within which all hosts have to stop using a backend
 # server that leaves.
 SYNC_S = 0.4
+# The least time between two calls when there is urgent news.
+URGENT_SYNC_S = 0.1
 # The same while no leader answers; as long as none is known nothing is sent.
 LEADERLESS_S = 0.1
 SYNC_TIMEOUT_S = 0.8
@@ -38,6 +42,7 @@
         knowledge: Knowledge,
         quota: HostQuota,
         desk: LeaderDesk,
+        crashes: CrashController,
         log: DecisionLog,
     ) -> None:
         self._settings = settings
@@ -45,6 +50,7 @@
         self._knowledge = knowledge
         self._quota = quota
         self._desk = desk
+        self._crashes = crashes
         self._log = log
         self._address = settings.call_address(settings.group_address)
         self._asker = TokenAsker(self._address, link.ask_host, log)
@@ -52,7 +58,6 @@
         self._seen = 0
         # What the leader has not taken yet, by instance.
         self._outbox: dict[str, Backend] = {}
-        self._crashes: list[tuple[str, str, float]] = []
         self._lock = asyncio.Lock()
         # Whether the leader has more to tell, or this host to send.
         self._more = False
@@ -98,10 +103,6 @@
         if backend is not None:
             self._outbox[instance_id] = backend
 
-    def tell_crash(self, mark: str, instance_id: str) -> None:
-        """Queue a broken run for the other hosts."""
-        self._crashes.append((mark, instance_id, boot_clock_s()))
-
     async def run(self) -> None:
         """Call the leader again and again."""
         connected = False
@@ -118,7 +119,14 @@
             if not connected:
                 await asyncio.sleep(LEADERLESS_S)
             elif not self._more:
-                await asyncio.sleep(SYNC_S)
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait for the next call to the leader, or for urgent news."""
+        await asyncio.sleep(URGENT_SYNC_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SYNC_S - URGENT_SYNC_S):
+                await self._crashes.urgent.wait()
 
     async def sync_now(self) -> None:
         """Exchange with the leader once; raises :class:`RetryLaterError`."""
@@ -133,9 +141,7 @@
     def _lead(self, now_s: float) -> None:
         self._more = False
         self._outbox.clear()
-        for mark, instance_id, at_s in self._crashes:
-            self._desk.note_crash(mark, instance_id, at_s)
-        self._crashes.clear()
+        self._crashes.urgent.clear()
         self._leader_id = self._link.status().leader_id
         share, lease_s = self._desk.grant_share(
             self._address, self._quota.share_now(now_s), now_s
@@ -150,21 +156,23 @@
             # A new leader may lack what the one before was told.
             for backend in self._knowledge.backends.worth_repeating(now_s):
                 self._outbox[backend.announcement.instance_id] = backend
-            for mark, instance_id, at_s in self._knowledge.crashes.recent(now_s):
-                self._crashes.append((mark, instance_id, at_s))
+            self._crashes.tell_again(now_s)
         sent = dict(itertools.islice(self._outbox.items(), MAX_NOTICES))
         told = {key: backend.announcement for key, backend in sent.items()}
         if now_s - self._knowledge.contact_s > VOUCHED_S:
             # What was vouched for meanwhile was not heard here.
             self._seen = 0
-        crashes = list(self._crashes)
+        self._crashes.urgent.clear()
+        crashes = self._crashes.notices(now_s)
+        served = self._crashes.served_ages_s(now_s)
         request = SyncRequest(
             self._address,
             self._leader_id,
             self._seen,
             [to_notice(backend, now_s) for backend in sent.values()],
-            [CrashNotice(mark, name, now_s - at_s) for mark, name, at_s in crashes],
+            crashes,
             self._quota.share_now(now_s),
+            served,
         )
         reply = await self._link.ask_leader(request, SYNC_TIMEOUT_S)
         if not reply.leader_id:
@@ -173,9 +181,9 @@
             held = self._outbox.get(key)
             if held is not None and held.announcement is announcement:
                 del self._outbox[key]
-        del self._crashes[: len(crashes)]
+        unsaid = self._crashes.note_told(crashes, served)
         self._take_reply(reply, now_s)
-        self._more = bool(reply.more or len(self._outbox) >= MAX_NOTICES)
+        self._more = bool(reply.more or len(self._outbox) >= MAX_NOTICES or unsaid)
 
     def _take_reply(self, reply: SyncReply, asked_s: float) -> None:
         self._leader_id = reply.leader_id
@@ -186,9 +194,6 @@
             announcement = from_notice(notice, backends.find(notice.instance_id))
             backends.take(announcement, now_s - notice.age_s)
         backends.vouch(reply.silent or {}, now_s)
-        for crash in reply.crashes:
-            at_s = now_s - crash.age_s
-            self._knowledge.crashes.note(crash.fingerprint, crash.instance_id, at_s)
         # The lease counts from before the leader granted it.
         self._quota.renew(reply.share, asked_s + reply.share_s, now_s)
         self._knowledge.hosts = reply.hosts
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
@@ -1,4 +1,4 @@
-"""Retries, crash counts, events, routes and the order of candidates."""
+"""Retries, events, routes and the order of candidates."""
 
 import unittest
 
@@ -14,7 +14,6 @@
     BackendTable,
 )
 from damaskvalve_gateway._choice import order_engines, order_plain
-from damaskvalve_gateway._crashes import REFUSED_AT, CrashBook, fingerprint
 from damaskvalve_gateway._events import EventSplitter, first_event_id
 from damaskvalve_gateway._model import (
     READY,
@@ -70,36 +69,6 @@
         self.assertTrue(allowance.take("s", 8, 10.1))
 
 
-class CrashTests(unittest.TestCase):
-    def test_a_request_is_refused_after_crashing_enough_instances(self):
-        """Known by workspace, path and body, whatever its id."""
-        book = CrashBook()
-        mark = fingerprint("w", "/p", b"body")
-        for number in range(REFUSED_AT):
-            self.assertFalse(book.is_refused(mark, 1.0))
-            book.note(mark, f"i-{number}", 1.0)
-        self.assertTrue(book.is_refused(mark, 1.0))
-        self.assertFalse(book.is_refused(fingerprint("w", "/p", b"other"), 1.0))
-
-    def test_one_instance_counts_once(self):
-        """Several hosts report the same broken run."""
-        book = CrashBook()
-        for _ in range(10):
-            book.note("m", "i-1", 1.0)
-        self.assertFalse(book.is_refused("m", 1.0))
-
-    def test_an_old_crash_is_forgiven(self):
-        """An innocent request that met accidents is served again."""
-        book = CrashBook()
-        for number in range(REFUSED_AT):
-            book.note("m", f"i-{number}", 1.0)
-        self.assertFalse(book.is_refused("m", 500.0))
-
-    def test_parts_of_a_fingerprint_do_not_run_together(self):
-        """A body that begins like another's path is another request."""
-        self.assertNotEqual(fingerprint("a", "b", b"c"), fingerprint("ab", "", b"c"))
-
-
 class EventTests(unittest.TestCase):
     STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 9))
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
@@ -5,6 +5,7 @@
 import unittest
 
 from damaskvalve_core import boot_clock_s
+from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._knowledge import Knowledge
 from damaskvalve_gateway._leader_desk import MAX_NOTICES, LeaderDesk
 from damaskvalve_gateway._model import LEAVING, READY, Announcement
@@ -66,9 +67,12 @@
         self.knowledge.registered_hosts = frozenset(f"10.0.0.{n}:2" for n in range(9))
         log = FakeLog()
         quota = HostQuota(SLACK, boot_clock_s())
-        self.desk = LeaderDesk(settings, self.link, self.knowledge, quota, log)
+        self.crashes = CrashController(self.link, self.knowledge, log)
+        self.desk = LeaderDesk(
+            settings, self.link, self.knowledge, quota, self.crashes, log
+        )
         self.sync = SyncController(
-            settings, self.link, self.knowledge, quota, self.desk, log
+            settings, self.link, self.knowledge, quota, self.desk, self.crashes, log
         )
 
     def exchange(self):
--- a/packages/damaskvalve-state/damaskvalve_state/_machine.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_machine.py
@@ -21,6 +21,7 @@
     GrantFence,
     JobRecord,
     OperationRecord,
+    RecordSuspects,
     ReleaseOnce,
     ReportCrash,
     ReserveCredit,
@@ -299,11 +300,30 @@
         quarantined = proved or (known is not None and known.quarantined)
         suspect = SuspectRecord(body.fingerprint, crashes, quarantined)
         self.suspects[body.fingerprint] = suspect
-        if len(self.suspects) > MAX_SUSPECTS:
-            self.suspects.popitem(last=False)
+        self._drop_excess_suspects()
         self.suspects_version = index
         return self._result(accepted=True, suspect=suspect)
 
+    def record_suspects(self, index: int, body: RecordSuspects) -> CommandResult:
+        """Replace what is known of some requests; without crashes they are sound."""
+        for suspect in body.suspects:
+            if suspect.crashes > 0:
+                self.suspects[suspect.fingerprint] = suspect
+            else:
+                self.suspects.pop(suspect.fingerprint, None)
+        self._drop_excess_suspects()
+        self.suspects_version = index
+        return self._result(accepted=True)
+
+    def _drop_excess_suspects(self) -> None:
+        """Forget the oldest suspects, those in quarantine after all others."""
+        excess = len(self.suspects) - MAX_SUSPECTS
+        if excess <= 0:
+            return
+        by_worth = sorted(self.suspects.values(), key=lambda item: item.quarantined)
+        for suspect in by_worth[:excess]:
+            del self.suspects[suspect.fingerprint]
+
     def clear(self, index: int, body: ClearSuspect) -> CommandResult:
         """Take a fingerprint off the list after it ran without a crash."""
         found = self.suspects.pop(body.fingerprint, None)
@@ -326,6 +346,7 @@
     "reserve": Machine.reserve,
     "fence": Machine.fence,
     "crash": Machine.crash,
+    "record_suspects": Machine.record_suspects,
     "clear": Machine.clear,
     "expire": Machine.expire,
     "document": Machine.put_document,
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_machine.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_machine.py
@@ -16,6 +16,7 @@
     ExpireClaims,
     FinishJob,
     GrantFence,
+    RecordSuspects,
     ReleaseOnce,
     ReportCrash,
     ReserveCredit,
@@ -23,8 +24,10 @@
     Row,
     StoredAnswer,
     SubmitJob,
+    SuspectRecord,
 )
 from damaskvalve_state import Machine
+from damaskvalve_state._machine import MAX_SUSPECTS
 
 ANSWER = StoredAnswer(200, "text/plain", b"done", "ran")
 NAMES = st.sampled_from(["a", "b", "c"])
@@ -59,6 +62,13 @@
             st.booleans(),
         ),
         st.builds(lambda f: Command(clear=ClearSuspect(f)), NAMES),
+        st.builds(
+            lambda f, c: Command(
+                record_suspects=RecordSuspects([SuspectRecord(f, c, c > 2)])
+            ),
+            NAMES,
+            st.integers(0, 3),
+        ),
         st.builds(lambda n: Command(expire=ExpireClaims(n)), st.integers(0, 30)),
     )
 
@@ -184,6 +194,30 @@
             result = self.apply(Command(crash=ReportCrash("f", "same", True)))
         self.assertEqual(result.suspect.crashes, 1)
 
+    def test_suspects_do_not_push_out_those_in_quarantine(self):
+        """However many other requests are suspected after them."""
+        for name in ("guilty", "guilty"):
+            crash = ReportCrash(name, f"x{len(self.machine.suspects)}", True)
+            self.apply(Command(crash=crash))
+        proved = SuspectRecord("proved", 3, True, ["a/1", "b/1", "c/1"], True)
+        self.apply(Command(record_suspects=RecordSuspects([proved])))
+        for number in range(MAX_SUSPECTS):
+            crash = ReportCrash(f"other{number}", f"r{number}", False)
+            self.apply(Command(crash=crash))
+        self.assertEqual(len(self.machine.suspects), MAX_SUSPECTS)
+        self.assertTrue(self.machine.suspects["guilty"].quarantined)
+        self.assertEqual(self.machine.suspects["proved"], proved)
+
+    def test_suspects_survive_a_snapshot_and_go_when_they_are_sound(self):
+        """With the starts that ended under them."""
+        held = SuspectRecord("f", 2, False, ["a/1", "b/1"], False)
+        self.apply(Command(record_suspects=RecordSuspects([held])))
+        again = Machine.from_bytes(self.machine.to_bytes())
+        self.assertEqual(again.suspects["f"], held)
+        gone = SuspectRecord("f", 0, False)
+        self.apply(Command(record_suspects=RecordSuspects([gone])))
+        self.assertNotIn("f", self.machine.suspects)
+
     def test_deferred_jobs_are_bounded_and_kept_until_dropped(self):
         """A full list refuses; a finished job stays until it is fetched."""
         for name in ("a", "b"):
