--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -334,6 +334,8 @@
   16: double deadline_s
   17: string fingerprint
   18: bool isolated
+  // Which attempt of the request this is, from 1; names its report of a crash.
+  19: i32 attempt
 }
 
 struct WorkStarted { 1: string request_id  2: double queued_s  3: double load_s }
--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -120,6 +120,7 @@
             counters,
         )
         service.ask_backend = registration.check_health
+        service.report_crash = control.report_crash
         reports = [_report_step(registration, host) for host in settings.control_hosts]
         for step in (*reports, registration.ensure_fence):
             stack.enter_context(repeating(REPORT_S, step))
--- a/packages/damaskvalve-agent/damaskvalve_agent/_control.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_control.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Sequence
 
-from damaskvalve_core import Dialer, LeaderClient
+import logbook
+
+from damaskvalve_core import Dialer, LeaderClient, RetryLaterError
 from damaskvalve_core.messages import (
     BackendReport,
     Command,
@@ -10,12 +12,16 @@
     GrantFence,
     PermitReply,
     PermitRequest,
+    ReportCrash,
     ReportReply,
+    WorkRequest,
 )
 
 CALL_TIMEOUT_S = 2.0
 REPORT_TIMEOUT_S = 1.0
 
+_log = logbook.Logger("control")
+
 
 class ControlClient:
     """Asks the leader for fences and permits, and reports to every host."""
@@ -29,6 +35,15 @@
         command = Command(fence=GrantFence(backend_server, holder))
         return self._leader.commit(command, CALL_TIMEOUT_S)
 
+    def report_crash(self, work: WorkRequest) -> None:
+        """Count a crash against some work; a repeated report counts once."""
+        report_id = f"{work.request_id}/{work.attempt}"
+        report = ReportCrash(work.fingerprint, report_id, work.isolated)
+        try:
+            self._leader.commit(Command(crash=report), CALL_TIMEOUT_S)
+        except RetryLaterError as error:
+            _log.warning("crash of {} not reported: {}", report_id, error)
+
     def ask_permit(self, request: PermitRequest) -> PermitReply:
         """Ask the leader for a load permit; waits as long as the request says."""
         reply: PermitReply = self._leader.ask(request, request.wait_s + CALL_TIMEOUT_S)
--- a/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_registration.py
@@ -137,12 +137,14 @@
         except (BackendError, ValueError):
             self._service.backend_up = False
             return
-        if self._start_id not in (None, start_id):
+        restarted = self._start_id not in (None, start_id)
+        self._start_id = self._service.start_id = start_id
+        self._service.backend_up = True
+        if restarted:
             _log.warning("the backend server has restarted with nothing loaded")
             self._counters.add("backend_restarts")
             self._room.run(lambda scheduler, now_s: scheduler.engine_restarted())
-        self._start_id = start_id
-        self._service.backend_up = True
+            self._service.backend_restarted()
 
 
 class _State:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -87,6 +87,10 @@
     """Stand in until the registration is there."""
 
 
+def _report_to_nobody(work: WorkRequest) -> None:
+    """Stand in until the registration is there."""
+
+
 class WorkService:
     """Takes work, waits for its turn, runs it and checks the answer."""
 
@@ -110,6 +114,14 @@
         self.backend_up = False
         # Asks it again; one broken connection does not mean that it is down.
         self.ask_backend: Callable[[], None] = _ask_nobody
+        # The start of the backend server that answered last; empty if it names none.
+        self.start_id = ""
+        # Tells the control hosts of work under which the backend server has ended: the
+        # entry host may have left with its caller.
+        self.report_crash: Callable[[WorkRequest], None] = _report_to_nobody
+        self._running_lock = threading.Lock()
+        # Work that the backend server runs, with the start that runs it.
+        self._running: dict[int, tuple[WorkRequest, str]] = {}
 
     def handle(self, request: Any, connection: Connection) -> Iterator[Any]:
         """Answer one message of another process."""
@@ -204,6 +216,9 @@
         # Sent after the end is on record, so that the time line has what the caller
         # makes of it behind its cause.
         last: WorkEnd | WorkRefused | None = None
+        start_id = self.start_id
+        with self._running_lock:
+            self._running[id(work)] = work, start_id
         try:
             if number is None:
                 yield _refused(work, "not_fenced", NOT_RUN, 1.0)
@@ -221,16 +236,36 @@
             self._room.run(lambda scheduler, now_s: scheduler.engine_restarted())
             return False
         except BackendError as error:
-            crashed = error.crashed
-            if crashed or not error.sent:
-                self.ask_backend()
-            last = self._failed(work, error, delivered_tokens)
+            self.ask_backend()
+            crashed = error.sent and self._has_ended(error, start_id)
+            if crashed:
+                self.report_crash(work)
+            last = self._failed(work, error, delivered_tokens, crashed=crashed)
         finally:
+            with self._running_lock:
+                del self._running[id(work)]
             self._note_end(work, ticket, delivered=delivered, crashed=crashed)
         if last is not None:
             yield last
         return True
 
+    def _has_ended(self, error: BackendError, start_id: str) -> bool:
+        """Return whether the start that ran some work has ended since."""
+        if not start_id:
+            return error.crashed
+        return not self.backend_up or self.start_id != start_id
+
+    def backend_restarted(self) -> None:
+        """Report the work that ran under the start before.
+
+        Its connections may stay silent for long after that start has ended.
+        """
+        with self._running_lock:
+            running = list(self._running.values())
+        for work, start_id in running:
+            if start_id != self.start_id:
+                self.report_crash(work)
+
     def _pieces(self, work: WorkRequest, number: int) -> Iterator[Piece | Finish]:
         if self._settings.kind == "engine":
             yield from self._backend.run_engine(work, number)
@@ -238,13 +273,18 @@
             yield self._backend.run_service(work, number)
 
     def _failed(
-        self, work: WorkRequest, error: BackendError, delivered_tokens: int
+        self,
+        work: WorkRequest,
+        error: BackendError,
+        delivered_tokens: int,
+        *,
+        crashed: bool,
     ) -> WorkRefused:
         code = "fenced" if isinstance(error, FencedError) else "backend_failed"
         ran = UNKNOWN if error.sent else NOT_RUN
         _log.warning("{}: {}", work.request_id, error)
         return WorkRefused(
-            work.request_id, code, str(error), ran, 1.0, error.crashed, delivered_tokens
+            work.request_id, code, str(error), ran, 1.0, crashed, delivered_tokens
         )
 
     def _note_start(self, work: WorkRequest, outcome: Outcome, queued_s: float) -> None:
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -1797,6 +1797,7 @@
      - deadline_s
      - fingerprint
      - isolated
+     - attempt
 
     """
 
@@ -1819,10 +1820,11 @@
         'deadline_s',
         'fingerprint',
         'isolated',
+        'attempt',
     )
 
 
-    def __init__(self, request_id=None, workspace=None, share=None, kind=None, model=None, adapter=None, version=None, once=None, deferred=None, method=None, target=None, headers=None, body=None, streamed=None, cost_units=None, deadline_s=None, fingerprint=None, isolated=None,):
+    def __init__(self, request_id=None, workspace=None, share=None, kind=None, model=None, adapter=None, version=None, once=None, deferred=None, method=None, target=None, headers=None, body=None, streamed=None, cost_units=None, deadline_s=None, fingerprint=None, isolated=None, attempt=None,):
         self.request_id = request_id
         self.workspace = workspace
         self.share = share
@@ -1841,6 +1843,7 @@
         self.deadline_s = deadline_s
         self.fingerprint = fingerprint
         self.isolated = isolated
+        self.attempt = attempt
 
 
 class WorkStarted(TBase):
@@ -2905,6 +2908,7 @@
     (16, TType.DOUBLE, 'deadline_s', None, None, ),  # 16
     (17, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 17
     (18, TType.BOOL, 'isolated', None, None, ),  # 18
+    (19, TType.I32, 'attempt', None, None, ),  # 19
 )
 all_structs.append(WorkStarted)
 WorkStarted.thrift_spec = (
--- a/packages/damaskvalve/damaskvalve/_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/_dispatch.py
@@ -140,14 +140,17 @@
         text = ""
         tokens = 0
         while True:
+            self._check_quarantine(exchange, attempts)
             backend = self._find_backend(exchange, attempts)
             if backend is None:
                 raise _no_backend(attempts)
+            # Another host may have seen more of it while it waited.
+            self._check_quarantine(exchange, attempts)
             body = continue_body(exchange.body, text, tokens)
             if body is None:
                 yield _length_end(exchange, tokens)
                 return
-            work = self._work(exchange, backend, body)
+            work = self._work(exchange, backend, body, attempts.count() + 1)
             began_at_s = boot_clock_s()
             try:
                 for message in self._attempt(exchange, backend, work):
@@ -217,7 +220,7 @@
             code=error.code,
             ran=error.ran,
         )
-        if error.crashed and exchange.the_route().backend_kind == "engine":
+        if error.crashed:
             self._report_crash(exchange, attempts.count())
         if not attempts.may_go_on(error, boot_clock_s()):
             raise _final(error)
@@ -229,6 +232,16 @@
 
     # ---- requests that crash backend servers ----
 
+    def _check_quarantine(self, exchange: Exchange, attempts: Attempts) -> None:
+        """Refuse what has come into quarantine since the request was let in."""
+        suspect = self._view.suspect(exchange.fingerprint)
+        if suspect is None:
+            return
+        if suspect.quarantined:
+            ran = UNKNOWN if attempts.was_interrupted() else NOT_RUN
+            raise _quarantined(ran)
+        exchange.isolated = True
+
     def _report_crash(self, exchange: Exchange, attempt: int) -> None:
         report_id = f"{exchange.request_id}/{attempt}"
         command = Command(
@@ -242,12 +255,7 @@
                 503, "backend_crashed", "the backend server failed", ran=UNKNOWN
             ) from error
         if result.suspect.quarantined:
-            raise RefusedError(
-                422,
-                "quarantined",
-                "this request has crashed several backend servers",
-                ran=UNKNOWN,
-            )
+            raise _quarantined(UNKNOWN)
         exchange.isolated = True
 
     def _clear_suspect(self, exchange: Exchange) -> None:
@@ -262,7 +270,7 @@
     # ---- the message ----
 
     def _work(
-        self, exchange: Exchange, backend: BackendReport, body: bytes
+        self, exchange: Exchange, backend: BackendReport, body: bytes, attempt: int
     ) -> WorkRequest:
         route = exchange.the_route()
         workspace = exchange.workspace
@@ -294,9 +302,15 @@
             max(0.0, exchange.deadline_s - boot_clock_s()),
             exchange.fingerprint,
             exchange.isolated,
+            attempt,
         )
 
 
+def _quarantined(ran: str) -> RefusedError:
+    message = "this request has crashed several backend servers"
+    return RefusedError(422, "quarantined", message, ran=ran)
+
+
 def engine_target(body: bytes) -> str:
     """Return the engine's path for a request of either form."""
     return "/v1/chat/completions" if b'"messages":' in body else "/v1/completions"
--- a/testing/damaskvalve-standins/damaskvalve_standins/service.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/service.py
@@ -9,6 +9,7 @@
 import uuid
 
 from damaskvalve_standins._server import Handler, serve
+from damaskvalve_standins.engine import CRASH_MARK
 
 
 class Service:
@@ -29,6 +30,8 @@
             self.seen.append(f"{handler.path} {dict(handler.headers)} {text}")
             self.runs[text] = self.runs.get(text, 0) + 1
             number = self.runs[text]
+        if CRASH_MARK in text:
+            os._exit(1)
         time.sleep(self.faults.get("delay_s", 0.0))
         if self.faults.pop("lose_answer", 0):
             handler.connection.shutdown(socket.SHUT_RDWR)
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/test_faults.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/test_faults.py
@@ -151,6 +151,34 @@
         reply = self.fleet.complete("host-1", self.key, "ink:1", 2)
         self.assertEqual(reply.status, 200, reply.data)
 
+    def test_one_call_resent_for_ever_ends_a_plain_service_twice_at_most(self):
+        """Calls that may be repeated and calls that may not."""
+        process = self.fleet.processes["desk-service"]
+        for path in ("/services/look", "/services/desk"):
+            ended = 0
+            codes = []
+            for number in range(5):
+                if not process.is_running():
+                    ended += 1
+                    process.start()
+                    time.sleep(1.5)
+                reply = self.fleet.request(
+                    f"host-{number % 3 + 1}",
+                    "POST",
+                    path,
+                    key=self.key,
+                    body=CRASH_MARK.encode(),
+                    headers={"Idempotency-Key": f"{path}-{number}"},
+                )
+                codes.append(reply.json()["error"]["code"])
+            ended += not process.is_running()
+            self.assertLessEqual(ended, 2, codes)
+            self.assertEqual(codes[-1], "quarantined", codes)
+        reply = self.fleet.request(
+            "host-1", "POST", "/services/look", key=self.key, body=b"sound"
+        )
+        self.assertEqual(reply.status, 200, reply.data)
+
 
 class ControlFaultTests(FleetCase):
     def revision(self):
