--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
@@ -17,6 +17,7 @@
     SuspectRecord,
 )
 from damaskvalve_gateway._crashes import (
+    MAX_FINGERPRINTS,
     NEVER_S,
     REFUSED_AT,
     WATCHED_AT,
@@ -57,9 +58,18 @@
 
     def note_unended(self, mark: str, start: Start, at_s: float) -> None:
         """Take a run of a request that did not end."""
-        if not self._book.note(mark, start, at_s):
-            return
+        if self._book.note(mark, start, at_s):
+            self._tell(mark, start, at_s)
+
+    def note_failed(self, mark: str, start: Start, at_s: float) -> None:
+        """Take a run that its backend server has answered with a failure."""
+        self._book.note_failed(mark, start, at_s)
+
+    def _tell(self, mark: str, start: Start, at_s: float) -> None:
+        """Queue a run for the leader, the newest ones if it is away for long."""
         self._runs[mark, start] = at_s
+        if len(self._runs) > MAX_FINGERPRINTS:
+            del self._runs[next(iter(self._runs))]
         if self._is_watched(mark):
             self.urgent.set()
             self._changed.set()
@@ -116,7 +126,7 @@
     def tell_again(self, now_s: float) -> None:
         """Queue all that a new leader may lack."""
         for mark, start, at_s in self._book.recent(now_s):
-            self._runs[mark, start] = at_s
+            self._tell(mark, start, at_s)
 
     # ---- the leader's side ----
 
@@ -156,16 +166,18 @@
                     self._book.note_ended(mark, start)
 
     def changes(self, now_s: float) -> Sequence[SuspectRecord]:
-        """Return the records that should be committed, the gravest first."""
+        """Return the records that should be committed next, the gravest first."""
         held = self._knowledge.suspicions
-        changed = []
-        for mark in {*held, *self._book.watched()}:
+        marks = {*held, *self._book.watched()}
+        changed: list[SuspectRecord] = []
+        for mark in sorted(marks, key=lambda item: (-self._book.count(item), item)):
             record = self._judge(mark, now_s)
             known = held.get(mark)
             if record != (known.record if known else _sound(mark)):
                 changed.append(record)
-        changed.sort(key=lambda item: (not item.refused, item.fingerprint))
-        return changed[:MAX_RECORDS]
+            if len(changed) >= MAX_RECORDS:
+                break
+        return changed
 
     def _judge(self, mark: str, now_s: float) -> SuspectRecord:
         known = self._knowledge.suspicions.get(mark)
@@ -190,9 +202,11 @@
         while True:
             now_s = boot_clock_s()
             table = self._knowledge.backends
-            self._book.settle(
+            counted = self._book.settle(
                 lambda start, since_s: table.fate(start, since_s, now_s), now_s
             )
+            for mark, start, at_s in counted:
+                self._tell(mark, start, at_s)
             if self._link.leads(now_s):
                 await self._lead(now_s)
             await asyncio.sleep(URGENT_SETTLE_S)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
@@ -8,6 +8,7 @@
 
 import collections
 import hashlib
+import itertools
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from damaskvalve_gateway._model import CallerRequest
@@ -31,6 +32,8 @@
 SERVED_S = 60.0
 # Company is no excuse beyond so many more: the platform allows three runs more.
 EXCUSED_RUNS = 2
+# The most requests that a backend server runs at once.
+MAX_COMPANY = 64
 # So many are told to all hosts and survive restarts; most broken runs stay alone.
 WATCHED_AT = 2
 # A run is forgotten after this. Longer than a quarantine, so that the first run after
@@ -79,6 +82,10 @@
         self._records: collections.OrderedDict[str, _Record] = collections.OrderedDict()
         self._by_start: dict[Start, set[str]] = {}
         self._served: collections.OrderedDict[str, float] = collections.OrderedDict()
+        # Runs that a backend server has answered with a failure of its own.
+        self._failed: collections.OrderedDict[tuple[str, Start], float] = (
+            collections.OrderedDict()
+        )
 
     # ---- what happened ----
 
@@ -103,6 +110,16 @@
             self._drop_oldest()
         return True
 
+    def note_failed(self, mark: str, start: Start, at_s: float) -> None:
+        """Note a run that was answered with a failure.
+
+        It counts once the backend server proves to have ended right after it: such an
+        answer may come from whatever stands before the one that ran the request.
+        """
+        self._failed[mark, start] = at_s
+        if len(self._failed) > MAX_FINGERPRINTS:
+            self._failed.popitem(last=False)
+
     def note_ended(self, mark: str, start: Start) -> None:
         """Note that a start is proved to have ended."""
         record = self._records.get(mark)
@@ -136,8 +153,13 @@
         for start in list(record.runs)[: max(0, len(record.runs) - runs)]:
             self._drop(mark, start)
 
-    def settle(self, fate_of: FateOf, now_s: float) -> None:
-        """Take back runs that their backend servers have outlived, and old ones."""
+    def settle(
+        self, fate_of: FateOf, now_s: float
+    ) -> Sequence[tuple[str, Start, float]]:
+        """Take back runs that their backend servers have outlived, and old ones.
+
+        Return the failed runs that count from now on, each with its time.
+        """
         for mark, record in list(self._records.items()):
             for start, at_s in list(record.runs.items()):
                 if now_s - at_s > REMEMBER_S:
@@ -148,6 +170,19 @@
                     record.ended.add(start)
                 elif fate == OUTLIVED and start not in record.ended:
                     self._drop(mark, start)
+        return self._settle_failed(fate_of)
+
+    def _settle_failed(self, fate_of: FateOf) -> Sequence[tuple[str, Start, float]]:
+        counted = []
+        for (mark, start), at_s in list(self._failed.items()):
+            fate = fate_of(start, at_s)
+            if fate == UNKNOWN:
+                continue
+            del self._failed[mark, start]
+            if fate == ENDED and self.note(mark, start, at_s):
+                self.note_ended(mark, start)
+                counted.append((mark, start, at_s))
+        return counted
 
     def _drop(self, mark: str, start: Start) -> None:
         record = self._records[mark]
@@ -205,19 +240,19 @@
 
     def _is_blamed(self, mark: str, record: _Record, starts: Iterable[Start]) -> bool:
         found = list(starts)
-        if not found:
+        if len(found) < REFUSED_AT:
             return False
         first_s = min(record.runs.values())
         served = first_s - record.served_at_s < SERVED_S
         limit = REFUSED_AT_IF_SERVED if served else REFUSED_AT
-        if len(found) >= limit + EXCUSED_RUNS:
-            return True
+        if not limit <= len(found) < limit + EXCUSED_RUNS:
+            return len(found) >= limit
         blamed = sum(not self._has_excuse(mark, record, start) for start in found)
         return blamed >= limit
 
     def _has_excuse(self, mark: str, record: _Record, start: Start) -> bool:
         """Return whether another request was there that ends them without this one."""
-        for other in self._by_start[start]:
+        for other in itertools.islice(self._by_start[start], MAX_COMPANY):
             if other == mark:
                 continue
             elsewhere = self._records[other].runs.keys() - record.runs.keys()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -349,6 +349,8 @@
                 self._crashes.note_unended(exchange.fingerprint, start, now_s)
             elif send.ended_well:
                 self._crashes.note_served(exchange.fingerprint, now_s)
+            elif send.failure is not None:
+                self._crashes.note_failed(exchange.fingerprint, start, now_s)
         return _Attempt(outcome, exchange.backend, send.reason, send.failure)
 
     # ---- records ----
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
@@ -94,6 +94,22 @@
         book.settle(lambda start, since_s: OUTLIVED, 2.0)
         self.assertFalse(book.is_refused("m"))
 
+    def test_a_failure_counts_if_its_server_ends_right_after_it(self):
+        """A refusal may only look like the end of a run."""
+        book = CrashBook()
+        for number in range(2 * REFUSED_AT):
+            book.note_failed("m", (f"i-{number}", 1), 1.0)
+        self.assertFalse(book.is_refused("m"))
+        ended = [(f"i-{number}", 1) for number in range(REFUSED_AT)]
+
+        def fate(start, since_s):
+            return ENDED if start in ended else OUTLIVED
+
+        counted = book.settle(fate, 2.0)
+        self.assertEqual([start for _, start, _ in counted], ended)
+        self.assertTrue(book.is_proved("m"))
+        self.assertEqual(book.settle(fate, 3.0), [])
+
     def test_a_proved_end_stays_proved(self):
         """Nothing that is heard late takes it back."""
         book = CrashBook()
