--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
@@ -19,6 +19,11 @@
         link: StateLink,
         log: DecisionLog,
     ) -> None:
+        def refused() -> int:
+            now_s = boot_clock_s()
+            held = list(knowledge.suspicions.values())
+            return sum(suspicion.is_refused(now_s) for suspicion in held)
+
         def version() -> float:
             configuration = knowledge.configuration
             return configuration.version if configuration else 0
@@ -45,6 +50,8 @@
                 "quota_part": lambda: quota.share_now(boot_clock_s()),
                 "hosts": lambda: knowledge.hosts,
                 "backend_servers": knowledge.backends.count_ready,
+                "suspected_requests": lambda: len(knowledge.suspicions),
+                "refused_requests": refused,
                 "log_lines_dropped": lambda: log.dropped_total,
             },
         )
