--- a/packages/damaskvalve-agent/damaskvalve_agent/_control.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_control.py
@@ -35,14 +35,19 @@
         command = Command(fence=GrantFence(backend_server, holder))
         return self._leader.commit(command, CALL_TIMEOUT_S)
 
-    def report_crash(self, work: WorkRequest) -> None:
-        """Count a crash against some work; a repeated report counts once."""
+    def report_crash(self, work: WorkRequest) -> bool:
+        """Count a crash against some work; False if no leader has taken the report.
+
+        A repeated report counts once.
+        """
         report_id = f"{work.request_id}/{work.attempt}"
         report = ReportCrash(work.fingerprint, report_id, work.isolated)
         try:
             self._leader.commit(Command(crash=report), CALL_TIMEOUT_S)
         except RetryLaterError as error:
             _log.warning("crash of {} not reported: {}", report_id, error)
+            return False
+        return True
 
     def ask_permit(self, request: PermitRequest) -> PermitReply:
         """Ask the leader for a load permit; waits as long as the request says."""
--- a/packages/damaskvalve-agent/damaskvalve_agent/_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -87,8 +87,9 @@
     """Stand in until the registration is there."""
 
 
-def _report_to_nobody(work: WorkRequest) -> None:
+def _report_to_nobody(work: WorkRequest) -> bool:
     """Stand in until the registration is there."""
+    return False
 
 
 class WorkService:
@@ -118,7 +119,7 @@
         self.start_id = ""
         # Tells the control hosts of work under which the backend server has ended: the
         # entry host may have left with its caller.
-        self.report_crash: Callable[[WorkRequest], None] = _report_to_nobody
+        self.report_crash: Callable[[WorkRequest], bool] = _report_to_nobody
         self._running_lock = threading.Lock()
         # Work that the backend server runs, with the start that runs it.
         self._running: dict[int, tuple[WorkRequest, str]] = {}
@@ -258,13 +259,14 @@
     def backend_restarted(self) -> None:
         """Report the work that ran under the start before.
 
-        Its connections may stay silent for long after that start has ended.
+        Its connections may stay silent for long after that start has ended. Without a
+        leader the others would only wait, and health checks with them.
         """
         with self._running_lock:
             running = list(self._running.values())
         for work, start_id in running:
-            if start_id != self.start_id:
-                self.report_crash(work)
+            if start_id != self.start_id and not self.report_crash(work):
+                return
 
     def _pieces(self, work: WorkRequest, number: int) -> Iterator[Piece | Finish]:
         if self._settings.kind == "engine":
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_service.py
@@ -15,7 +15,12 @@
         self.service.backend_up = True
         self.service.start_id = "new"
         self.reported = []
-        self.service.report_crash = self.reported.append
+        self.takes_reports = True
+        self.service.report_crash = self.report
+
+    def report(self, work):
+        self.reported.append(work)
+        return self.takes_reports
 
     def has_ended(self, *, crashed, start_id):
         error = BackendError("", sent=True, crashed=crashed)
@@ -42,3 +47,12 @@
         self.service._running = {1: (before, "old"), 2: (after, "new")}
         self.service.backend_restarted()
         self.assertEqual(self.reported, [before])
+
+    def test_without_a_leader_a_restart_does_not_hold_up_health_checks(self):
+        """Each report that is not taken costs its time-out."""
+        self.takes_reports = False
+        self.service._running = {
+            number: (WorkRequest(f"r-{number}"), "old") for number in range(64)
+        }
+        self.service.backend_restarted()
+        self.assertEqual(len(self.reported), 1)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -313,10 +313,14 @@
             # Not heard of yet, as after a restart of this host, or not any more.
             return ENDED if now_s - since_s > SILENT_S else UNKNOWN
         held = known.announcement
-        newest_ms = self._newest_at.get(held.address, started_at_ms)
-        if max(newest_ms, held.started_at_ms) > started_at_ms:
+        if held.started_at_ms > started_at_ms:
             return ENDED
-        if held.state != READY or known.heard_s > since_s + ON_ITS_WAY_S:
+        if held.state != READY:
+            return OUTLIVED
+        # Another start at its address, perhaps of another service.
+        if self._newest_at.get(held.address, started_at_ms) > started_at_ms:
+            return ENDED
+        if known.heard_s > since_s + ON_ITS_WAY_S:
             return OUTLIVED
         silent = now_s - max(known.heard_s, since_s) > SILENT_S
         return ENDED if silent else UNKNOWN
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
@@ -128,7 +128,7 @@
 
     def note_served(self, mark: str, at_s: float) -> bool:
         """Take back what was counted before a run ended well; False if nothing was."""
-        self._served[mark] = at_s
+        self._served[mark] = max(at_s, self.served_at_s(mark))
         self._served.move_to_end(mark)
         if len(self._served) > MAX_SERVED:
             self._served.popitem(last=False)
@@ -143,14 +143,12 @@
 
     def forget(self, mark: str) -> None:
         """Take back all that was counted against a request."""
-        record = self._records.get(mark)
-        if record is not None:
-            self.keep(mark, 0)
+        self.keep(mark, 0)
 
     def keep(self, mark: str, runs: int) -> None:
         """Keep only the newest runs of a request."""
-        record = self._records[mark]
-        for start in list(record.runs)[: max(0, len(record.runs) - runs)]:
+        starts = self.starts(mark)
+        for start in starts[: max(0, len(starts) - runs)]:
             self._drop(mark, start)
 
     def settle(
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_quarantine.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_quarantine.py
@@ -5,7 +5,7 @@
 from damaskvalve_core import RefusedError
 from damaskvalve_core.messages import SuspectRecord
 from damaskvalve_gateway._backends import SILENT_S
-from damaskvalve_gateway._crashes import CrashBook
+from damaskvalve_gateway._crashes import REFUSED_AT, CrashBook
 
 # After this a request in quarantine is tried once more; if it ends another backend
 # server, it goes back at once.
@@ -43,6 +43,23 @@
         return bool(self.record.refused) and self.left_s(now_s) > 0
 
 
+def give_way(
+    book: CrashBook,
+    held: Mapping[str, Suspicion],
+    records: Mapping[str, SuspectRecord],
+) -> None:
+    """Take back in a host's own book what the leader has taken back.
+
+    A request that leaves quarantine is tried once more, as the leader's book has it.
+    """
+    for mark, suspicion in held.items():
+        record = records.get(mark)
+        if record is None:
+            book.forget(mark)
+        elif suspicion.record.quarantined and not record.quarantined:
+            book.keep(mark, REFUSED_AT - 1)
+
+
 def renewed(
     held: Mapping[str, Suspicion], records: Mapping[str, SuspectRecord], now_s: float
 ) -> dict[str, Suspicion]:
@@ -64,6 +81,9 @@
     suspicion = suspicions.get(mark)
     if suspicion is not None and suspicion.is_refused(now_s):
         wait_s = max(LEAST_WAIT_S, suspicion.left_s(now_s))
+    elif suspicion is not None and suspicion.record.crashes >= book.count(mark):
+        # The leader knows of all that this host does, and of what ran beside it.
+        return
     elif book.is_refused(mark):
         wait_s = UNPROVED_S
     else:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -200,6 +200,8 @@
             loop.create_task(_load_metrics(metrics)),
             loop.create_task(_watch_suspension(pool, caller, log)),
         ]
+        for task in tasks:
+            task.add_done_callback(lambda ended: _log_failure(ended, log))
         try:
             await stopping.wait()
             await _hand_over(group, log)
@@ -209,6 +211,12 @@
                 task.cancel()
 
 
+def _log_failure(task: asyncio.Task[None], log: DecisionLog) -> None:
+    """Say that a part of this host has stopped, which it should not."""
+    if not task.cancelled() and task.exception() is not None:
+        log.line("task_failed", reason=repr(task.exception()))
+
+
 def _control_limits() -> ServerLimits:
     """Return the bounds for operators and backend servers."""
     return ServerLimits(16 * 1024, 16 * 1024 * 1024, 5.0, 30.0)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_link.py
@@ -23,7 +23,7 @@
 )
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._knowledge import Knowledge
-from damaskvalve_gateway._quarantine import renewed
+from damaskvalve_gateway._quarantine import give_way, renewed
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_state import Group, GroupNode, NodeStatus
 
@@ -119,9 +119,7 @@
         knowledge = self._knowledge
         now_s = boot_clock_s()
         if not self.leads(now_s):
-            # The leader knows more than what this host has counted itself.
-            for mark in knowledge.suspicions.keys() - records.keys():
-                knowledge.crashes.forget(mark)
+            give_way(knowledge.crashes, knowledge.suspicions, records)
         knowledge.suspicions = renewed(knowledge.suspicions, records, now_s)
 
     def _take(
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
@@ -117,6 +117,18 @@
         self.fleet.exchange()
         self.assertEqual(self.refusing("m"), 3)
 
+    def test_a_restart_of_all_hosts_loses_nothing_that_was_committed(self):
+        """Their own counts are gone then."""
+        self.see("m", 2)
+        self.fleet.exchange()
+        records, self.fleet = self.fleet.records, Fleet()
+        self.fleet.records = records
+        self.fleet.spread()
+        self.fleet.exchange()
+        self.see("m", 1, first=2)
+        self.fleet.exchange()
+        self.assertEqual(self.refusing("m"), 3)
+
     def test_a_run_that_ends_well_anywhere_clears_a_request(self):
         """Also when it is refused already."""
         self.see("m", REFUSED_AT)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
@@ -23,6 +23,7 @@
     QUARANTINE_S,
     Suspicion,
     check_quarantine,
+    give_way,
     renewed,
 )
 from damaskvalve_gateway.tests.crash_world import play_book
@@ -165,8 +166,11 @@
         twins=st.integers(0, 2),
     )
     def test_no_company_excuses_a_crashing_request_for_long(self, company, twins):
-        """Whoever runs beside it, the sixth server is the last at the most."""
+        """Whoever runs beside it and ends servers without it, too."""
         book = CrashBook()
+        for other in set().union(*company):
+            for own in range(REFUSED_AT - 1):
+                book.note(f"beside-{other}", (f"own-{other}-{own}", 1), 0.0)
         ended = 0
         for number, others in enumerate(company):
             if book.is_refused("crashing"):
@@ -235,6 +239,9 @@
         """What it cuts off when it goes is no request's fault."""
         self.table.take(announcement(2, LEAVING, started_at_ms=5), 10.1)
         self.assertEqual(self.fate(30.0), OUTLIVED)
+        # Its address is used again.
+        self.table.take(announcement(1, started_at_ms=9, name="i-2"), 31.0)
+        self.assertEqual(self.fate(31.0), OUTLIVED)
 
     def test_one_that_was_never_heard_of_is_not_judged_at_once(self):
         """A host that has just started hears of all within a few seconds."""
@@ -267,6 +274,28 @@
         self.assertLess(self.refused_for_s(record, 1.0), 10.0)
         self.assertIsNone(self.refused_for_s(record, 20.0))
 
+    def test_the_leader_overrules_what_a_host_has_counted_itself(self):
+        """It knows of other requests that ran beside; newer runs it may not know."""
+        book = CrashBook()
+        note(book, "m", REFUSED_AT)
+        record = SuspectRecord("m", REFUSED_AT, False, [], False)
+        check_quarantine("m", book, {"m": Suspicion(record, 0.0)}, 1.0)
+        older = SuspectRecord("m", REFUSED_AT - 1, False, [], False)
+        with self.assertRaises(RefusedError):
+            check_quarantine("m", book, {"m": Suspicion(older, 0.0)}, 1.0)
+
+    def test_what_leaves_quarantine_is_tried_once_by_every_host(self):
+        """Also by one that has counted enough itself."""
+        book = CrashBook()
+        note(book, "m", REFUSED_AT + 1)
+        held = {"m": Suspicion(SuspectRecord("m", 4, True, [], True), 0.0)}
+        record = SuspectRecord("m", REFUSED_AT - 1, False, [], False)
+        give_way(book, held, {"m": record})
+        self.assertEqual(book.count("m"), REFUSED_AT - 1)
+        give_way(book, held, {})
+        self.assertEqual(book.count("m"), 0)
+        book.keep("unknown", 1)
+
     def test_a_suspected_request_is_served(self):
         """Two ends are no proof."""
         record = SuspectRecord("m", 2, False, [], False)
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -19,7 +19,9 @@
 from damaskvalve_agent._permits._pace import PrefillPace
 from damaskvalve_agent.permits import Admission
 from damaskvalve_core import RefusedError
-from damaskvalve_gateway import _backends, _overload, _send
+from damaskvalve_gateway import _backends, _crashes, _overload, _send
+from damaskvalve_gateway._crash_controller import CrashController
+from damaskvalve_gateway._crashes import CrashBook
 from damaskvalve_gateway._lending import LenderBook
 from damaskvalve_gateway._model import GONE, LEAVING, READY
 from damaskvalve_gateway._quota import (
@@ -326,6 +328,36 @@
         f"{GATEWAY}.test_lending.LendingTests."
         "test_a_fleet_serves_what_one_bucket_would_have_served",
     ),
+    Proof(
+        "runs that their backend servers outlive are taken back",
+        _replace(CrashBook, "settle", lambda *_: ()),
+        f"{GATEWAY}.test_crashes.CrashBookTests."
+        "test_runs_that_their_servers_outlive_do_not_count",
+    ),
+    Proof(
+        "a run that ends well clears its request",
+        _replace(CrashBook, "note_served", lambda *_: False),
+        f"{GATEWAY}.test_crashes.CrashBookTests."
+        "test_crashing_requests_are_held_back_and_sound_ones_served",
+    ),
+    Proof(
+        "a request beside crashing ones is excused",
+        _replace(CrashBook, "_has_excuse", lambda *_: False),
+        f"{GATEWAY}.test_crashes.CrashBookTests."
+        "test_a_request_beside_three_crashing_ones_is_not_blamed",
+    ),
+    Proof(
+        "company excuses a crashing request for some runs only",
+        _replace(_crashes, "EXCUSED_RUNS", 1_000),
+        f"{GATEWAY}.test_crashes.CrashBookTests."
+        "test_no_company_excuses_a_crashing_request_for_long",
+    ),
+    Proof(
+        "a leader takes over what was committed of suspects",
+        _replace(CrashController, "restore", lambda self, now_s: None),
+        f"{GATEWAY}.test_crash_controller.CrashControllerTests."
+        "test_a_restart_of_all_hosts_loses_nothing_that_was_committed",
+    ),
     Proof(
         "callers come back one after the other",
         _replace(_overload, "_step_s", lambda backends, hosts: 0.0),
