--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -22,6 +22,7 @@
 from damaskvalve_gateway import _backends, _crashes, _overload, _send
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._crashes import CrashBook
+from damaskvalve_gateway._gateway import Gateway
 from damaskvalve_gateway._lending import LenderBook
 from damaskvalve_gateway._model import GONE, LEAVING, READY
 from damaskvalve_gateway._quota import (
@@ -352,6 +353,12 @@
         f"{GATEWAY}.test_crashes.CrashBookTests."
         "test_no_company_excuses_a_crashing_request_for_long",
     ),
+    Proof(
+        "suspects are asked for before each send",
+        _replace(Gateway, "_check_quarantine", lambda self, mark: None),
+        f"{GATEWAY}.test_later_sends.LaterSendTests."
+        "test_one_that_is_let_in_is_not_sent_once_it_is_refused",
+    ),
     Proof(
         "a leader takes over what was committed of suspects",
         _replace(CrashController, "restore", lambda self, now_s: None),
