--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -88,7 +88,7 @@
     link = types.SimpleNamespace(commit=commit, status=lambda: status)
     controller = CrashController(link, knowledge, _Log())
     notices = [
-        CrashNotice(_mark(number), _server(number, place), 0.1, STARTED_AT_MS, None)
+        CrashNotice(_mark(number), _server(number, place), 0.1, STARTED_AT_MS)
         for number in range(BROKEN)
         for place in range(breaks)
     ]
--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -412,6 +412,8 @@
   4: i64 started_at_ms
   // Seconds since the same request last ended well at the host that tells this.
   5: optional double served_age_s
+  // It is no sign by itself that the backend server has ended.
+  6: optional bool pending
 }
 
 // Asked of any host that lends; tokens below 0 are returned to it.
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2140,6 +2140,7 @@
      - age_s
      - started_at_ms
      - served_age_s
+     - pending
 
     """
 
@@ -2149,15 +2150,17 @@
         'age_s',
         'started_at_ms',
         'served_age_s',
+        'pending',
     )
 
 
-    def __init__(self, fingerprint=None, instance_id=None, age_s=None, started_at_ms=None, served_age_s=None,):
+    def __init__(self, fingerprint=None, instance_id=None, age_s=None, started_at_ms=None, served_age_s=None, pending=None,):
         self.fingerprint = fingerprint
         self.instance_id = instance_id
         self.age_s = age_s
         self.started_at_ms = started_at_ms
         self.served_age_s = served_age_s
+        self.pending = pending
 
 
 class TokensRequest(TBase):
@@ -3011,6 +3014,7 @@
     (3, TType.DOUBLE, 'age_s', None, None, ),  # 3
     (4, TType.I64, 'started_at_ms', None, None, ),  # 4
     (5, TType.DOUBLE, 'served_age_s', None, None, ),  # 5
+    (6, TType.BOOL, 'pending', None, None, ),  # 6
 )
 all_structs.append(TokensRequest)
 TokensRequest.thrift_spec = (
--- a/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
@@ -4,6 +4,7 @@
     BackendConnection,
     BackendFailedError,
     BackendPool,
+    BackendSilentError,
     ReplyHead,
     pooled_backends,
 )
@@ -16,6 +17,7 @@
     "BackendConnection",
     "BackendFailedError",
     "BackendPool",
+    "BackendSilentError",
     "Headers",
     "HttpServer",
     "Incoming",
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -29,6 +29,10 @@
     """The connection ended or went wrong after the request was sent."""
 
 
+class BackendSilentError(BackendFailedError):
+    """Nothing came for too long on a connection that is still there."""
+
+
 class ReplyHead:
     """The status and the headers of a reply."""
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Mapping, Sequence
 
 from damaskvalve_core import DecisionLog, RetryLaterError, boot_clock_s
@@ -18,6 +19,7 @@
 )
 from damaskvalve_gateway._crashes import (
     MAX_FINGERPRINTS,
+    MISSED_S,
     NEVER_S,
     REFUSED_AT,
     WATCHED_AT,
@@ -36,6 +38,16 @@
 MAX_NOTICES = 200
 
 
+class _Run:
+    """A run that the leader has not heard of."""
+
+    __slots__ = ("at_s", "pending")
+
+    def __init__(self, at_s: float, pending: bool) -> None:
+        self.at_s = at_s
+        self.pending = pending
+
+
 class CrashController:
     """This host's side, and the leader's if it leads."""
 
@@ -48,7 +60,7 @@
         self.urgent = asyncio.Event()
         self._changed = asyncio.Event()
         # What the leader has not taken yet.
-        self._runs: dict[tuple[str, Start], float] = {}
+        self._runs: dict[tuple[str, Start], _Run] = {}
         self._served: dict[str, float] = {}
         # Requests that ended well while all hosts refuse or watch them.
         self._cleared: set[str] = set()
@@ -56,18 +68,19 @@
 
     # ---- what this host sees ----
 
-    def note_unended(self, mark: str, start: Start, at_s: float) -> None:
-        """Take a run of a request that did not end."""
+    def note_broken(self, mark: str, start: Start, at_s: float) -> None:
+        """Take a run of a request whose connection broke."""
         if self._book.note(mark, start, at_s):
-            self._tell(mark, start, at_s)
+            self._tell(mark, start, at_s, pending=False)
 
-    def note_failed(self, mark: str, start: Start, at_s: float) -> None:
-        """Take a run that its backend server has answered with a failure."""
-        self._book.note_failed(mark, start, at_s)
+    def note_pending(self, mark: str, start: Start, at_s: float) -> None:
+        """Take a run that was given up or answered with a failure."""
+        self._book.note_pending(mark, start, at_s)
+        self._tell(mark, start, at_s, pending=True)
 
-    def _tell(self, mark: str, start: Start, at_s: float) -> None:
+    def _tell(self, mark: str, start: Start, at_s: float, *, pending: bool) -> None:
         """Queue a run for the leader, the newest ones if it is away for long."""
-        self._runs[mark, start] = at_s
+        self._runs[mark, start] = _Run(at_s, pending)
         if len(self._runs) > MAX_FINGERPRINTS:
             del self._runs[next(iter(self._runs))]
         if self._is_watched(mark):
@@ -93,14 +106,15 @@
             CrashNotice(
                 mark,
                 instance_id,
-                now_s - at_s,
+                now_s - run.at_s,
                 started_at_ms,
                 self._served_age_s(mark, now_s),
+                run.pending,
             )
-            for (mark, (instance_id, started_at_ms)), at_s in self._next_runs()
+            for (mark, (instance_id, started_at_ms)), run in self._next_runs()
         ]
 
-    def _next_runs(self) -> list[tuple[tuple[str, Start], float]]:
+    def _next_runs(self) -> list[tuple[tuple[str, Start], "_Run"]]:
         return list(self._runs.items())[:MAX_NOTICES]
 
     def _served_age_s(self, mark: str, now_s: float) -> float | None:
@@ -126,7 +140,7 @@
     def tell_again(self, now_s: float) -> None:
         """Queue all that a new leader may lack."""
         for mark, start, at_s in self._book.recent(now_s):
-            self._tell(mark, start, at_s)
+            self._tell(mark, start, at_s, pending=False)
 
     # ---- the leader's side ----
 
@@ -142,7 +156,9 @@
             age_s = notice.served_age_s
             served_at_s = NEVER_S if age_s is None else now_s - age_s
             mark, at_s = notice.fingerprint, now_s - notice.age_s
-            if self._book.note(mark, start, at_s, served_at_s):
+            if notice.pending:
+                self._book.note_pending(mark, start, at_s)
+            elif self._book.note(mark, start, at_s, served_at_s):
                 self._log.line("crash_counted", fingerprint=mark, backend=start[0])
             if self._is_watched(mark):
                 self._changed.set()
@@ -201,13 +217,9 @@
         """Settle what is open, and as the leader commit what changes."""
         while True:
             now_s = boot_clock_s()
-            table = self._knowledge.backends
-            counted = self._book.settle(
-                lambda start, since_s: table.fate(start, since_s, now_s), now_s
-            )
-            for mark, start, at_s in counted:
-                self._tell(mark, start, at_s)
-            if self._link.leads(now_s):
+            leads = self._link.leads(now_s)
+            self._settle(now_s, leads=leads)
+            if leads:
                 await self._lead(now_s)
             await asyncio.sleep(URGENT_SETTLE_S)
             try:
@@ -217,6 +229,18 @@
                 continue
             self._changed.clear()
 
+    def _settle(self, now_s: float, *, leads: bool) -> None:
+        table = self._knowledge.backends
+        counted = self._book.settle(
+            lambda start, since_s: table.fate(start, since_s, now_s),
+            now_s,
+            # Others hear later than the leader of backend servers that live.
+            MISSED_S if leads else math.inf,
+        )
+        for mark, start, at_s in counted:
+            self._log.line("crash_counted", fingerprint=mark, backend=start[0])
+            self._tell(mark, start, at_s, pending=False)
+
     async def _lead(self, now_s: float) -> None:
         leader_id = self._link.status().leader_id
         if leader_id != self._leader_id:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
@@ -1,9 +1,11 @@
 """Requests that end the backend servers that run them.
 
 Such a request comes again under another id, so it is known by workspace, target, model
-and body. A run that did not end counts against it for as long as the backend server is
-not known to have outlived that run. A run that ends well takes all of it back, and a
-request that was only there when another one ended a backend server is not blamed.
+and body. A run whose connection broke counts against it for as long as the backend
+server is not known to have outlived that run; one that was given up, or answered with a
+failure, counts once the backend server is missed. A run that ends well takes all of it
+back, and a request that was only there when another one ended a backend server is not
+blamed.
 """
 
 import collections
@@ -32,6 +34,9 @@
 SERVED_S = 60.0
 # Company is no excuse beyond so many more: the platform allows three runs more.
 EXCUSED_RUNS = 2
+# A leader hears of each backend server that lives within this: announcements come about
+# every 1.2 s, and 0.4 s later to it.
+MISSED_S = 2.5
 # The most requests that a backend server runs at once.
 MAX_COMPANY = 64
 # So many are told to all hosts and survive restarts; most broken runs stay alone.
@@ -82,8 +87,8 @@
         self._records: collections.OrderedDict[str, _Record] = collections.OrderedDict()
         self._by_start: dict[Start, set[str]] = {}
         self._served: collections.OrderedDict[str, float] = collections.OrderedDict()
-        # Runs that a backend server has answered with a failure of its own.
-        self._failed: collections.OrderedDict[tuple[str, Start], float] = (
+        # Runs that do not count yet, by fingerprint.
+        self._pending: collections.OrderedDict[str, dict[Start, float]] = (
             collections.OrderedDict()
         )
 
@@ -110,15 +115,16 @@
             self._drop_oldest()
         return True
 
-    def note_failed(self, mark: str, start: Start, at_s: float) -> None:
-        """Note a run that was answered with a failure.
+    def note_pending(self, mark: str, start: Start, at_s: float) -> None:
+        """Note a run that says nothing of its backend server by itself.
 
-        It counts once the backend server proves to have ended right after it: such an
-        answer may come from whatever stands before the one that ran the request.
+        Its caller has left, its time has passed, or it was answered with a failure,
+        which may come from whatever stands before the one that ran the request.
         """
-        self._failed[mark, start] = at_s
-        if len(self._failed) > MAX_FINGERPRINTS:
-            self._failed.popitem(last=False)
+        self._pending.setdefault(mark, {})[start] = at_s
+        self._pending.move_to_end(mark)
+        if len(self._pending) > MAX_FINGERPRINTS:
+            self._pending.popitem(last=False)
 
     def note_ended(self, mark: str, start: Start) -> None:
         """Note that a start is proved to have ended."""
@@ -132,6 +138,7 @@
         self._served.move_to_end(mark)
         if len(self._served) > MAX_SERVED:
             self._served.popitem(last=False)
+        self._pending.pop(mark, None)
         record = self._records.get(mark)
         if record is None:
             return False
@@ -152,11 +159,12 @@
             self._drop(mark, start)
 
     def settle(
-        self, fate_of: FateOf, now_s: float
+        self, fate_of: FateOf, now_s: float, missed_s: float = MISSED_S
     ) -> Sequence[tuple[str, Start, float]]:
         """Take back runs that their backend servers have outlived, and old ones.
 
-        Return the failed runs that count from now on, each with its time.
+        A backend server of which nothing was heard for ``missed_s`` is missed. Return
+        the pending runs that count from now on, each with its time.
         """
         for mark, record in list(self._records.items()):
             for start, at_s in list(record.runs.items()):
@@ -168,18 +176,19 @@
                     record.ended.add(start)
                 elif fate == OUTLIVED and start not in record.ended:
                     self._drop(mark, start)
-        return self._settle_failed(fate_of)
-
-    def _settle_failed(self, fate_of: FateOf) -> Sequence[tuple[str, Start, float]]:
         counted = []
-        for (mark, start), at_s in list(self._failed.items()):
-            fate = fate_of(start, at_s)
-            if fate == UNKNOWN:
-                continue
-            del self._failed[mark, start]
-            if fate == ENDED and self.note(mark, start, at_s):
-                self.note_ended(mark, start)
-                counted.append((mark, start, at_s))
+        for mark, starts in list(self._pending.items()):
+            for start, at_s in list(starts.items()):
+                fate = fate_of(start, at_s)
+                if fate == UNKNOWN and now_s - at_s < missed_s:
+                    continue
+                del starts[start]
+                if fate != OUTLIVED and self.note(mark, start, at_s):
+                    counted.append((mark, start, at_s))
+                if fate == ENDED:
+                    self.note_ended(mark, start)
+            if not starts:
+                del self._pending[mark]
         return counted
 
     def _drop(self, mark: str, start: Start) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -345,12 +345,13 @@
             # server may have ended without a word.
             start = exchange.backend, started_at_ms
             now_s = boot_clock_s()
-            if send.is_running:
-                self._crashes.note_unended(exchange.fingerprint, start, now_s)
+            mark = exchange.fingerprint
+            if send.is_running and send.is_broken:
+                self._crashes.note_broken(mark, start, now_s)
+            elif send.is_running or send.failure is not None:
+                self._crashes.note_pending(mark, start, now_s)
             elif send.ended_well:
-                self._crashes.note_served(exchange.fingerprint, now_s)
-            elif send.failure is not None:
-                self._crashes.note_failed(exchange.fingerprint, start, now_s)
+                self._crashes.note_served(mark, now_s)
         return _Attempt(outcome, exchange.backend, send.reason, send.failure)
 
     # ---- records ----
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
@@ -9,6 +9,7 @@
     BackendConnection,
     BackendFailedError,
     BackendPool,
+    BackendSilentError,
     MemoryFullError,
     ReplyHead,
 )
@@ -88,6 +89,8 @@
         self.reason = ""
         # Whether the request may be running: it was sent, and no whole reply has come.
         self.is_running = False
+        # Whether the connection ended or went wrong under it.
+        self.is_broken = False
         # Whether the request has run to a good end.
         self.ended_well = False
 
@@ -118,6 +121,7 @@
         except BackendFailedError as error:
             connection.close()
             self.reason = str(error)
+            self.is_broken = not isinstance(error, BackendSilentError)
             backend.note_broken(boot_clock_s())
             return BROKEN
         except TimeoutError:
@@ -259,7 +263,7 @@
                 raise BackendFailedError("an event without an end")
             if not has_event(events):
                 if watch.is_stalled(boot_clock_s()):
-                    raise BackendFailedError(f"no event for {watch.limit_s:.2f} s")
+                    raise BackendSilentError(f"no event for {watch.limit_s:.2f} s")
                 if events and responder.started:
                     await responder.write(events)
                 continue
@@ -304,7 +308,7 @@
                 return await step()
         except TimeoutError as error:
             if watch.is_stalled(boot_clock_s()):
-                raise BackendFailedError(
+                raise BackendSilentError(
                     f"no event for {watch.limit_s:.2f} s"
                 ) from error
 
