--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -17,7 +17,7 @@
 from damaskvalve_gateway._backends import Backend
 from damaskvalve_gateway._choice import order_engines, order_plain
 from damaskvalve_gateway._crash_controller import CrashController
-from damaskvalve_gateway._crashes import fingerprint
+from damaskvalve_gateway._crashes import Start, fingerprint
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._knowledge import Knowledge
@@ -253,13 +253,13 @@
             return True
         return self._retries.take(service, self._knowledge.hosts, boot_clock_s())
 
-    def _note_broken(self, exchange: Exchange, send: "_Attempt") -> None:
+    def _note_broken(self, exchange: Exchange, send: Send) -> None:
         self._metrics.note_broken_run()
         self._log.line(
             "broken_run",
             request=exchange.request.request_id,
             fingerprint=exchange.fingerprint,
-            backend=send.instance_id,
+            backend=exchange.backend,
             reason=send.reason,
             runs=exchange.runs,
             last_event=exchange.last_event_id or "",
@@ -287,7 +287,7 @@
         # The only one left is tried again, unless it may still be running it.
         return fresh or ([] if exchange.runs else willing)
 
-    async def _one_send(self, exchange: Exchange) -> "_Attempt":
+    async def _one_send(self, exchange: Exchange) -> Send:
         candidates = self._candidates(exchange)
         if not candidates:
             raise RefusedError(
@@ -307,7 +307,7 @@
 
     async def _send_to_engine(
         self, exchange: Exchange, candidates: Sequence[Backend]
-    ) -> "_Attempt":
+    ) -> Send:
         request = exchange.request
         engine = exchange.service.engine
         assert engine is not None
@@ -320,11 +320,11 @@
 
         permits = self._permits.permit(exchange, ranked, version, engine, check)
         async with permits as permit:
-            attempt = await self._send(exchange, permit)
-            permit.release(attempt.outcome)
-            return attempt
+            send = await self._send(exchange, permit)
+            permit.release(send.outcome)
+            return send
 
-    async def _send(self, exchange: Exchange, permit: Permit) -> "_Attempt":
+    async def _send(self, exchange: Exchange, permit: Permit) -> Send:
         backend = permit.backend
         exchange.backend = backend.announcement.instance_id
         send = Send(
@@ -337,22 +337,24 @@
             self._note_leaving,
         )
         self._check_quarantine(exchange.fingerprint)
-        started_at_ms = backend.announcement.started_at_ms
+        start = exchange.backend, backend.announcement.started_at_ms
         try:
-            outcome = await send.run()
+            await send.run()
         finally:
             # Also when the caller has left or the deadline has passed: the backend
             # server may have ended without a word.
-            start = exchange.backend, started_at_ms
-            now_s = boot_clock_s()
-            mark = exchange.fingerprint
-            if send.is_running and send.is_broken:
-                self._crashes.note_broken(mark, start, now_s)
-            elif send.is_running or send.failure is not None:
-                self._crashes.note_pending(mark, start, now_s)
-            elif send.ended_well:
-                self._crashes.note_served(mark, now_s)
-        return _Attempt(outcome, exchange.backend, send.reason, send.failure)
+            self._note_run(send, exchange.fingerprint, start)
+        return send
+
+    def _note_run(self, send: Send, mark: str, start: Start) -> None:
+        """Note what a run says of its request and of its backend server."""
+        now_s = boot_clock_s()
+        if send.is_running and send.is_broken:
+            self._crashes.note_broken(mark, start, now_s)
+        elif send.is_running or send.failure is not None:
+            self._crashes.note_pending(mark, start, now_s)
+        elif send.ended_well:
+            self._crashes.note_served(mark, now_s)
 
     # ---- records ----
 
@@ -388,18 +390,4 @@
         )
 
 
-class _Attempt:
-    """What became of one send."""
-
-    __slots__ = ("outcome", "instance_id", "reason", "failure")
-
-    def __init__(
-        self, outcome: str, instance_id: str, reason: str, failure: Failure | None
-    ) -> None:
-        self.outcome = outcome
-        self.instance_id = instance_id
-        self.reason = reason
-        self.failure = failure
-
-
 __all__ = ["FAILED", "Gateway"]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send.py
@@ -85,8 +85,10 @@
         self._started = started
         # Called when the reply says that the backend server has begun to leave.
         self._note_leaving = note_leaving
-        self.failure: Failure | None = None
+        # What became of it, once it has run, and why.
+        self.outcome = ""
         self.reason = ""
+        self.failure: Failure | None = None
         # Whether the request may be running: it was sent, and no whole reply has come.
         self.is_running = False
         # Whether the connection ended or went wrong under it.
@@ -96,6 +98,10 @@
 
     async def run(self) -> str:
         """Send the request; return what became of it."""
+        self.outcome = await self._run()
+        return self.outcome
+
+    async def _run(self) -> str:
         exchange, backend = self._exchange, self._backend
         instance_id = backend.announcement.instance_id
         began_s = boot_clock_s()
