--- a/packages/damaskvalve-agent/damaskvalve_agent/_fence.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_fence.py
@@ -40,7 +40,10 @@
     def renew(self, reply: ReportReply, sent_at_s: float) -> None:
         """Renew from a control host's answer to a report sent at ``sent_at_s``."""
         with self._lock:
-            if not reply.fence_confirmed:
+            if not reply.fence_confirmed or not self._number:
+                return
+            if reply.fence_number < self._number:
+                # A control host that has not applied this agent's grant yet.
                 return
             if reply.fence_holder not in ("", self._holder):
                 self._lost = True
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_fence.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_fence.py
@@ -80,6 +80,18 @@
         self.assertIsNone(fence.number(1.1))
         self.assertTrue(fence.is_lost())
 
+    def test_a_late_word_of_the_holder_before_does_not_end_a_fence(self):
+        """A control host that lags behind names it before and after the grant."""
+        fence = Fence("new")
+        late = ReportReply(1, "old", True, 1.0, {})
+        fence.renew(late, 0.1)
+        self.assertTrue(fence.needs_grant())
+        fence.granted(2, "", 0.2, 0.3)
+        fence.renew(late, 0.4)
+        self.assertEqual(fence.number(0.5), 2)
+        fence.renew(ReportReply(3, "newer", True, 0.0, {}), 0.6)
+        self.assertTrue(fence.is_lost())
+
     def test_an_agent_that_gave_up_orders_nothing_and_its_successor_need_not_wait(self):
         """A planned restart costs no lease."""
         old = Fence("a")
