Reply headers that the release does not know are logged and counted

The callback of an attempt gets the whole metadata of a reply, instead of only the leaving notice. No decision changes.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -49,6 +49,9 @@
 
 _T = TypeVar("_T")
 
+#: Called with a backend server and the metadata of a reply from it.
+ReplyCallback = Callable[[Backend, ReplyMetadata], None]
+
 _HOP_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"proxy-connection", b"te")
     + (b"trailer", b"upgrade")
@@ -76,7 +79,7 @@
         pool: BackendPool,
         dialect: Dialect,
         on_started: Callable[[], None],
-        on_leaving: Callable[[Backend], None],
+        on_reply: ReplyCallback,
     ) -> None:
         self._exchange = exchange
         self._backend = backend
@@ -85,8 +88,8 @@
         self._dialect = dialect
         # Called for each group of events that is relayed, and for a whole reply.
         self._on_started = on_started
-        # Called when the reply says that the backend server is leaving.
-        self._on_leaving = on_leaving
+        # Called for each reply that the backend server sent to this request.
+        self._on_reply = on_reply
         # The outcome and its reason, set by run(). The reason is empty if the outcome
         # is ANSWERED.
         self.outcome = ""
@@ -161,6 +164,7 @@
         exchange.attempts += 1
         exchange.runs += 1
         exchange.tried_instances.add(instance_id)
+        backend.sent_count += 1
         self.may_be_running = True
         connection.send(request.method, request.target, headers, request.body)
         head = await self._read_head(connection, started_at_s)
@@ -198,14 +202,13 @@
         self.succeeded = 200 <= head.status < 300
 
     def _apply_availability(self, head: ReplyHead, metadata: ReplyMetadata) -> None:
-        """Apply the leaving notice and the backoff that a reply carries.
+        """Apply what a reply says about its backend server.
 
         A misdirected reply is ignored: another instance may have sent it.
         """
         if head.status == MISDIRECTED_STATUS:
             return
-        if metadata.leaving:
-            self._on_leaving(self._backend)
+        self._on_reply(self._backend, metadata)
         if metadata.backoff_s > 0:
             self._backend.back_off(metadata.backoff_s, boot_clock_s())
 
@@ -372,5 +375,6 @@
     "NOT_RUN",
     "BackendAttempt",
     "FailureReply",
+    "ReplyCallback",
     "relay",
 ]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -54,6 +54,7 @@
         "published_s",
         "last_direct_s",
         "active",
+        "sent_count",
         "failures",
         "paused_until_s",
         "backoff_until_s",
@@ -79,6 +80,8 @@
         self.last_direct_s = NEVER_S
         # Number of requests of this host that are running there.
         self.active = 0
+        # Number of requests that this host has sent there.
+        self.sent_count = 0
         # Number of failed connections since the last reply without a failure.
         self.failures = 0
         # The time until which the backend server is chosen last.
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import traceback
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import xxhash
 
@@ -21,6 +21,7 @@
     NOT_RUN,
     BackendAttempt,
     FailureReply,
+    ReplyCallback,
     relay,
 )
 from damaskvalve_gateway._backends import Backend
@@ -51,9 +52,6 @@
 # A request is refused once this many of its attempts have ended as not run.
 MAX_NOT_RUN_ATTEMPTS = 3
 
-#: Stops this host and the others from choosing a backend server.
-LeavingCallback = Callable[[Backend], None]
-
 
 class Gateway:
     """Serves callers' requests from the host's current view of the cluster."""
@@ -67,7 +65,7 @@
         rate: RateFilter,
         retries: RetryBudget,
         crashes: CrashController,
-        on_leaving: LeavingCallback,
+        on_reply: ReplyCallback,
         data_centre: str,
         log: DecisionLog,
         metrics: GatewayMetrics,
@@ -79,7 +77,7 @@
         self._rate = rate
         self._retries = retries
         self._crashes = crashes
-        self._on_leaving = on_leaving
+        self._on_reply = on_reply
         self._retry_after_scheduler = RetryAfterScheduler()
         self._started_at_s = boot_clock_s()
         self._data_centre = data_centre
@@ -351,7 +349,7 @@
             self._pool,
             self._dialect,
             permit.note_started,
-            self._on_leaving,
+            self._on_reply,
         )
         self._check_quarantine(exchange.fingerprint)
         incarnation = exchange.backend_id, backend.announcement.started_at_ms
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
@@ -35,6 +35,7 @@
                 "refusals": "refusals by status and reason",
                 "sends": "requests sent to backend servers, retries included",
                 "broken_runs": "runs whose connection broke",
+                "unknown_reply_fields": "replies with an unknown header, by name",
             },
             {
                 "request": "time of a whole request",
@@ -77,6 +78,10 @@
         """Count a run whose connection broke."""
         self._metrics.count("broken_runs")
 
+    def note_unknown_field(self, name: str) -> None:
+        """Count a reply with a header that this release does not know."""
+        self._metrics.count("unknown_reply_fields", field=name)
+
     def load(self) -> None:
         """Load the metrics library."""
         self._metrics.load()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -267,7 +267,14 @@
 class ReplyMetadata:
     """Metadata from the head of a backend server's reply, besides its status."""
 
-    __slots__ = ("request_id", "not_run", "encoded", "leaving", "backoff_s")
+    __slots__ = (
+        "request_id",
+        "not_run",
+        "encoded",
+        "leaving",
+        "backoff_s",
+        "unknown_fields",
+    )
 
     def __init__(
         self,
@@ -277,6 +284,7 @@
         encoded: bool,
         leaving: bool = False,
         backoff_s: float = 0.0,
+        unknown_fields: Sequence[tuple[str, str]] = (),
     ) -> None:
         self.request_id = request_id
         # The backend server has not run the request and will not run it.
@@ -288,6 +296,8 @@
         # How long an overloaded backend server asks this host to send nothing; 0 if it
         # does not.
         self.backoff_s = backoff_s
+        # Names and values of the headers that the dialect does not know.
+        self.unknown_fields = tuple(unknown_fields)
 
 
 class Announcement:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -25,6 +25,8 @@
 )
 from damaskvalve_core.metrics import CONTENT_TYPE
 from damaskvalve_core.rpc import RpcClient, serving_rpc
+from damaskvalve_gateway._backend_attempt import ReplyCallback
+from damaskvalve_gateway._backends import Backend
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._control_service import ControlService
 from damaskvalve_gateway._crash_controller import CrashController
@@ -32,9 +34,11 @@
 from damaskvalve_gateway._gateway import Gateway
 from damaskvalve_gateway._leader_service import LeaderService
 from damaskvalve_gateway._metrics import GatewayMetrics
+from damaskvalve_gateway._model import ReplyMetadata
 from damaskvalve_gateway._permits import PermitClient
 from damaskvalve_gateway._quota import HostQuota
 from damaskvalve_gateway._rate import RateFilter
+from damaskvalve_gateway._reply_fields import UnknownReplyFields
 from damaskvalve_gateway._retries import RetryBudget
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_client import StateClient
@@ -166,6 +170,7 @@
     )
     control = ControlService(dialect, state_client, sync, view, log)
     metrics = GatewayMetrics(settings.name, view, quota, state_client, log)
+    unknown_fields = UnknownReplyFields(log, metrics.note_unknown_field)
     retry_settings = settings.retries
     async with contextlib.AsyncExitStack() as stack:
         pool = await stack.enter_async_context(open_backend_pool(settings.bind_ip))
@@ -179,7 +184,7 @@
                 retry_settings.ratio, retry_settings.slack, retry_settings.window_s
             ),
             crashes,
-            sync.note_leaving,
+            _make_reply_observer(sync, unknown_fields),
             settings.data_centre,
             log,
             metrics,
@@ -232,6 +237,19 @@
         log.line("task_failed", reason=repr(task.exception()))
 
 
+def _make_reply_observer(
+    sync: SyncController, unknown_fields: UnknownReplyFields
+) -> ReplyCallback:
+    """Return the function that processes what replies say about backend servers."""
+
+    def observe(backend: Backend, metadata: ReplyMetadata) -> None:
+        unknown_fields.note(backend, metadata.unknown_fields)
+        if metadata.leaving:
+            sync.note_leaving(backend)
+
+    return observe
+
+
 def _control_limits() -> ServerLimits:
     """Return the limits for requests of operators and backend servers."""
     return ServerLimits(16 * 1024, 16 * 1024 * 1024, 5.0, 30.0)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
@@ -165,7 +165,11 @@
     """Run one attempt; return its outcome, the reason and the time that it took."""
     async with server.listening() as address:
         backend = backend or backend_at(address)
-        leaving_backends = leaving_backends if leaving_backends is not None else []
+
+        def note_reply(backend, metadata):
+            if metadata.leaving and leaving_backends is not None:
+                leaving_backends.append(backend)
+
         attempt = BackendAttempt(
             exchange,
             backend,
@@ -173,7 +177,7 @@
             pool or BackendPool(),
             DIALECT,
             lambda: None,
-            leaving_backends.append,
+            note_reply,
         )
         started_at_s = boot_clock_s()
         async with asyncio.timeout(within_s):
