--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -367,6 +367,15 @@
 
 // ---- gateway hosts and the leader ----
 
+// What a backend server last stated about its request limit, bounded by the ages of the
+// earliest and the latest moment at which it can have stated it.
+struct LimitNotice {
+  // Absent if it stated that it has none.
+  1: optional double limit_per_s
+  // Absent if the moment has no lower bound.
+  2: optional double earliest_age_s
+  3: double latest_age_s
+}
 struct BackendNotice {
   1: string instance_id
   2: string service_name
@@ -379,6 +388,8 @@
   // Absent where it is left out: what is known of the adapters stays.
   9: optional list<string> resident
   10: i32 slots
+  // Absent if it has never stated a limit.
+  11: optional LimitNotice limit
 }
 
 struct SyncRequest {
@@ -390,6 +401,9 @@
   6: double share
   // Seconds since a run of a suspected request ended well, by fingerprint.
   7: optional map<string, double> served
+  // The leader's clock showed at least this when the request was made; absent if this
+  // host has not heard the clock of this leader.
+  8: optional double composed_after_s
 }
 struct SyncReply {
   1: string leader_address
@@ -403,6 +417,7 @@
   9: optional map<string, double> silent
   // There are more notices than fit: ask again at once.
   10: optional bool more
+  11: optional double clock_s
 }
 // A run that did not end, on one start of a backend server.
 struct CrashNotice {
@@ -420,6 +435,29 @@
 struct TokensRequest { 1: string host_address  2: string workspace  3: double tokens  4: string fingerprint }
 struct TokensReply { 1: string leader_address  2: bool granted  3: double retry_after_s }
 
+// ---- sends to backend servers that have stated a request limit ----
+
+struct SendGrantAsk {
+  1: string instance_id
+  2: i64 started_at_ms
+  3: LimitNotice limit
+  4: i32 wanted
+  5: i32 priority
+  6: string workspace
+}
+// Grants that were not used.
+struct SendGrantReturn { 1: string instance_id  2: i64 started_at_ms  3: i32 count }
+struct SendGrantsRequest {
+  1: string host_address
+  2: string leader_id
+  3: list<SendGrantAsk> asks
+  4: list<SendGrantReturn> returned
+  5: optional double composed_after_s
+}
+struct SendGrant { 1: i32 count  2: double wait_s }
+// One grant for each ask, in the same order; none if the host does not lead.
+struct SendGrantsReply { 1: string leader_id  2: list<SendGrant> grants  3: double clock_s }
+
 // ---- admission by the agent beside a backend server ----
 
 struct EngineLimits { 1: i32 slots  2: i32 adapter_slots  3: i32 memory_tokens }
--- a/packages/damaskvalve-core/damaskvalve_core/_codec.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_codec.py
@@ -19,7 +19,8 @@
     "LookupRequest LookupReply CreditRequest CreditReply PermitRequest PermitReply "
     "LeaseJobRequest LeaseJobReply ReadRequest ReadReply WorkRequest WorkStarted "
     "WorkChunk WorkProgress WorkEnd WorkRefused SyncRequest SyncReply TokensRequest "
-    "TokensReply AdmitRequest AdmitReply AdmitEnd TakeOverRequest"
+    "TokensReply AdmitRequest AdmitReply AdmitEnd TakeOverRequest "
+    "SendGrantsRequest SendGrantsReply"
 ).split()
 
 _CLASS_BY_NUMBER: dict[int, type] = {
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2015,6 +2015,28 @@
         self.number = number
 
 
+class LimitNotice(TBase):
+    """
+    Attributes:
+     - limit_per_s
+     - earliest_age_s
+     - latest_age_s
+
+    """
+
+    __slots__ = (
+        'limit_per_s',
+        'earliest_age_s',
+        'latest_age_s',
+    )
+
+
+    def __init__(self, limit_per_s=None, earliest_age_s=None, latest_age_s=None,):
+        self.limit_per_s = limit_per_s
+        self.earliest_age_s = earliest_age_s
+        self.latest_age_s = latest_age_s
+
+
 class BackendNotice(TBase):
     """
     Attributes:
@@ -2028,6 +2050,7 @@
      - age_s
      - resident
      - slots
+     - limit
 
     """
 
@@ -2042,10 +2065,11 @@
         'age_s',
         'resident',
         'slots',
+        'limit',
     )
 
 
-    def __init__(self, instance_id=None, service_name=None, address=None, data_centre=None, state=None, started_at_ms=None, sequence=None, age_s=None, resident=None, slots=None,):
+    def __init__(self, instance_id=None, service_name=None, address=None, data_centre=None, state=None, started_at_ms=None, sequence=None, age_s=None, resident=None, slots=None, limit=None,):
         self.instance_id = instance_id
         self.service_name = service_name
         self.address = address
@@ -2056,6 +2080,7 @@
         self.age_s = age_s
         self.resident = resident
         self.slots = slots
+        self.limit = limit
 
 
 class SyncRequest(TBase):
@@ -2068,6 +2093,7 @@
      - crashes
      - share
      - served
+     - composed_after_s
 
     """
 
@@ -2079,10 +2105,11 @@
         'crashes',
         'share',
         'served',
+        'composed_after_s',
     )
 
 
-    def __init__(self, host_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None, served=None,):
+    def __init__(self, host_address=None, leader_id=None, seen=None, notices=None, crashes=None, share=None, served=None, composed_after_s=None,):
         self.host_address = host_address
         self.leader_id = leader_id
         self.seen = seen
@@ -2090,6 +2117,7 @@
         self.crashes = crashes
         self.share = share
         self.served = served
+        self.composed_after_s = composed_after_s
 
 
 class SyncReply(TBase):
@@ -2104,6 +2132,7 @@
      - hosts
      - silent
      - more
+     - clock_s
 
     """
 
@@ -2117,10 +2146,11 @@
         'hosts',
         'silent',
         'more',
+        'clock_s',
     )
 
 
-    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, share=None, share_s=None, hosts=None, silent=None, more=None,):
+    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, share=None, share_s=None, hosts=None, silent=None, more=None, clock_s=None,):
         self.leader_address = leader_address
         self.leader_id = leader_id
         self.seen = seen
@@ -2130,6 +2160,7 @@
         self.hosts = hosts
         self.silent = silent
         self.more = more
+        self.clock_s = clock_s
 
 
 class CrashNotice(TBase):
@@ -2210,6 +2241,128 @@
         self.retry_after_s = retry_after_s
 
 
+class SendGrantAsk(TBase):
+    """
+    Attributes:
+     - instance_id
+     - started_at_ms
+     - limit
+     - wanted
+     - priority
+     - workspace
+
+    """
+
+    __slots__ = (
+        'instance_id',
+        'started_at_ms',
+        'limit',
+        'wanted',
+        'priority',
+        'workspace',
+    )
+
+
+    def __init__(self, instance_id=None, started_at_ms=None, limit=None, wanted=None, priority=None, workspace=None,):
+        self.instance_id = instance_id
+        self.started_at_ms = started_at_ms
+        self.limit = limit
+        self.wanted = wanted
+        self.priority = priority
+        self.workspace = workspace
+
+
+class SendGrantReturn(TBase):
+    """
+    Attributes:
+     - instance_id
+     - started_at_ms
+     - count
+
+    """
+
+    __slots__ = (
+        'instance_id',
+        'started_at_ms',
+        'count',
+    )
+
+
+    def __init__(self, instance_id=None, started_at_ms=None, count=None,):
+        self.instance_id = instance_id
+        self.started_at_ms = started_at_ms
+        self.count = count
+
+
+class SendGrantsRequest(TBase):
+    """
+    Attributes:
+     - host_address
+     - leader_id
+     - asks
+     - returned
+     - composed_after_s
+
+    """
+
+    __slots__ = (
+        'host_address',
+        'leader_id',
+        'asks',
+        'returned',
+        'composed_after_s',
+    )
+
+
+    def __init__(self, host_address=None, leader_id=None, asks=None, returned=None, composed_after_s=None,):
+        self.host_address = host_address
+        self.leader_id = leader_id
+        self.asks = asks
+        self.returned = returned
+        self.composed_after_s = composed_after_s
+
+
+class SendGrant(TBase):
+    """
+    Attributes:
+     - count
+     - wait_s
+
+    """
+
+    __slots__ = (
+        'count',
+        'wait_s',
+    )
+
+
+    def __init__(self, count=None, wait_s=None,):
+        self.count = count
+        self.wait_s = wait_s
+
+
+class SendGrantsReply(TBase):
+    """
+    Attributes:
+     - leader_id
+     - grants
+     - clock_s
+
+    """
+
+    __slots__ = (
+        'leader_id',
+        'grants',
+        'clock_s',
+    )
+
+
+    def __init__(self, leader_id=None, grants=None, clock_s=None,):
+        self.leader_id = leader_id
+        self.grants = grants
+        self.clock_s = clock_s
+
+
 class EngineLimits(TBase):
     """
     Attributes:
@@ -2967,6 +3120,13 @@
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
 )
+all_structs.append(LimitNotice)
+LimitNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.DOUBLE, 'limit_per_s', None, None, ),  # 1
+    (2, TType.DOUBLE, 'earliest_age_s', None, None, ),  # 2
+    (3, TType.DOUBLE, 'latest_age_s', None, None, ),  # 3
+)
 all_structs.append(BackendNotice)
 BackendNotice.thrift_spec = (
     None,  # 0
@@ -2980,6 +3140,7 @@
     (8, TType.DOUBLE, 'age_s', None, None, ),  # 8
     (9, TType.LIST, 'resident', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.I32, 'slots', None, None, ),  # 10
+    (11, TType.STRUCT, 'limit', [LimitNotice, None], None, ),  # 11
 )
 all_structs.append(SyncRequest)
 SyncRequest.thrift_spec = (
@@ -2991,6 +3152,7 @@
     (5, TType.LIST, 'crashes', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 5
     (6, TType.DOUBLE, 'share', None, None, ),  # 6
     (7, TType.MAP, 'served', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 7
+    (8, TType.DOUBLE, 'composed_after_s', None, None, ),  # 8
 )
 all_structs.append(SyncReply)
 SyncReply.thrift_spec = (
@@ -3005,6 +3167,7 @@
     (8, TType.I32, 'hosts', None, None, ),  # 8
     (9, TType.MAP, 'silent', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 9
     (10, TType.BOOL, 'more', None, None, ),  # 10
+    (11, TType.DOUBLE, 'clock_s', None, None, ),  # 11
 )
 all_structs.append(CrashNotice)
 CrashNotice.thrift_spec = (
@@ -3031,6 +3194,45 @@
     (2, TType.BOOL, 'granted', None, None, ),  # 2
     (3, TType.DOUBLE, 'retry_after_s', None, None, ),  # 3
 )
+all_structs.append(SendGrantAsk)
+SendGrantAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+    (3, TType.STRUCT, 'limit', [LimitNotice, None], None, ),  # 3
+    (4, TType.I32, 'wanted', None, None, ),  # 4
+    (5, TType.I32, 'priority', None, None, ),  # 5
+    (6, TType.STRING, 'workspace', 'UTF8', None, ),  # 6
+)
+all_structs.append(SendGrantReturn)
+SendGrantReturn.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+)
+all_structs.append(SendGrantsRequest)
+SendGrantsRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'leader_id', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'asks', (TType.STRUCT, [SendGrantAsk, None], False), None, ),  # 3
+    (4, TType.LIST, 'returned', (TType.STRUCT, [SendGrantReturn, None], False), None, ),  # 4
+    (5, TType.DOUBLE, 'composed_after_s', None, None, ),  # 5
+)
+all_structs.append(SendGrant)
+SendGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'count', None, None, ),  # 1
+    (2, TType.DOUBLE, 'wait_s', None, None, ),  # 2
+)
+all_structs.append(SendGrantsReply)
+SendGrantsReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'leader_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'grants', (TType.STRUCT, [SendGrant, None], False), None, ),  # 2
+    (3, TType.DOUBLE, 'clock_s', None, None, ),  # 3
+)
 all_structs.append(EngineLimits)
 EngineLimits.thrift_spec = (
     None,  # 0
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -49,8 +49,9 @@
 
 _T = TypeVar("_T")
 
-#: Called with a backend server and the metadata of a reply from it.
-ReplyCallback = Callable[[Backend, ReplyMetadata], None]
+#: Called with a backend server, the metadata of a reply from it, the time at which the
+#: request was sent, and the time at which the head of the reply was read.
+ReplyCallback = Callable[[Backend, ReplyMetadata, float, float], None]
 
 _HOP_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"proxy-connection", b"te")
@@ -80,6 +81,7 @@
         dialect: Dialect,
         on_started: Callable[[], None],
         on_reply: ReplyCallback,
+        may_send: Callable[[float], bool],
     ) -> None:
         self._exchange = exchange
         self._backend = backend
@@ -90,6 +92,8 @@
         self._on_started = on_started
         # Called for each reply that the backend server sent to this request.
         self._on_reply = on_reply
+        # Called right before the request is sent; False if it may not be sent now.
+        self._may_send = may_send
         # The outcome and its reason, set by run(). The reason is empty if the outcome
         # is ANSWERED.
         self.outcome = ""
@@ -132,6 +136,10 @@
                 "backend server stopped accepting requests, or deadline passed"
             )
             return NOT_RUN
+        if not self._may_send(now_s):
+            self._pool.release(instance_id, connection, now_s)
+            self.reason = "the backend server's request limit allows no request now"
+            return NOT_RUN
         backend.active += 1
         try:
             outcome = await self._send_and_relay(connection, started_at_s)
@@ -166,8 +174,10 @@
         exchange.tried_instances.add(instance_id)
         backend.sent_count += 1
         self.may_be_running = True
+        sent_s = boot_clock_s()
         connection.send(request.method, request.target, headers, request.body)
         head = await self._read_head(connection, started_at_s)
+        read_s = boot_clock_s()
         metadata = self._dialect.read_reply(head.status, head.headers)
         # A refusal may lack a request id. A reply with the id of another request is a
         # duplicate of an earlier reply and does not show whether this request runs.
@@ -175,7 +185,7 @@
             metadata.request_id or not metadata.not_run
         ):
             raise BackendFailedError("the reply carries the id of another request")
-        self._apply_availability(head, metadata)
+        self._apply_availability(head, metadata, sent_s, read_s)
         if metadata.not_run:
             self.may_be_running = False
             exchange.runs -= 1
@@ -201,14 +211,16 @@
         self.may_be_running = False
         self.succeeded = 200 <= head.status < 300
 
-    def _apply_availability(self, head: ReplyHead, metadata: ReplyMetadata) -> None:
+    def _apply_availability(
+        self, head: ReplyHead, metadata: ReplyMetadata, sent_s: float, read_s: float
+    ) -> None:
         """Apply what a reply says about its backend server.
 
         A misdirected reply is ignored: another instance may have sent it.
         """
         if head.status == MISDIRECTED_STATUS:
             return
-        self._on_reply(self._backend, metadata)
+        self._on_reply(self._backend, metadata, sent_s, read_s)
         if metadata.backoff_s > 0:
             self._backend.back_off(metadata.backoff_s, boot_clock_s())
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 
 from damaskvalve_gateway._crashes import ENDED, OUTLIVED, UNKNOWN, Incarnation
+from damaskvalve_gateway._limit_statements import LimitStatement, newest_statement
 from damaskvalve_gateway._model import GONE, LEAVING, READY, Announcement
 
 # Backend servers announce themselves about every second, and an announcement may be
@@ -38,6 +39,9 @@
 RESIDENT, CACHED, ABSENT = 0, 1, 2
 # Stands for a time before all others.
 NEVER_S = -1e9
+# After its request limit has ended, a backend server gets its share of the requests
+# back over this time.
+LIMIT_RAMP_S = 2.0
 # An announcement that arrives within this time after a run broke may have been sent
 # before the run broke, so it does not show that the backend server outlived the run.
 MAX_ANNOUNCEMENT_DELAY_S = 0.5
@@ -58,6 +62,10 @@
         "failures",
         "paused_until_s",
         "backoff_until_s",
+        "limit_statement",
+        "has_stated_limit",
+        "limit_ended_s",
+        "next_grant_s",
         "failure_share",
         "service_s",
         "_adapter_seen_s",
@@ -89,6 +97,14 @@
         # The time until which an overloaded backend server wants no request from this
         # host.
         self.backoff_until_s = 0.0
+        # What it stated last about its request limit; None if no reply has arrived.
+        self.limit_statement: LimitStatement | None = None
+        # Whether it has ever stated a limit, as far as this host knows.
+        self.has_stated_limit = False
+        # When its limit ended.
+        self.limit_ended_s = NEVER_S
+        # When this host may obtain a grant for it, if it has a limit.
+        self.next_grant_s = 0.0
         # Share of failed outcomes, as a moving average.
         self.failure_share = 0.0
         # Time to the first event of a stream, or to the end of another reply, as a
@@ -117,6 +133,28 @@
         until_s = now_s + min(for_s, MAX_BACKOFF_S)
         self.backoff_until_s = max(self.backoff_until_s, until_s)
 
+    def incarnation(self) -> Incarnation:
+        """Return the instance id and start time that identify this incarnation."""
+        return self.announcement.instance_id, self.announcement.started_at_ms
+
+    def limit_per_s(self) -> float | None:
+        """Return the requests a second from all hosts that it allows; None if any."""
+        statement = self.limit_statement
+        return None if statement is None else statement.limit_per_s
+
+    def accepts_from_s(self) -> float:
+        """Return the time from which it may accept a request of this host."""
+        if self.limit_per_s() is None:
+            return self.backoff_until_s
+        return max(self.backoff_until_s, self.next_grant_s)
+
+    def admits_share(self, point: float, now_s: float) -> bool:
+        """Return whether a request may go there while its share grows back.
+
+        ``point``, from 0 to 1, is drawn for each request.
+        """
+        return point * LIMIT_RAMP_S <= now_s - self.limit_ended_s
+
     def note_adapter(self, adapter: str, now_s: float) -> None:
         """Record that a request with an adapter has started there."""
         self._adapter_seen_s[adapter] = now_s
@@ -237,6 +275,25 @@
             self._store(backend)
         return True
 
+    def note_limit(
+        self, backend: Backend, statement: LimitStatement, now_s: float
+    ) -> bool:
+        """Apply what a backend server stated about its request limit.
+
+        Return whether its limit has changed. Changes are published to other hosts.
+        """
+        previous = backend.limit_per_s()
+        backend.limit_statement = newest_statement(backend.limit_statement, statement)
+        current = backend.limit_per_s()
+        if current == previous:
+            return False
+        backend.has_stated_limit = True
+        backend.limit_ended_s = now_s if current is None else NEVER_S
+        backend.next_grant_s = 0.0
+        if self._backends.get(backend.announcement.instance_id) is backend:
+            self._store(backend)
+        return True
+
     def _resident_due(self, backend: Backend) -> bool:
         if backend.announcement.resident == backend.published_resident:
             return False
@@ -308,6 +365,13 @@
         ]
         return _newest_by_address(found)
 
+    def count_limited(self) -> int:
+        """Return the number of ready backend servers that have a request limit."""
+        return sum(
+            item.announcement.state == READY and item.limit_per_s() is not None
+            for item in self._backends.values()
+        )
+
     def count_ready(self) -> int:
         """Return the number of backend servers whose state is ready."""
         return sum(item.announcement.state == READY for item in self._backends.values())
@@ -323,13 +387,14 @@
     def resend_candidates(self, now_s: float) -> Sequence[Backend]:
         """Return the backend servers that this host reports to a new leader.
 
-        These are the ones that are leaving or gone, and those that recently announced
-        themselves directly to this host.
+        These are the ones that are leaving or gone, those that have stated a request
+        limit, and those that recently announced themselves directly to this host.
         """
         return [
             item
             for item in self._backends.values()
             if item.announcement.state != READY
+            or item.has_stated_limit
             or now_s - item.last_direct_s < ANNOUNCEMENT_TIMEOUT_S
         ]
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -43,6 +43,7 @@
 from damaskvalve_gateway._quarantine import check_quarantine
 from damaskvalve_gateway._rate import RateFilter
 from damaskvalve_gateway._retries import RetryBudget
+from damaskvalve_gateway._send_gate import SendGate
 from damaskvalve_gateway._starting import startup_retry_after_s
 
 NO_BACKEND_RETRY_AFTER_S = 0.5
@@ -62,6 +63,7 @@
         dialect: Dialect,
         pool: BackendPool,
         permits: PermitClient,
+        gate: SendGate,
         rate: RateFilter,
         retries: RetryBudget,
         crashes: CrashController,
@@ -74,6 +76,7 @@
         self._dialect = dialect
         self._pool = pool
         self._permits = permits
+        self._gate = gate
         self._rate = rate
         self._retries = retries
         self._crashes = crashes
@@ -284,24 +287,51 @@
         live = self._view.backends.live(service, now_s, stale=stale)
         accepting = [item for item in live if item.takes_work(now_s)]
         if live and not accepting:
-            host_count = self._view.host_count
             raise RefusedError(
                 503,
                 "backends_overloaded",
                 f"every backend server of {service} is overloaded and backing off",
-                retry_after_s=self._retry_after_scheduler.wait_s(
-                    service, live, host_count, now_s
-                ),
+                retry_after_s=self._retry_after_s(service, live, now_s),
             )
         untried = [
             item
             for item in accepting
             if item.announcement.instance_id not in exchange.tried_instances
         ]
+        point = xxhash.xxh32_intdigest(exchange.request.request_id.encode()) / 2**32
+        untried = [item for item in untried if item.admits_share(point, now_s)] or (
+            untried
+        )
         # If all accepting backend servers have been tried, they are tried again, unless
         # one of them may still be running the request.
         return untried or ([] if exchange.runs else accepting)
 
+    def _retry_after_s(
+        self, service: str, live: Sequence[Backend], now_s: float
+    ) -> float:
+        """Return the Retry-After, in seconds, while no backend server accepts."""
+        return self._retry_after_scheduler.wait_s(
+            service, live, self._view.host_count, now_s
+        )
+
+    def _limited_refusal(self, exchange: Exchange) -> RefusedError:
+        """Return the refusal for a request that request limits do not admit."""
+        now_s = boot_clock_s()
+        service = exchange.service.name
+        stale = now_s - self._view.leader_contact_s > LEADER_CONTACT_TIMEOUT_S
+        live = self._view.backends.live(service, now_s, stale=stale)
+        return RefusedError(
+            503,
+            "backends_limited",
+            f"the request limits of the backend servers of {service} allow no request "
+            "now",
+            retry_after_s=(
+                self._retry_after_s(service, live, now_s)
+                if live
+                else NO_BACKEND_RETRY_AFTER_S
+            ),
+        )
+
     async def _attempt_once(self, exchange: Exchange) -> BackendAttempt:
         candidates = self._candidates(exchange)
         if not candidates:
@@ -314,12 +344,23 @@
                 ),
             )
         if exchange.service.engine is None:
-            now_s = boot_clock_s()
-            request_id = exchange.request.request_id
-            ranked = order_plain(candidates, self._data_centre, request_id, now_s)
-            return await self._attempt(exchange, Permit(ranked[0], 0, None, request_id))
+            return await self._attempt_on_plain(exchange, candidates)
         return await self._attempt_on_engine(exchange, candidates)
 
+    async def _attempt_on_plain(
+        self, exchange: Exchange, candidates: Sequence[Backend]
+    ) -> BackendAttempt:
+        request_id = exchange.request.request_id
+        ranked = order_plain(candidates, self._data_centre, request_id, boot_clock_s())
+        for backend in ranked:
+            if not backend.takes_work(boot_clock_s()):
+                continue
+            async with self._gate.reserving(backend, exchange) as grant:
+                if grant is not None:
+                    permit = Permit(backend, grant, 0, None, request_id)
+                    return await self._attempt(exchange, permit)
+        raise self._limited_refusal(exchange)
+
     async def _attempt_on_engine(
         self, exchange: Exchange, candidates: Sequence[Backend]
     ) -> BackendAttempt:
@@ -333,7 +374,14 @@
         def check_refused() -> None:
             self._check_quarantine(exchange.fingerprint)
 
-        permits = self._permits.permit(exchange, ranked, version, engine, check_refused)
+        permits = self._permits.permit(
+            exchange,
+            ranked,
+            version,
+            engine,
+            check_refused,
+            lambda: self._limited_refusal(exchange),
+        )
         async with permits as permit:
             attempt = await self._attempt(exchange, permit)
             permit.release(attempt.outcome)
@@ -350,6 +398,7 @@
             self._dialect,
             permit.note_started,
             self._on_reply,
+            permit.grant.spend,
         )
         self._check_quarantine(exchange.fingerprint)
         incarnation = exchange.backend_id, backend.announcement.started_at_ms
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_ledger.py
@@ -0,0 +1,199 @@
+"""The leader's side of request limits: grants to send to limited backend servers.
+
+The leader is the only one that grants, so that the limit of a backend server holds for
+all hosts together, however few requests it allows. It keeps a token bucket for each
+limited backend server. A new leader does not know what its predecessor granted, so its
+buckets start empty, and nothing accrues in them before their first use.
+
+Of several claims to a scarce token the more urgent one comes first, and among equals
+the workspace that was granted less recently. There is no queue: a claim that has to
+wait is refused, and a token is kept for a short while for a better claim that was
+refused before.
+"""
+
+import collections
+import math
+
+from damaskvalve_gateway._crashes import Incarnation
+
+# Grants a second to a backend server that allows fewer. Their replies show whether the
+# limit still holds. With the depth below, a window of four seconds has at most four.
+MIN_RATE_PER_S = 0.5
+# The depth of a bucket: a fixed number, and what accrues in some time. A depth below
+# two tokens leaves none to keep for a better claim.
+MIN_DEPTH = 2.0
+DEPTH_S = 0.25
+# Refused claims are remembered for this long, but at least for the time in which
+# MEMORY_TOKENS tokens accrue.
+REFUSAL_MEMORY_S = 1.0
+MEMORY_TOKENS = 2.0
+MAX_REFUSED_CLAIMS = 64
+# Time constant of the decaying count of the grants of a workspace.
+SERVED_DECAY_S = 4.0
+# A workspace comes before another one if it was granted this much less.
+FAIR_MARGIN = 1.0
+# Bounds of the time after which a refused claim may be made again.
+MIN_WAIT_S = 0.02
+MAX_WAIT_S = 1.0
+# A bucket that has not been used for this long is forgotten.
+BUCKET_RETENTION_S = 60.0
+
+
+class GrantClaim:
+    """A host's claim to send requests to a limited backend server."""
+
+    __slots__ = ("host", "priority", "workspace", "wanted")
+
+    def __init__(self, host: str, priority: int, workspace: str, wanted: int) -> None:
+        if wanted < 1:
+            raise ValueError(f"wanted is {wanted}, not at least 1")
+        self.host = host
+        # 0 is the most urgent.
+        self.priority = priority
+        self.workspace = workspace
+        # The number of requests; fewer may be granted.
+        self.wanted = wanted
+
+
+class GrantUse:
+    """What was granted and refused for one backend server in an interval."""
+
+    __slots__ = ("granted", "refused", "returned", "since_s")
+
+    def __init__(self, since_s: float) -> None:
+        self.granted = 0
+        self.refused = 0
+        self.returned = 0
+        self.since_s = since_s
+
+
+class _Bucket:
+    """The tokens of one backend server, and its recent claims."""
+
+    def __init__(self, now_s: float) -> None:
+        self.level = 0.0
+        self.at_s = now_s
+        self.use = GrantUse(now_s)
+        self._served: dict[str, float] = {}
+        self._served_at_s = now_s
+        # When each claim, as (priority, workspace), was last refused.
+        self._refused_s: collections.OrderedDict[tuple[int, str], float] = (
+            collections.OrderedDict()
+        )
+        self._refused_hosts_s: dict[str, float] = {}
+
+    def refill(self, rate_per_s: float, now_s: float) -> None:
+        """Add what accrued since the last call, up to the depth."""
+        depth = MIN_DEPTH + DEPTH_S * rate_per_s
+        passed_s = max(0.0, now_s - self.at_s)
+        self.at_s = max(self.at_s, now_s)
+        self.level = min(depth, self.level + rate_per_s * passed_s)
+
+    def note_granted(self, claim: GrantClaim, count: int, now_s: float) -> None:
+        self.level -= count
+        self.use.granted += count
+        self._decay_served(now_s)
+        served = self._served.get(claim.workspace, 0.0)
+        self._served[claim.workspace] = served + count
+        self._refused_s.pop((claim.priority, claim.workspace), None)
+        self._refused_hosts_s.pop(claim.host, None)
+
+    def note_refused(self, claim: GrantClaim, now_s: float) -> None:
+        self.use.refused += 1
+        key = claim.priority, claim.workspace
+        self._refused_s[key] = now_s
+        self._refused_s.move_to_end(key)
+        if len(self._refused_s) > MAX_REFUSED_CLAIMS:
+            self._refused_s.popitem(last=False)
+        self._refused_hosts_s[claim.host] = now_s
+
+    def waiting_hosts(self, now_s: float) -> int:
+        """Return how many hosts had a claim refused recently."""
+        self._refused_hosts_s = {
+            host: at_s
+            for host, at_s in self._refused_hosts_s.items()
+            if now_s - at_s < REFUSAL_MEMORY_S
+        }
+        return len(self._refused_hosts_s)
+
+    def has_better_claim(
+        self, claim: GrantClaim, rate_per_s: float, now_s: float
+    ) -> bool:
+        """Return whether a claim that comes before this one was refused recently."""
+        self._decay_served(now_s)
+        memory_s = max(REFUSAL_MEMORY_S, MEMORY_TOKENS / rate_per_s)
+        own = claim.priority, self._served.get(claim.workspace, 0.0) - FAIR_MARGIN
+        return any(
+            (priority, self._served.get(workspace, 0.0)) < own
+            for (priority, workspace), at_s in self._refused_s.items()
+            if now_s - at_s < memory_s
+            and (priority, workspace) != (claim.priority, claim.workspace)
+        )
+
+    def _decay_served(self, now_s: float) -> None:
+        factor = math.exp(-max(0.0, now_s - self._served_at_s) / SERVED_DECAY_S)
+        self._served_at_s = now_s
+        self._served = {
+            workspace: count * factor
+            for workspace, count in self._served.items()
+            if count * factor > 0.01
+        }
+
+
+class GrantLedger:
+    """Grants sends to limited backend servers, as the leader."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[Incarnation, _Bucket] = {}
+
+    def take(
+        self,
+        incarnation: Incarnation,
+        limit_per_s: float,
+        claim: GrantClaim,
+        now_s: float,
+    ) -> tuple[int, float]:
+        """Return the number of granted sends, and the wait in seconds if it is 0."""
+        bucket = self._buckets.get(incarnation)
+        if bucket is None:
+            bucket = self._buckets[incarnation] = _Bucket(now_s)
+        rate_per_s = max(limit_per_s, MIN_RATE_PER_S)
+        bucket.refill(rate_per_s, now_s)
+        kept = 1.0 if bucket.has_better_claim(claim, rate_per_s, now_s) else 0.0
+        available = math.floor(bucket.level - kept)
+        if available >= 1:
+            count = min(claim.wanted, available)
+            bucket.note_granted(claim, count, now_s)
+            return count, 0.0
+        bucket.note_refused(claim, now_s)
+        others = bucket.waiting_hosts(now_s) - 1
+        wait_s = (1.0 + kept - bucket.level + 0.5 * others) / rate_per_s
+        return 0, max(MIN_WAIT_S, min(MAX_WAIT_S, wait_s))
+
+    def give_back(self, incarnation: Incarnation, count: int) -> None:
+        """Add grants that a host did not use; the depth still bounds them."""
+        bucket = self._buckets.get(incarnation)
+        if bucket is not None and count > 0:
+            bucket.level += count
+            bucket.use.returned += count
+
+    def take_use(
+        self, incarnation: Incarnation, interval_s: float, now_s: float
+    ) -> GrantUse | None:
+        """Return what was granted since the last call, at most once in an interval."""
+        bucket = self._buckets.get(incarnation)
+        if bucket is None or now_s - bucket.use.since_s < interval_s:
+            return None
+        use, bucket.use = bucket.use, GrantUse(now_s)
+        return use
+
+    def expire(self, now_s: float) -> None:
+        """Forget the buckets that have not been used for BUCKET_RETENTION_S."""
+        self._buckets = {
+            incarnation: bucket
+            for incarnation, bucket in self._buckets.items()
+            if now_s - bucket.at_s < BUCKET_RETENTION_S
+        }
+
+
+__all__ = ["GrantClaim", "GrantLedger", "GrantUse"]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
@@ -10,6 +10,10 @@
     Problem,
     ProposeReply,
     ProposeRequest,
+    SendGrant,
+    SendGrantAsk,
+    SendGrantsReply,
+    SendGrantsRequest,
     SyncReply,
     SyncRequest,
     TokensReply,
@@ -18,8 +22,11 @@
 from damaskvalve_core.rpc import RpcCall
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
+from damaskvalve_gateway._crashes import Incarnation
+from damaskvalve_gateway._grant_ledger import GrantClaim, GrantLedger
+from damaskvalve_gateway._limits import apply_limit_notice, log_limit_change
 from damaskvalve_gateway._model import Workspace
-from damaskvalve_gateway._notices import from_notice, to_notice
+from damaskvalve_gateway._notices import from_limit_notice, from_notice, to_notice
 from damaskvalve_gateway._quota import (
     SHARE_LEASE_S,
     HostCount,
@@ -41,6 +48,8 @@
 # The overdue ages are computed at most once in this time. Hosts that sync meanwhile
 # receive the cached ages.
 OVERDUE_CACHE_S = 0.2
+# What was granted for each limited backend server is logged at this interval.
+GRANT_LOG_INTERVAL_S = 4.0
 # Retry-After for a workspace that this host does not know yet: the next configuration
 # contains it.
 UNKNOWN_WORKSPACE_RETRY_S = 0.4
@@ -68,6 +77,7 @@
         # The id of this host's last leadership; empty if it has not led.
         self._leader_id = ""
         self._quota = LeaderQuota(settings.quota_slack, 0.0)
+        self._grants = GrantLedger()
         # Time of the last sync of each host, by its address.
         self._last_sync_s: dict[str, float] = {}
         self._leads_since_s = 0.0
@@ -82,6 +92,7 @@
         if leader_id != self._leader_id:
             self._leader_id = leader_id
             self._quota = LeaderQuota(self._settings.quota_slack, now_s)
+            self._grants = GrantLedger()
             self._last_sync_s = {}
             self._leads_since_s = now_s
             self._log.line("leading", leader=leader_id)
@@ -167,6 +178,8 @@
             call.send(self._sync(request))
         elif isinstance(request, TokensRequest):
             call.send(self._tokens(request))
+        elif isinstance(request, SendGrantsRequest):
+            call.send(self.grant_sends(request))
         elif isinstance(request, ConfirmRequest):
             call.send(self._confirm())
         elif isinstance(request, ProposeRequest):
@@ -188,6 +201,14 @@
         for notice in request.notices:
             announcement = from_notice(notice, backends.find(notice.instance_id))
             backends.update(announcement, now_s - notice.age_s)
+            apply_limit_notice(
+                backends,
+                notice,
+                self._composed_after_s(request),
+                now_s,
+                self._log,
+                request.host_address,
+            )
         self._crashes.merge_reports(request.crashes, request.served or {}, now_s)
         share, lease_s = self.grant_share(request.host_address, request.share, now_s)
         seen = request.seen if request.leader_id == self._leader_id else 0
@@ -204,8 +225,70 @@
             self.host_count(now_s),
             self._overdue_ages(now_s),
             more,
+            now_s,
         )
 
+    def _composed_after_s(
+        self, request: SyncRequest | SendGrantsRequest
+    ) -> float | None:
+        """Return a time of this leadership before a request was made, if known."""
+        if request.leader_id != self._leader_id:
+            return None
+        after_s: float | None = request.composed_after_s
+        return after_s
+
+    def grant_sends(self, request: SendGrantsRequest) -> SendGrantsReply:
+        """Grant sends to limited backend servers, if this host leads."""
+        now_s = boot_clock_s()
+        if not self._state_client.leads(now_s):
+            return SendGrantsReply("", [], 0.0)
+        self._reset_if_elected(now_s)
+        if request.leader_id == self._leader_id:
+            for item in request.returned:
+                incarnation = item.instance_id, item.started_at_ms
+                self._grants.give_back(incarnation, item.count)
+        self._grants.expire(now_s)
+        grants = [self._grant_send(request, ask, now_s) for ask in request.asks]
+        return SendGrantsReply(self._leader_id, grants, now_s)
+
+    def _grant_send(
+        self, request: SendGrantsRequest, ask: SendGrantAsk, now_s: float
+    ) -> SendGrant:
+        incarnation = ask.instance_id, ask.started_at_ms
+        statement = from_limit_notice(ask.limit, self._composed_after_s(request), now_s)
+        backend = self._view.backends.find(ask.instance_id)
+        limit_per_s = statement.limit_per_s
+        if backend is not None and backend.incarnation() == incarnation:
+            previous_per_s = backend.limit_per_s()
+            if self._view.backends.note_limit(backend, statement, now_s):
+                log_limit_change(
+                    self._log, backend, previous_per_s, request.host_address, now_s
+                )
+            if backend.limit_per_s() is not None:
+                limit_per_s = backend.limit_per_s()
+        claim = GrantClaim(
+            request.host_address, ask.priority, ask.workspace, max(1, ask.wanted)
+        )
+        # A host asks only if it knows a limit.
+        count, wait_s = self._grants.take(incarnation, limit_per_s or 0.0, claim, now_s)
+        self._log_grants(incarnation, limit_per_s, now_s)
+        return SendGrant(count, wait_s)
+
+    def _log_grants(
+        self, incarnation: Incarnation, limit_per_s: float | None, now_s: float
+    ) -> None:
+        use = self._grants.take_use(incarnation, GRANT_LOG_INTERVAL_S, now_s)
+        if use is not None:
+            self._log.line(
+                "limit_use",
+                backend=incarnation[0],
+                limit_per_s=limit_per_s,
+                granted=use.granted,
+                refused=use.refused,
+                returned=use.returned,
+                for_s=round(now_s - use.since_s, 2),
+            )
+
     def _overdue_ages(self, now_s: float) -> Mapping[str, float]:
         """Return the ages of overdue announcements, cached for OVERDUE_CACHE_S."""
         if now_s - self._cached_overdue_s > OVERDUE_CACHE_S:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
@@ -35,6 +35,7 @@
                 "refusals": "refusals by status and reason",
                 "sends": "requests sent to backend servers, retries included",
                 "broken_runs": "runs whose connection broke",
+                "limit_refusals": "requests not sent because of a request limit",
                 "unknown_reply_fields": "replies with an unknown header, by name",
             },
             {
@@ -51,6 +52,7 @@
                 "quota_part": lambda: quota.current_share(boot_clock_s()),
                 "hosts": lambda: view.host_count,
                 "backend_servers": view.backends.count_ready,
+                "limited_backend_servers": view.backends.count_limited,
                 "suspected_requests": lambda: len(view.suspect_statuses),
                 "refused_requests": refused,
                 "log_lines_dropped": lambda: log.dropped_total,
@@ -78,6 +80,10 @@
         """Count a run whose connection broke."""
         self._metrics.count("broken_runs")
 
+    def note_limit_refusal(self, reason: str) -> None:
+        """Count a request that a limit, or the lack of a leader, kept from a send."""
+        self._metrics.count("limit_refusals", reason=reason)
+
     def note_unknown_field(self, name: str) -> None:
         """Count a reply with a header that this release does not know."""
         self._metrics.count("unknown_reply_fields", field=name)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -273,7 +273,10 @@
         "encoded",
         "leaving",
         "backoff_s",
+        "limit_per_s",
+        "limit_readable",
         "unknown_fields",
+        "unreadable_fields",
     )
 
     def __init__(
@@ -284,7 +287,10 @@
         encoded: bool,
         leaving: bool = False,
         backoff_s: float = 0.0,
+        limit_per_s: float | None = None,
+        limit_readable: bool = True,
         unknown_fields: Sequence[tuple[str, str]] = (),
+        unreadable_fields: Sequence[tuple[str, str]] = (),
     ) -> None:
         self.request_id = request_id
         # The backend server has not run the request and will not run it.
@@ -296,8 +302,16 @@
         # How long an overloaded backend server asks this host to send nothing; 0 if it
         # does not.
         self.backoff_s = backoff_s
-        # Names and values of the headers that the dialect does not know.
+        # Requests a second that the backend server takes from all hosts together; None
+        # if it states no limit.
+        self.limit_per_s = limit_per_s
+        # False if the value of a stated limit cannot be read. Then the reply shows
+        # neither a limit nor the end of one.
+        self.limit_readable = limit_readable
+        # Names and values of the headers that the dialect does not know, and of those
+        # whose value it cannot read.
         self.unknown_fields = tuple(unknown_fields)
+        self.unreadable_fields = tuple(unreadable_fields)
 
 
 class Announcement:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_notices.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_notices.py
@@ -1,7 +1,10 @@
 """Conversion of backend servers to and from the notices that hosts exchange."""
 
-from damaskvalve_core.messages import BackendNotice
+import math
+
+from damaskvalve_core.messages import BackendNotice, LimitNotice
 from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._limit_statements import NEVER_S, LimitStatement
 from damaskvalve_gateway._model import Announcement
 
 
@@ -11,6 +14,7 @@
     A ``brief`` notice omits the resident adapters.
     """
     newest = backend.announcement
+    statement = backend.limit_statement if backend.has_stated_limit else None
     return BackendNotice(
         newest.instance_id,
         newest.service,
@@ -22,9 +26,35 @@
         now_s - backend.last_seen_s,
         None if brief else list(newest.resident),
         newest.slots,
+        None if statement is None else to_limit_notice(statement, now_s),
+    )
+
+
+def to_limit_notice(statement: LimitStatement, now_s: float) -> LimitNotice:
+    """Return the notice of a statement about a request limit, with ages."""
+    earliest_age_s = now_s - statement.earliest_s
+    return LimitNotice(
+        statement.limit_per_s,
+        earliest_age_s if math.isfinite(earliest_age_s) else None,
+        now_s - statement.latest_s,
     )
 
 
+def from_limit_notice(
+    notice: LimitNotice, composed_after_s: float | None, now_s: float
+) -> LimitStatement:
+    """Return the statement that a notice carries.
+
+    The notice was made at ``composed_after_s`` or later, by this host's clock; None if
+    that is unknown. Raise :class:`ValueError` if its values are impossible.
+    """
+    latest_s = now_s - max(0.0, notice.latest_age_s)
+    earliest_s = NEVER_S
+    if composed_after_s is not None and notice.earliest_age_s is not None:
+        earliest_s = min(composed_after_s, now_s) - notice.earliest_age_s
+    return LimitStatement(notice.limit_per_s, min(earliest_s, latest_s), latest_s)
+
+
 def from_notice(notice: BackendNotice, known: Backend | None) -> Announcement:
     """Return the announcement that a notice carries.
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
@@ -25,6 +25,7 @@
 from damaskvalve_gateway._backends import Backend
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._model import EngineSpec
+from damaskvalve_gateway._send_gate import SendGate, SendGrant
 
 # Share of a route's time-to-first-event objective that is reserved for the engine,
 # which prefills the prompt between the steps of a full batch, and for waits that turn
@@ -60,12 +61,19 @@
 class Permit:
     """The right to start a request on one backend server."""
 
-    __slots__ = ("backend", "version", "_call", "_request_id", "_started_sent")
+    __slots__ = ("backend", "grant", "version", "_call", "_request_id", "_started_sent")
 
     def __init__(
-        self, backend: Backend, version: int, call: RpcCall | None, request_id: str
+        self,
+        backend: Backend,
+        grant: SendGrant,
+        version: int,
+        call: RpcCall | None,
+        request_id: str,
     ) -> None:
         self.backend = backend
+        # The right to send the request, if the backend server limits requests.
+        self.grant = grant
         # The adapter version loaded in the engine; 0 if unknown.
         self.version = version
         # None if the backend server has no agent, or its agent is unresponsive.
@@ -88,8 +96,9 @@
 class PermitClient:
     """Obtains permits from the agents of candidate engines."""
 
-    def __init__(self, rpc_client: RpcClient, agent_port: int) -> None:
+    def __init__(self, rpc_client: RpcClient, agent_port: int, gate: SendGate) -> None:
         self._rpc_client = rpc_client
+        self._gate = gate
         self._agent_port = agent_port
         # The time until which an agent is not asked again, by agent address.
         self._unresponsive_until_s: dict[str, float] = {}
@@ -106,11 +115,13 @@
         version: int,
         engine: EngineSpec,
         check_refused: Callable[[], None],
+        limited_refusal: Callable[[], RefusedError],
     ) -> AsyncIterator[Permit]:
         """Yield a permit; raise :class:`RefusedError` if no engine admits the request.
 
         ``check_refused`` raises :class:`RefusedError` if the request has been refused
-        while it waits.
+        while it waits. ``limited_refusal`` returns the refusal for a request that was
+        not admitted because of request limits only.
 
         First, the first TIMELY_CANDIDATES candidates are asked for a start within the
         objective. Next, the candidates that predicted a wait are asked again, in order
@@ -118,6 +129,7 @@
         candidates are asked.
         """
         predicted_wait_s: dict[str, float] = {}
+        limited: set[str] = set()
         async with contextlib.AsyncExitStack() as stack:
 
             async def request_permit(backend: Backend, wait_s: float) -> Permit | None:
@@ -129,6 +141,7 @@
                     engine,
                     wait_s,
                     predicted_wait_s,
+                    limited,
                     check_refused,
                 )
 
@@ -136,7 +149,11 @@
                 exchange, candidates, predicted_wait_s, request_permit
             )
             if permit is None:
-                permit = self._permit_without_agent(exchange, candidates, version)
+                permit = await self._permit_without_agent(
+                    stack, exchange, candidates, version, limited
+                )
+            if permit is None and limited and not predicted_wait_s:
+                raise limited_refusal()
             if permit is None:
                 raise busy_refusal(predicted_wait_s)
             yield permit
@@ -174,11 +191,19 @@
         engine: EngineSpec,
         wait_s: float,
         predicted_wait_s: dict[str, float],
+        limited: set[str],
         check_refused: Callable[[], None],
     ) -> Permit | None:
         agent = self._agent_of(backend)
         if boot_clock_s() < self._unresponsive_until_s.get(agent, 0.0):
             return None
+        call_stack = contextlib.AsyncExitStack()
+        grant = await call_stack.enter_async_context(
+            self._gate.reserving(backend, exchange)
+        )
+        if grant is None:
+            limited.add(_instance_id(backend))
+            return None
         request = exchange.request
         fields = exchange.forwarding_fields(
             _instance_id(backend), version, boot_clock_s()
@@ -201,7 +226,6 @@
             pause_s=exchange.route.pause_s or 0.0,
             aim_s=exchange.arrived_s + exchange.route.objective_s - boot_clock_s(),
         )
-        call_stack = contextlib.AsyncExitStack()
         try:
             call = await call_stack.enter_async_context(
                 self._rpc_client.open(agent, admit_request)
@@ -225,10 +249,14 @@
             await call_stack.aclose()
             predicted_wait_s[_instance_id(backend)] = reply.retry_after_s
             return None
+        if not await self._gate.renew(grant, backend, exchange):
+            await call_stack.aclose()
+            limited.add(_instance_id(backend))
+            return None
         stack.push_async_exit(call_stack.__aexit__)
         exchange.waited_s += reply.waited_s
         backend.note_adapter(f"{request.model}/{request.adapter}", boot_clock_s())
-        return Permit(backend, reply.version, call, request.request_id)
+        return Permit(backend, grant, reply.version, call, request.request_id)
 
     @staticmethod
     async def _first_reply(call: RpcCall) -> AdmitReply:
@@ -253,8 +281,13 @@
         finally:
             receiving.cancel()
 
-    def _permit_without_agent(
-        self, exchange: Exchange, candidates: Sequence[Backend], version: int
+    async def _permit_without_agent(
+        self,
+        stack: contextlib.AsyncExitStack,
+        exchange: Exchange,
+        candidates: Sequence[Backend],
+        version: int,
+        limited: set[str],
     ) -> Permit | None:
         """Return a permit for an engine whose agent is unresponsive.
 
@@ -269,8 +302,15 @@
                 self._agent_of(backend), 0.0
             )
             resident = not request.adapter or backend.is_resident(wanted, version)
-            if unresponsive and resident:
-                return Permit(backend, version, None, exchange.request.request_id)
+            if not unresponsive or not resident:
+                continue
+            grant = await stack.enter_async_context(
+                self._gate.reserving(backend, exchange)
+            )
+            if grant is not None:
+                request_id = exchange.request.request_id
+                return Permit(backend, grant, version, None, request_id)
+            limited.add(_instance_id(backend))
         return None
 
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_reply_fields.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_reply_fields.py
@@ -1,4 +1,4 @@
-"""Reply headers that this release does not know.
+"""Reply headers that this release does not know or cannot read.
 
 A backend server may ask the hosts for something in a header that is newer than this
 release. Such a header has no effect, but it is logged and counted, so that operators
@@ -22,16 +22,16 @@
 CountField = Callable[[str], None]
 
 
-class UnknownReplyFields:
-    """Logs and counts the reply headers that this release does not know."""
+class IneffectiveReplyFields:
+    """Logs and counts the reply headers that have no effect."""
 
     def __init__(self, log: DecisionLog, count: CountField) -> None:
         self._log = log
         self._count = count
         self._counted_names: set[str] = set()
-        # The header name, instance id and start time of the logged headers, the oldest
-        # first.
-        self._logged: collections.OrderedDict[tuple[str, str, int], None] = (
+        # Kind of line, header name, instance id and start time of the logged headers,
+        # the oldest first.
+        self._logged: collections.OrderedDict[tuple[str, str, str, int], None] = (
             collections.OrderedDict()
         )
 
@@ -41,18 +41,25 @@
             if len(self._counted_names) < MAX_COUNTED_NAMES:
                 self._counted_names.add(name)
             self._count(name if name in self._counted_names else OTHER_NAMES)
-            self._log_once(backend, name, value)
+            self._log_once("reply_field_unknown", backend, name, value)
 
-    def _log_once(self, backend: Backend, name: str, value: str) -> None:
+    def note_unreadable(
+        self, backend: Backend, fields: Sequence[tuple[str, str]]
+    ) -> None:
+        """Process the names and values of the unreadable headers of one reply."""
+        for name, value in fields:
+            self._log_once("reply_field_unreadable", backend, name, value)
+
+    def _log_once(self, kind: str, backend: Backend, name: str, value: str) -> None:
         current = backend.announcement
-        key = name, current.instance_id, current.started_at_ms
+        key = kind, name, current.instance_id, current.started_at_ms
         if key in self._logged:
             return
         self._logged[key] = None
         if len(self._logged) > MAX_LOGGED_FIELDS:
             self._logged.popitem(last=False)
         self._log.line(
-            "reply_field_unknown",
+            kind,
             field=name,
             value=value,
             backend=current.instance_id,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -33,13 +33,15 @@
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._gateway import Gateway
 from damaskvalve_gateway._leader_service import LeaderService
+from damaskvalve_gateway._limit_statements import LimitStatement
 from damaskvalve_gateway._metrics import GatewayMetrics
 from damaskvalve_gateway._model import ReplyMetadata
 from damaskvalve_gateway._permits import PermitClient
 from damaskvalve_gateway._quota import HostQuota
 from damaskvalve_gateway._rate import RateFilter
-from damaskvalve_gateway._reply_fields import UnknownReplyFields
+from damaskvalve_gateway._reply_fields import IneffectiveReplyFields
 from damaskvalve_gateway._retries import RetryBudget
+from damaskvalve_gateway._send_gate import SendGate
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_client import StateClient
 from damaskvalve_gateway._sync import SyncController
@@ -170,7 +172,8 @@
     )
     control = ControlService(dialect, state_client, sync, view, log)
     metrics = GatewayMetrics(settings.name, view, quota, state_client, log)
-    unknown_fields = UnknownReplyFields(log, metrics.note_unknown_field)
+    ineffective_fields = IneffectiveReplyFields(log, metrics.note_unknown_field)
+    gate = SendGate(sync.request_grants, metrics.note_limit_refusal, log)
     retry_settings = settings.retries
     async with contextlib.AsyncExitStack() as stack:
         pool = await stack.enter_async_context(open_backend_pool(settings.bind_ip))
@@ -178,13 +181,14 @@
             view,
             dialect,
             pool,
-            PermitClient(rpc_client, settings.agent_port),
+            PermitClient(rpc_client, settings.agent_port, gate),
+            gate,
             RateFilter(quota, sync.borrow_tokens, sync.return_tokens),
             RetryBudget(
                 retry_settings.ratio, retry_settings.slack, retry_settings.window_s
             ),
             crashes,
-            _make_reply_observer(sync, unknown_fields),
+            _make_reply_observer(sync, ineffective_fields),
             settings.data_centre,
             log,
             metrics,
@@ -238,14 +242,22 @@
 
 
 def _make_reply_observer(
-    sync: SyncController, unknown_fields: UnknownReplyFields
+    sync: SyncController, ineffective_fields: IneffectiveReplyFields
 ) -> ReplyCallback:
     """Return the function that processes what replies say about backend servers."""
 
-    def observe(backend: Backend, metadata: ReplyMetadata) -> None:
-        unknown_fields.note(backend, metadata.unknown_fields)
+    def observe(
+        backend: Backend, metadata: ReplyMetadata, sent_s: float, read_s: float
+    ) -> None:
+        ineffective_fields.note(backend, metadata.unknown_fields)
+        ineffective_fields.note_unreadable(backend, metadata.unreadable_fields)
         if metadata.leaving:
             sync.note_leaving(backend)
+        # Only a reply that is certainly one to this request shows that a limit ended.
+        is_certain = bool(metadata.request_id) and metadata.limit_readable
+        if metadata.limit_per_s is not None or is_certain:
+            statement = LimitStatement(metadata.limit_per_s, sent_s, read_s)
+            sync.note_limit(backend, statement)
 
     return observe
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -6,16 +6,26 @@
 """
 
 import asyncio
-import contextlib
 import itertools
+from collections.abc import Sequence
 
 from damaskvalve_core import ChannelError, DecisionLog, RetryLaterError, boot_clock_s
-from damaskvalve_core.messages import SyncReply, SyncRequest
+from damaskvalve_core.messages import (
+    SendGrantAsk,
+    SendGrantReturn,
+    SendGrantsReply,
+    SendGrantsRequest,
+    SyncReply,
+    SyncRequest,
+)
 from damaskvalve_gateway._backends import ANNOUNCEMENT_OVERDUE_S, Backend
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
+from damaskvalve_gateway._leader_clock import LeaderClock
 from damaskvalve_gateway._leader_service import MAX_NOTICES, LeaderService
 from damaskvalve_gateway._lending import TokenBorrower, TokenSearch
+from damaskvalve_gateway._limit_statements import LimitStatement
+from damaskvalve_gateway._limits import apply_limit_notice, log_limit_change
 from damaskvalve_gateway._model import LEAVING, Announcement, Workspace
 from damaskvalve_gateway._notices import from_notice, to_notice
 from damaskvalve_gateway._quota import HostQuota
@@ -32,6 +42,8 @@
 NO_LEADER_RETRY_S = 0.1
 # Time-out of one call to the leader.
 SYNC_TIMEOUT_S = 0.8
+# Time-out of a call for grants. Callers wait for it.
+GRANTS_TIMEOUT_S = 0.25
 
 
 class SyncController:
@@ -56,6 +68,9 @@
         self._log = log
         self._address = settings.rpc_address(settings.group_address)
         self._borrower = TokenBorrower(self._address, state_client.ask_host, log)
+        self._leader_clock = LeaderClock()
+        # Set if a report is urgent.
+        self._urgent = asyncio.Event()
         # The id of the leadership of the last sync; empty before the first.
         self._leader_id = ""
         # Revision of the leader's table that this host has received; 0 requests the
@@ -104,6 +119,15 @@
                 said_in="reply",
             )
 
+    def note_limit(self, backend: Backend, statement: LimitStatement) -> None:
+        """Record what a reply states about a request limit; report a change."""
+        now_s = boot_clock_s()
+        previous_per_s = backend.limit_per_s()
+        if self._view.backends.note_limit(backend, statement, now_s):
+            self._queue(backend.announcement.instance_id)
+            self._urgent.set()
+            log_limit_change(self._log, backend, previous_per_s, "reply", now_s)
+
     def _queue(self, instance_id: str) -> None:
         backend = self._view.backends.find(instance_id)
         if backend is not None:
@@ -130,14 +154,25 @@
     async def _pause(self) -> None:
         """Wait for the next period, or for urgent reports."""
         await asyncio.sleep(URGENT_SYNC_S)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(SYNC_S - URGENT_SYNC_S):
-                await self._crashes.urgent.wait()
+        waits = [
+            asyncio.ensure_future(event.wait())
+            for event in (self._crashes.urgent, self._urgent)
+        ]
+        try:
+            await asyncio.wait(
+                waits,
+                timeout=SYNC_S - URGENT_SYNC_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            for wait in waits:
+                wait.cancel()
 
     async def sync_now(self) -> None:
         """Exchange state with the leader; raise :class:`RetryLaterError` on failure."""
         async with self._lock:
             now_s = boot_clock_s()
+            self._urgent.clear()
             self._view.backends.expire(now_s)
             if self._state_client.leads(now_s):
                 self._sync_as_leader(now_s)
@@ -182,6 +217,7 @@
             crashes,
             self._quota.current_share(now_s),
             served,
+            self._leader_clock.at_least_s(leader_id, now_s),
         )
         reply = await self._state_client.ask_leader(request, SYNC_TIMEOUT_S)
         if not reply.leader_id:
@@ -202,6 +238,8 @@
         for notice in reply.notices:
             announcement = from_notice(notice, backends.find(notice.instance_id))
             backends.update(announcement, now_s - notice.age_s)
+            apply_limit_notice(backends, notice, asked_s, now_s, self._log, "leader")
+        self._leader_clock.note(reply.leader_id, reply.clock_s or 0.0, now_s)
         backends.confirm_live(reply.silent or {}, now_s)
         # The lease is counted from the time of the request, so that it ends on this
         # host before it ends at the leader.
@@ -232,6 +270,26 @@
             raise search.refusal()
         return search.lender
 
+    async def request_grants(
+        self, asks: Sequence[SendGrantAsk], returned: Sequence[SendGrantReturn]
+    ) -> SendGrantsReply:
+        """Return the leader's grants; raise :class:`ChannelError` if there is none."""
+        now_s = boot_clock_s()
+        leader_id = self._state_client.status().leader_id
+        request = SendGrantsRequest(
+            self._address, leader_id, list(asks), list(returned), now_s
+        )
+        if self._state_client.leads(now_s):
+            return self._leader_service.grant_sends(request)
+        request.composed_after_s = self._leader_clock.at_least_s(leader_id, now_s)
+        reply: SendGrantsReply = await self._state_client.ask_leader(
+            request, GRANTS_TIMEOUT_S
+        )
+        if not reply.leader_id:
+            raise ChannelError("the host that was asked does not lead")
+        self._leader_clock.note(reply.leader_id, reply.clock_s, boot_clock_s())
+        return reply
+
     async def return_tokens(
         self, lender: str, workspace: Workspace, tokens: float
     ) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
@@ -4,7 +4,7 @@
 import contextlib
 from unittest import mock
 
-from damaskvalve_core import boot_clock_s
+from damaskvalve_core import ChannelError, boot_clock_s
 from damaskvalve_core.http import BackendPool
 from damaskvalve_gateway._backend_attempt import BackendAttempt
 from damaskvalve_gateway._backends import Backend
@@ -20,6 +20,7 @@
     Route,
     Service,
 )
+from damaskvalve_gateway._send_gate import SendGate
 
 IP = "127.0.0.1"
 OK = b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n"
@@ -136,6 +137,16 @@
     return Backend(announcement, boot_clock_s())
 
 
+async def no_leader(asks, returned):
+    """Fail as a call for grants does while no leader is known."""
+    raise ChannelError("this host knows no leader")
+
+
+def make_gate(request_grants=no_leader, log=None):
+    """Return a gate; by default it obtains no grants."""
+    return SendGate(request_grants, mock.Mock(), log or mock.Mock())
+
+
 def write_endlessly(data, every_s=0.0):
     """Return a script that writes the data over and over."""
 
@@ -160,13 +171,20 @@
 
 
 async def run_attempt(
-    server, exchange, *, within_s, pool=None, backend=None, leaving_backends=None
+    server,
+    exchange,
+    *,
+    within_s,
+    pool=None,
+    backend=None,
+    leaving_backends=None,
+    may_send=lambda now_s: True,
 ):
     """Run one attempt; return its outcome, the reason and the time that it took."""
     async with server.listening() as address:
         backend = backend or backend_at(address)
 
-        def note_reply(backend, metadata):
+        def note_reply(backend, metadata, sent_s, read_s):
             if metadata.leaving and leaving_backends is not None:
                 leaving_backends.append(backend)
 
@@ -178,6 +196,7 @@
             DIALECT,
             lambda: None,
             note_reply,
+            may_send,
         )
         started_at_s = boot_clock_s()
         async with asyncio.timeout(within_s):
@@ -197,6 +216,7 @@
     "chunk",
     "event",
     "make_exchange",
+    "make_gate",
     "run_attempt",
     "write_endlessly",
     "write_once",
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_hostile_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_hostile_replies.py
@@ -291,7 +291,14 @@
                 exchange = make_exchange(kind=UNSAFE)
                 exchange.request.request_id = f"r-{number}"
                 attempt = BackendAttempt(
-                    exchange, backend, 0, pool, DIALECT, lambda: None, lambda *_: None
+                    exchange,
+                    backend,
+                    0,
+                    pool,
+                    DIALECT,
+                    lambda: None,
+                    lambda *_: None,
+                    lambda now_s: True,
                 )
                 outcomes.append((await attempt.run(), exchange.responder.finished))
                 await asyncio.sleep(0.05)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_later_attempts.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_later_attempts.py
@@ -20,6 +20,7 @@
     ScriptedServer,
     backend_at,
     make_exchange,
+    make_gate,
     write_once,
 )
 
@@ -34,6 +35,7 @@
         DIALECT,
         BackendPool(),
         permits,
+        make_gate(),
         mock.Mock(),
         RetryBudget(1.0, 100.0, 10.0),
         crashes,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_reply_fields.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_reply_fields.py
@@ -6,7 +6,7 @@
     MAX_COUNTED_NAMES,
     MAX_LOGGED_FIELDS,
     OTHER_NAMES,
-    UnknownReplyFields,
+    IneffectiveReplyFields,
 )
 from damaskvalve_gateway.tests.attempt_fixtures import backend_at
 
@@ -24,7 +24,7 @@
 class UnknownReplyFieldTests(unittest.TestCase):
     def setUp(self):
         self.log, self.counted = ListLog(), []
-        self.fields = UnknownReplyFields(self.log, self.counted.append)
+        self.fields = IneffectiveReplyFields(self.log, self.counted.append)
 
     def test_a_field_is_logged_once_for_each_start_and_counted_each_time(self):
         """The line names the server, the value and how much was sent there."""
