--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -452,7 +452,12 @@
   2: string leader_id
   3: list<SendGrantAsk> asks
   4: list<SendGrantReturn> returned
-  5: optional double composed_after_s
+  // The process that asks, the number of this call, and that of its last call with a
+  // reply.
+  5: string process
+  6: i64 number
+  7: i64 received
+  8: optional double composed_after_s
 }
 struct SendGrant { 1: i32 count  2: double wait_s }
 // One grant for each ask, in the same order; none if the host does not lead.
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2301,6 +2301,9 @@
      - leader_id
      - asks
      - returned
+     - process
+     - number
+     - received
      - composed_after_s
 
     """
@@ -2310,15 +2313,21 @@
         'leader_id',
         'asks',
         'returned',
+        'process',
+        'number',
+        'received',
         'composed_after_s',
     )
 
 
-    def __init__(self, host_address=None, leader_id=None, asks=None, returned=None, composed_after_s=None,):
+    def __init__(self, host_address=None, leader_id=None, asks=None, returned=None, process=None, number=None, received=None, composed_after_s=None,):
         self.host_address = host_address
         self.leader_id = leader_id
         self.asks = asks
         self.returned = returned
+        self.process = process
+        self.number = number
+        self.received = received
         self.composed_after_s = composed_after_s
 
 
@@ -3218,7 +3227,10 @@
     (2, TType.STRING, 'leader_id', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'asks', (TType.STRUCT, [SendGrantAsk, None], False), None, ),  # 3
     (4, TType.LIST, 'returned', (TType.STRUCT, [SendGrantReturn, None], False), None, ),  # 4
-    (5, TType.DOUBLE, 'composed_after_s', None, None, ),  # 5
+    (5, TType.STRING, 'process', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'number', None, None, ),  # 6
+    (7, TType.I64, 'received', None, None, ),  # 7
+    (8, TType.DOUBLE, 'composed_after_s', None, None, ),  # 8
 )
 all_structs.append(SendGrant)
 SendGrant.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_ledger.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_ledger.py
@@ -3,7 +3,7 @@
 The leader is the only one that grants, so that the limit of a backend server holds for
 all hosts together, however few requests it allows. It keeps a token bucket for each
 limited backend server. A new leader does not know what its predecessor granted, so its
-buckets start empty, and nothing accrues in them before their first use.
+buckets start empty, and nothing accrues in them before it took over.
 
 Of several claims to a scarce token the more urgent one comes first, and among equals
 the workspace that was granted less recently. There is no queue: a claim that has to
@@ -27,7 +27,9 @@
 # MEMORY_TOKENS tokens accrue.
 REFUSAL_MEMORY_S = 1.0
 MEMORY_TOKENS = 2.0
-MAX_REFUSED_CLAIMS = 64
+MAX_REFUSED_CLAIMS = 128
+# Of the equal claims that were refused, this share is assumed to be granted first.
+EQUAL_SHARE = 0.25
 # Time constant of the decaying count of the grants of a workspace.
 SERVED_DECAY_S = 4.0
 # A workspace comes before another one if it was granted this much less.
@@ -35,6 +37,9 @@
 # Bounds of the time after which a refused claim may be made again.
 MIN_WAIT_S = 0.02
 MAX_WAIT_S = 1.0
+# In a bucket first used within this time after the leader took over, tokens have
+# accrued since then. Later, a bucket is new because its limit has just begun.
+TAKEOVER_S = 2.0
 # A bucket that has not been used for this long is forgotten.
 BUCKET_RETENTION_S = 60.0
 
@@ -67,6 +72,16 @@
         self.since_s = since_s
 
 
+class _Rank:
+    """How many refused claims come before a claim, and how many are equal to it."""
+
+    __slots__ = ("better", "equal")
+
+    def __init__(self, better: int, equal: int) -> None:
+        self.better = better
+        self.equal = equal
+
+
 class _Bucket:
     """The tokens of one backend server, and its recent claims."""
 
@@ -76,11 +91,11 @@
         self.use = GrantUse(now_s)
         self._served: dict[str, float] = {}
         self._served_at_s = now_s
-        # When each claim, as (priority, workspace), was last refused.
-        self._refused_s: collections.OrderedDict[tuple[int, str], float] = (
+        # When each host's claim, as (priority, workspace), was last refused, the oldest
+        # first.
+        self._refused_s: collections.OrderedDict[tuple[str, int, str], float] = (
             collections.OrderedDict()
         )
-        self._refused_hosts_s: dict[str, float] = {}
 
     def refill(self, rate_per_s: float, now_s: float) -> None:
         """Add what accrued since the last call, up to the depth."""
@@ -95,40 +110,34 @@
         self._decay_served(now_s)
         served = self._served.get(claim.workspace, 0.0)
         self._served[claim.workspace] = served + count
-        self._refused_s.pop((claim.priority, claim.workspace), None)
-        self._refused_hosts_s.pop(claim.host, None)
+        self._refused_s.pop((claim.host, claim.priority, claim.workspace), None)
 
     def note_refused(self, claim: GrantClaim, now_s: float) -> None:
         self.use.refused += 1
-        key = claim.priority, claim.workspace
+        key = claim.host, claim.priority, claim.workspace
         self._refused_s[key] = now_s
         self._refused_s.move_to_end(key)
         if len(self._refused_s) > MAX_REFUSED_CLAIMS:
             self._refused_s.popitem(last=False)
-        self._refused_hosts_s[claim.host] = now_s
-
-    def waiting_hosts(self, now_s: float) -> int:
-        """Return how many hosts had a claim refused recently."""
-        self._refused_hosts_s = {
-            host: at_s
-            for host, at_s in self._refused_hosts_s.items()
-            if now_s - at_s < REFUSAL_MEMORY_S
-        }
-        return len(self._refused_hosts_s)
 
-    def has_better_claim(
-        self, claim: GrantClaim, rate_per_s: float, now_s: float
-    ) -> bool:
-        """Return whether a claim that comes before this one was refused recently."""
+    def rank(self, claim: GrantClaim, rate_per_s: float, now_s: float) -> _Rank:
+        """Return how many claims that were refused recently come before a claim."""
         self._decay_served(now_s)
         memory_s = max(REFUSAL_MEMORY_S, MEMORY_TOKENS / rate_per_s)
-        own = claim.priority, self._served.get(claim.workspace, 0.0) - FAIR_MARGIN
-        return any(
-            (priority, self._served.get(workspace, 0.0)) < own
-            for (priority, workspace), at_s in self._refused_s.items()
-            if now_s - at_s < memory_s
-            and (priority, workspace) != (claim.priority, claim.workspace)
-        )
+        while self._refused_s:
+            oldest = next(iter(self._refused_s))
+            if now_s - self._refused_s[oldest] < memory_s:
+                break
+            del self._refused_s[oldest]
+        own_served = self._served.get(claim.workspace, 0.0)
+        better = equal = 0
+        for host, priority, workspace in self._refused_s:
+            served = self._served.get(workspace, 0.0)
+            if (priority, served) < (claim.priority, own_served - FAIR_MARGIN):
+                better += 1
+            elif priority == claim.priority and served <= own_served + FAIR_MARGIN:
+                equal += host != claim.host
+        return _Rank(better, equal)
 
     def _decay_served(self, now_s: float) -> None:
         factor = math.exp(-max(0.0, now_s - self._served_at_s) / SERVED_DECAY_S)
@@ -143,7 +152,9 @@
 class GrantLedger:
     """Grants sends to limited backend servers, as the leader."""
 
-    def __init__(self) -> None:
+    def __init__(self, began_s: float) -> None:
+        # When the leader took over.
+        self._began_s = began_s
         self._buckets: dict[Incarnation, _Bucket] = {}
 
     def take(
@@ -156,18 +167,21 @@
         """Return the number of granted sends, and the wait in seconds if it is 0."""
         bucket = self._buckets.get(incarnation)
         if bucket is None:
-            bucket = self._buckets[incarnation] = _Bucket(now_s)
+            has_taken_over = now_s - self._began_s < TAKEOVER_S
+            bucket = _Bucket(self._began_s if has_taken_over else now_s)
+            self._buckets[incarnation] = bucket
         rate_per_s = max(limit_per_s, MIN_RATE_PER_S)
         bucket.refill(rate_per_s, now_s)
-        kept = 1.0 if bucket.has_better_claim(claim, rate_per_s, now_s) else 0.0
+        rank = bucket.rank(claim, rate_per_s, now_s)
+        kept = 1.0 if rank.better else 0.0
         available = math.floor(bucket.level - kept)
         if available >= 1:
             count = min(claim.wanted, available)
             bucket.note_granted(claim, count, now_s)
             return count, 0.0
         bucket.note_refused(claim, now_s)
-        others = bucket.waiting_hosts(now_s) - 1
-        wait_s = (1.0 + kept - bucket.level + 0.5 * others) / rate_per_s
+        ahead = rank.better + EQUAL_SHARE * rank.equal
+        wait_s = (1.0 + ahead - bucket.level) / rate_per_s
         return 0, max(MIN_WAIT_S, min(MAX_WAIT_S, wait_s))
 
     def give_back(self, incarnation: Incarnation, count: int) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
@@ -24,6 +24,7 @@
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._crashes import Incarnation
 from damaskvalve_gateway._grant_ledger import GrantClaim, GrantLedger
+from damaskvalve_gateway._grant_replies import GrantReplies
 from damaskvalve_gateway._limits import apply_limit_notice, log_limit_change
 from damaskvalve_gateway._model import Workspace
 from damaskvalve_gateway._notices import from_limit_notice, from_notice, to_notice
@@ -77,7 +78,8 @@
         # The id of this host's last leadership; empty if it has not led.
         self._leader_id = ""
         self._quota = LeaderQuota(settings.quota_slack, 0.0)
-        self._grants = GrantLedger()
+        self._grants = GrantLedger(0.0)
+        self._grant_replies = GrantReplies()
         # Time of the last sync of each host, by its address.
         self._last_sync_s: dict[str, float] = {}
         self._leads_since_s = 0.0
@@ -92,7 +94,8 @@
         if leader_id != self._leader_id:
             self._leader_id = leader_id
             self._quota = LeaderQuota(self._settings.quota_slack, now_s)
-            self._grants = GrantLedger()
+            self._grants = GrantLedger(now_s)
+            self._grant_replies = GrantReplies()
             self._last_sync_s = {}
             self._leads_since_s = now_s
             self._log.line("leading", leader=leader_id)
@@ -243,11 +246,20 @@
         if not self._state_client.leads(now_s):
             return SendGrantsReply("", [], 0.0)
         self._reset_if_elected(now_s)
+        lost = self._grant_replies.begin(
+            request.process, request.number, request.received, now_s
+        )
+        if lost is None:
+            return SendGrantsReply("", [], 0.0)
+        for incarnation, count in lost.items():
+            self._grants.give_back(incarnation, count)
         if request.leader_id == self._leader_id:
             for item in request.returned:
-                incarnation = item.instance_id, item.started_at_ms
-                self._grants.give_back(incarnation, item.count)
+                self._grants.give_back(
+                    (item.instance_id, item.started_at_ms), item.count
+                )
         self._grants.expire(now_s)
+        self._grant_replies.expire(now_s)
         grants = [self._grant_send(request, ask, now_s) for ask in request.asks]
         return SendGrantsReply(self._leader_id, grants, now_s)
 
@@ -271,6 +283,7 @@
         )
         # A host asks only if it knows a limit.
         count, wait_s = self._grants.take(incarnation, limit_per_s or 0.0, claim, now_s)
+        self._grant_replies.note_granted(request.process, incarnation, count)
         self._log_grants(incarnation, limit_per_s, now_s)
         return SendGrant(count, wait_s)
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -188,7 +188,7 @@
                 retry_settings.ratio, retry_settings.slack, retry_settings.window_s
             ),
             crashes,
-            _make_reply_observer(sync, ineffective_fields),
+            make_reply_observer(sync, ineffective_fields),
             settings.data_centre,
             log,
             metrics,
@@ -241,7 +241,7 @@
         log.line("task_failed", reason=repr(task.exception()))
 
 
-def _make_reply_observer(
+def make_reply_observer(
     sync: SyncController, ineffective_fields: IneffectiveReplyFields
 ) -> ReplyCallback:
     """Return the function that processes what replies say about backend servers."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import uuid
 from collections.abc import Sequence
 
 from damaskvalve_core import ChannelError, DecisionLog, RetryLaterError, boot_clock_s
@@ -69,6 +70,11 @@
         self._address = settings.rpc_address(settings.group_address)
         self._borrower = TokenBorrower(self._address, state_client.ask_host, log)
         self._leader_clock = LeaderClock()
+        # Identifies this process in its calls for grants.
+        self._process = f"{self._address}/{uuid.uuid4().hex[:8]}"
+        # Number of calls for grants, and of the last one with a reply.
+        self._grant_calls = 0
+        self._grant_replies = 0
         # Set if a report is urgent.
         self._urgent = asyncio.Event()
         # The id of the leadership of the last sync; empty before the first.
@@ -276,17 +282,27 @@
         """Return the leader's grants; raise :class:`ChannelError` if there is none."""
         now_s = boot_clock_s()
         leader_id = self._state_client.status().leader_id
+        self._grant_calls += 1
+        number = self._grant_calls
         request = SendGrantsRequest(
-            self._address, leader_id, list(asks), list(returned), now_s
+            self._address,
+            leader_id,
+            list(asks),
+            list(returned),
+            self._process,
+            number,
+            self._grant_replies,
+            now_s,
         )
+        reply: SendGrantsReply
         if self._state_client.leads(now_s):
-            return self._leader_service.grant_sends(request)
-        request.composed_after_s = self._leader_clock.at_least_s(leader_id, now_s)
-        reply: SendGrantsReply = await self._state_client.ask_leader(
-            request, GRANTS_TIMEOUT_S
-        )
+            reply = self._leader_service.grant_sends(request)
+        else:
+            request.composed_after_s = self._leader_clock.at_least_s(leader_id, now_s)
+            reply = await self._state_client.ask_leader(request, GRANTS_TIMEOUT_S)
         if not reply.leader_id:
             raise ChannelError("the host that was asked does not lead")
+        self._grant_replies = number
         self._leader_clock.note(reply.leader_id, reply.clock_s, boot_clock_s())
         return reply
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_overload.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_overload.py
@@ -8,6 +8,7 @@
 from damaskvalve_core.http import BackendPool
 from damaskvalve_gateway._backend_attempt import ANSWERED, NOT_RUN
 from damaskvalve_gateway._backends import MAX_BACKOFF_S, BackendTable
+from damaskvalve_gateway._limit_statements import LimitStatement
 from damaskvalve_gateway._model import GONE, LEAVING, READY
 from damaskvalve_gateway._overload import MAX_SPREAD_S, RetryAfterScheduler
 from damaskvalve_gateway.tests.attempt_fixtures import (
@@ -194,3 +195,56 @@
             low_s = 102.0 + start * 0.1
             inside = sum(low_s <= item < low_s + 0.1 for item in returns)
             self.assertLessEqual(inside, 2 * 36 + 8)
+
+
+class LimitTests(unittest.TestCase):
+    def limited(self, number, limit_per_s, slots=6):
+        backend = backend_at(f"127.0.0.{number}:1", slots=slots)
+        backend.limit_statement = LimitStatement(limit_per_s, 0.0, 1.0)
+        return backend
+
+    def test_callers_of_limited_servers_return_no_faster_than_the_limits_allow(self):
+        """Three servers of 8 a second; eight hosts turn 40 callers away at once."""
+        backends = [self.limited(number, 8.0) for number in (1, 2, 3)]
+        for backend in backends:
+            backend.next_grant_s = 100.5
+        schedulers = [RetryAfterScheduler() for _ in range(8)]
+        returns = [
+            100.0 + schedulers[number % 8].wait_s("s", backends, 8, 100.0)
+            for number in range(40)
+        ]
+        self.assertGreaterEqual(min(returns), 100.5)
+        for start in range(20):
+            low_s = 100.5 + start * 0.1
+            inside = sum(low_s <= item < low_s + 0.1 for item in returns)
+            self.assertLessEqual(inside, 8)
+
+    def test_callers_of_a_nearly_stopped_server_are_spread(self):
+        """A caller a host in 16 s could return; they are spread over two seconds."""
+        backends = [self.limited(1, 0.0)]
+        schedulers = [RetryAfterScheduler() for _ in range(8)]
+        waits_s = [
+            scheduler.wait_s("s", backends, 8, 100.0)
+            for scheduler in schedulers
+            for _ in range(25)
+        ]
+        self.assertLessEqual(max(waits_s), MAX_SPREAD_S)
+        for start in range(20):
+            low_s = start * 0.1
+            inside = sum(low_s <= item < low_s + 0.1 for item in waits_s)
+            self.assertLessEqual(inside, 24)
+
+    def test_a_server_gets_its_share_back_over_two_seconds(self):
+        """Its limit ends; the share of requests that may go there grows."""
+        table = BackendTable()
+        table.update(announcement(1), 0.0)
+        backend = table.find("i-1")
+        self.assertTrue(backend.admits_share(1.0, 0.0))
+        table.note_limit(backend, LimitStatement(1.0, 0.0, 1.0), 1.0)
+        table.note_limit(backend, LimitStatement(None, 2.0, 3.0), 3.0)
+        points = [number / 100 for number in range(1, 101)]
+        shares = [
+            sum(backend.admits_share(point, 3.0 + at_s) for point in points)
+            for at_s in (0.0, 0.5, 1.0, 2.0)
+        ]
+        self.assertEqual(shares, [0, 25, 50, 100])
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
@@ -8,6 +8,7 @@
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._leader_service import MAX_NOTICES, LeaderService
+from damaskvalve_gateway._limit_statements import LimitStatement
 from damaskvalve_gateway._model import LEAVING, READY, Announcement
 from damaskvalve_gateway._quota import HostQuota, QuotaSlack
 from damaskvalve_gateway._sync import SyncController
@@ -146,3 +147,94 @@
         leader.sync.announce(announcement(1, sequence=2), boot_clock_s())
         host.sync_until_done()
         self.assertTrue(host.view.backends.find("i-1").is_resident("m/a1.3", 1))
+
+
+class LimitNoticeTests(unittest.TestCase):
+    """What one host is told about a request limit binds all of them."""
+
+    def setUp(self):
+        self.leader = Host(1)
+        self.hosts = [Host(2, self.leader), Host(3, self.leader)]
+        self.leader.sync.announce(announcement(1), boot_clock_s())
+        for host in self.hosts:
+            host.sync_until_done()
+
+    def state(self, host, limit_per_s, sent_s=None):
+        """Let a host read a reply that states a limit, or none."""
+        now_s = boot_clock_s()
+        statement = LimitStatement(
+            limit_per_s, now_s if sent_s is None else sent_s, now_s
+        )
+        host.sync.note_limit(host.view.backends.find("i-1"), statement)
+
+    def limits(self):
+        hosts = (self.leader, *self.hosts)
+        return [host.view.backends.find("i-1").limit_per_s() for host in hosts]
+
+    def sync_all(self):
+        for host in self.hosts * 2:
+            host.sync_until_done()
+
+    def test_a_limit_begins_changes_and_ends_at_every_host(self):
+        """Whichever host is told, and the leader first of all."""
+        for host, limit_per_s in (
+            (self.hosts[0], 2.0),
+            (self.hosts[1], 0.0),
+            (self.leader, 5.5),
+            (self.hosts[1], None),
+            (self.hosts[0], 1.0),
+        ):
+            self.state(host, limit_per_s)
+            self.sync_all()
+            self.assertEqual(self.limits(), [limit_per_s] * 3)
+
+    def test_a_reply_from_before_the_limit_ends_it_nowhere(self):
+        """Another host read it late."""
+        before_s = boot_clock_s()
+        self.state(self.hosts[0], 1.0)
+        self.sync_all()
+        self.state(self.hosts[1], None, sent_s=before_s)
+        self.sync_all()
+        self.assertEqual(self.limits(), [1.0] * 3)
+
+    def test_a_reply_with_a_limit_from_before_its_end_does_not_bring_it_back(self):
+        """Another host read it late."""
+        before_s = boot_clock_s()
+        self.state(self.hosts[0], 1.0)
+        self.sync_all()
+        self.state(self.hosts[0], None)
+        self.sync_all()
+        self.state(self.hosts[1], 1.0, sent_s=before_s)
+        self.sync_all()
+        self.assertEqual(self.limits(), [None] * 3)
+
+    def test_a_new_leader_is_told_of_limits(self):
+        """It has not been told by the backend server itself."""
+        self.state(self.hosts[0], 2.0)
+        self.sync_all()
+        second = Host(4)
+        second.sync.announce(announcement(1), boot_clock_s())
+        second.state_client.leader_id = "M/2"
+        for host in self.hosts:
+            host.state_client.leader_id, host.state_client.leader = "M/2", second
+        self.sync_all()
+        self.assertEqual(second.view.backends.find("i-1").limit_per_s(), 2.0)
+
+    def test_a_limit_ends_with_its_incarnation(self):
+        """Another start of the backend server has stated no limit."""
+        self.state(self.hosts[0], 1.0)
+        self.sync_all()
+        restarted = announcement(1)
+        restarted.started_at_ms += 1
+        self.leader.sync.announce(restarted, boot_clock_s())
+        self.sync_all()
+        self.assertEqual(self.limits(), [None] * 3)
+
+    def test_a_change_is_reported_at_once(self):
+        """It does not wait for the next period; a repetition is not reported."""
+        host = self.hosts[0]
+        self.state(host, 1.0)
+        self.assertTrue(host.sync._urgent.is_set())
+        host.sync_until_done()
+        self.state(host, 1.0)
+        self.assertFalse(host.sync._urgent.is_set())
