Callers that no leader could admit return when one is elected

Callers of servers that are all limited were told to return in 0.2 s while no leader was known, which is how long a host waits before it asks again; an election takes about a second, so that they were refused twice. They are told one second, as callers are whose workspace's rate nobody could decide. test_send_gate checks it; it failed without the change (read from the code, the bound was 0.2 s).

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send_gate.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send_gate.py
@@ -20,6 +20,7 @@
 from damaskvalve_gateway._crashes import Incarnation
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._grant_store import GRANT_LIFETIME_S, GrantStore
+from damaskvalve_gateway._lending import ELECTION_RETRY_AFTER_S
 from damaskvalve_gateway._notices import to_limit_notice
 
 # After a call that failed, nothing is asked for this long.
@@ -169,7 +170,7 @@
         self, backend: Backend, exchange: Exchange, reason: str
     ) -> None:
         now_s = boot_clock_s()
-        until_s = self._leader_backoff_until_s
+        until_s = now_s + ELECTION_RETRY_AFTER_S
         if reason == NO_TOKEN:
             claim = _claim_key(exchange)
             until_s = self._store.empty_until_s(backend.incarnation(), claim)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_send_gate.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_send_gate.py
@@ -225,6 +225,8 @@
         self.assertFalse(await self.admitted(gate, backend))
         self.assertFalse(await self.admitted(gate, backend))
         self.assertEqual(len(leader.asks), 1)
+        # Callers are told to come back when another host has been elected.
+        self.assertGreater(backend.accepts_from_s(), boot_clock_s() + 0.5)
         leader.failure = None
         await asyncio.sleep(LEADER_BACKOFF_S + 0.01)
         self.assertTrue(await self.admitted(gate, backend))
