Failing test: a run that was given up and ends its server later

An announcement that is heard more than 0.5 s after the caller left takes the run back for good, though the server still runs it, so the request is never refused.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
@@ -291,6 +291,35 @@
         )
 
 
+class GivenUpRunTests(unittest.TestCase):
+    def test_a_run_that_was_given_up_counts_if_its_server_crashes_under_it_later(self):
+        """Meanwhile the server announces itself, for it still runs the request."""
+        table, tracker = BackendTable(), CrashTracker()
+        for number in range(REFUSED_AT):
+            began_s, name = 10.0 * (number + 1), f"i-{number}"
+            table.update(announcement(1, started_at_ms=5, name=name), began_s)
+            tracker.note_pending("m", (name, 5), began_s + 1.0)
+            for step in (2, 3):
+                table.update(
+                    announcement(step, started_at_ms=5, name=name), began_s + step
+                )
+                self.settle(table, tracker, began_s + step)
+            # Another start at the same address.
+            table.update(
+                announcement(1, started_at_ms=9, name=f"{name}b"), began_s + 4.0
+            )
+            self.settle(table, tracker, began_s + 4.0)
+            table.end(f"{name}b", began_s + 4.5)
+        self.assertTrue(tracker.is_refused("m"))
+
+    @staticmethod
+    def settle(table, tracker, now_s):
+        def status_of(incarnation, since_s):
+            return table.incarnation_status(incarnation, since_s, now_s)
+
+        tracker.settle(status_of, now_s)
+
+
 class QuarantineTests(unittest.TestCase):
     @staticmethod
     def refused_for_s(record, now_s, since_s=0.0):
