A run that was given up counts if its server crashes before the run's deadline

Cause: an announcement of the same start heard more than 0.5 s after the caller had left counted as proof that the server outlived the run, though it was still running it. Servers stop work at the deadline that they were sent, so now such a run is outlived only by an announcement after its deadline; until then the end of the server counts. A reply with a failure ends its run as before. The leader learns the deadline with the report.

A run given up long before its server's end stays uncounted (new test); make prove has an entry.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -429,6 +429,8 @@
   5: optional double served_age_s
   // It is no sign by itself that the backend server has ended.
   6: optional bool pending
+  // For how many seconds the backend server may still be running it.
+  7: optional double may_run_s
 }
 
 // Asked of any host that lends; tokens below 0 are returned to it.
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2172,6 +2172,7 @@
      - started_at_ms
      - served_age_s
      - pending
+     - may_run_s
 
     """
 
@@ -2182,16 +2183,18 @@
         'started_at_ms',
         'served_age_s',
         'pending',
+        'may_run_s',
     )
 
 
-    def __init__(self, fingerprint=None, instance_id=None, age_s=None, started_at_ms=None, served_age_s=None, pending=None,):
+    def __init__(self, fingerprint=None, instance_id=None, age_s=None, started_at_ms=None, served_age_s=None, pending=None, may_run_s=None,):
         self.fingerprint = fingerprint
         self.instance_id = instance_id
         self.age_s = age_s
         self.started_at_ms = started_at_ms
         self.served_age_s = served_age_s
         self.pending = pending
+        self.may_run_s = may_run_s
 
 
 class TokensRequest(TBase):
@@ -3187,6 +3190,7 @@
     (4, TType.I64, 'started_at_ms', None, None, ),  # 4
     (5, TType.DOUBLE, 'served_age_s', None, None, ),  # 5
     (6, TType.BOOL, 'pending', None, None, ),  # 6
+    (7, TType.DOUBLE, 'may_run_s', None, None, ),  # 7
 )
 all_structs.append(TokensRequest)
 TokensRequest.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
@@ -41,11 +41,13 @@
 class _UnreportedRun:
     """A run that has not been reported to the leader yet."""
 
-    __slots__ = ("at_s", "pending")
+    __slots__ = ("at_s", "pending", "until_s")
 
-    def __init__(self, at_s: float, pending: bool) -> None:
+    def __init__(self, at_s: float, pending: bool, until_s: float) -> None:
         self.at_s = at_s
         self.pending = pending
+        # Until when the backend server may still be running a pending run.
+        self.until_s = until_s
 
 
 class CrashController:
@@ -81,17 +83,32 @@
             self._queue_run(fingerprint, incarnation, at_s, pending=False)
 
     def note_pending(
-        self, fingerprint: str, incarnation: Incarnation, at_s: float
+        self,
+        fingerprint: str,
+        incarnation: Incarnation,
+        at_s: float,
+        until_s: float = NEVER_S,
     ) -> None:
-        """Record a run that was cancelled or answered with a failure."""
-        self._tracker.note_pending(fingerprint, incarnation, at_s)
-        self._queue_run(fingerprint, incarnation, at_s, pending=True)
+        """Record a run that was cancelled or answered with a failure.
+
+        Until ``until_s`` the backend server may still be running the request.
+        """
+        self._tracker.note_pending(fingerprint, incarnation, at_s, until_s)
+        self._queue_run(fingerprint, incarnation, at_s, pending=True, until_s=until_s)
 
     def _queue_run(
-        self, fingerprint: str, incarnation: Incarnation, at_s: float, *, pending: bool
+        self,
+        fingerprint: str,
+        incarnation: Incarnation,
+        at_s: float,
+        *,
+        pending: bool,
+        until_s: float = NEVER_S,
     ) -> None:
         """Queue a run for the leader, dropping the oldest if the queue is full."""
-        self._unreported_runs[fingerprint, incarnation] = _UnreportedRun(at_s, pending)
+        self._unreported_runs[fingerprint, incarnation] = _UnreportedRun(
+            at_s, pending, until_s
+        )
         if len(self._unreported_runs) > MAX_FINGERPRINTS:
             del self._unreported_runs[next(iter(self._unreported_runs))]
         if self._is_suspected(fingerprint):
@@ -124,6 +141,7 @@
                 started_at_ms,
                 self._served_age_s(fingerprint, now_s),
                 run.pending,
+                max(0.0, run.until_s - now_s),
             )
             for (fingerprint, (instance_id, started_at_ms)), run in self._next_runs()
         ]
@@ -171,7 +189,8 @@
             served_at_s = NEVER_S if age_s is None else now_s - age_s
             fingerprint, at_s = notice.fingerprint, now_s - notice.age_s
             if notice.pending:
-                self._tracker.note_pending(fingerprint, incarnation, at_s)
+                until_s = now_s + (notice.may_run_s or 0.0)
+                self._tracker.note_pending(fingerprint, incarnation, at_s, until_s)
             elif self._tracker.note_run(fingerprint, incarnation, at_s, served_at_s):
                 self._log.line(
                     "crash_counted", fingerprint=fingerprint, backend=incarnation[0]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
@@ -4,9 +4,10 @@
 workspace, method, target, model, adapter and body. A run is one transmission of a
 request to one incarnation of a backend server. A run whose connection broke counts
 against the request until the backend server is known to have outlived the run. A run
-that was cancelled or answered with a failure counts once the backend server's
-announcements stop. A successful run clears the request. A request that was only running
-while another one crashed a backend server is not blamed.
+that was cancelled or answered with a failure counts if the backend server ends while it
+may still be running the request, or once its announcements stop. A successful run
+clears the request. A request that was only running while another one crashed a backend
+server is not blamed.
 """
 
 import collections
@@ -74,6 +75,18 @@
     return digest.hexdigest()
 
 
+class _PendingRun:
+    """A run that does not count yet."""
+
+    __slots__ = ("at_s", "until_s")
+
+    def __init__(self, at_s: float, until_s: float) -> None:
+        # When the run was given up.
+        self.at_s = at_s
+        # Until when the backend server may still be running the request.
+        self.until_s = until_s
+
+
 class _RequestRuns:
     """The counted runs of one request."""
 
@@ -100,8 +113,8 @@
         self._by_incarnation: dict[Incarnation, set[str]] = {}
         # Time of the last success on this host, by fingerprint.
         self._served: collections.OrderedDict[str, float] = collections.OrderedDict()
-        # Time of each run that does not count yet, by fingerprint and incarnation.
-        self._pending: collections.OrderedDict[str, dict[Incarnation, float]] = (
+        # The runs that do not count yet, by fingerprint and incarnation.
+        self._pending: collections.OrderedDict[str, dict[Incarnation, _PendingRun]] = (
             collections.OrderedDict()
         )
 
@@ -133,14 +146,20 @@
         return True
 
     def note_pending(
-        self, fingerprint: str, incarnation: Incarnation, at_s: float
+        self,
+        fingerprint: str,
+        incarnation: Incarnation,
+        at_s: float,
+        until_s: float = NEVER_S,
     ) -> None:
         """Record a run that does not by itself show whether its backend server ended.
 
         Its caller disconnected, its deadline passed, or it was answered with a failure.
-        The failure may come from a proxy in front of the backend server.
+        The failure may come from a proxy in front of the backend server. Until
+        ``until_s`` the backend server may still be running the request.
         """
-        self._pending.setdefault(fingerprint, {})[incarnation] = at_s
+        runs = self._pending.setdefault(fingerprint, {})
+        runs[incarnation] = _PendingRun(at_s, max(at_s, until_s))
         self._pending.move_to_end(fingerprint)
         if len(self._pending) > MAX_FINGERPRINTS:
             self._pending.popitem(last=False)
@@ -186,8 +205,10 @@
         """Remove old runs and those that their backend servers have outlived.
 
         A pending run counts once its backend server is known to have ended, or if it is
-        not known to have outlived the run within ``pending_timeout_s``. Return the
-        pending runs that count from now on, each with its time.
+        not known to have been running within ``pending_timeout_s`` after the run was
+        given up. A backend server that was running then has outlived the run only once
+        it can no longer be running the request. Return the pending runs that count from
+        now on, each with its time.
         """
         for fingerprint, record in list(self._records.items()):
             for incarnation, at_s in list(record.runs.items()):
@@ -201,10 +222,15 @@
                     self._remove_run(fingerprint, incarnation)
         counted = []
         for fingerprint, incarnations in list(self._pending.items()):
-            for incarnation, at_s in list(incarnations.items()):
+            for incarnation, run in list(incarnations.items()):
+                at_s = run.at_s
                 status = status_of(incarnation, at_s)
                 if status == UNKNOWN and now_s - at_s < pending_timeout_s:
                     continue
+                if status == OUTLIVED:
+                    status = status_of(incarnation, run.until_s)
+                    if status == UNKNOWN:
+                        continue
                 del incarnations[incarnation]
                 if status != OUTLIVED and self.note_run(fingerprint, incarnation, at_s):
                     counted.append((fingerprint, incarnation, at_s))
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
@@ -79,6 +79,13 @@
         """Return the time until the deadline."""
         return self.deadline_s - now_s
 
+    def run_deadline_s(self) -> float:
+        """Return when backend servers stop working on the request."""
+        caller_left_s = self.request.deadline_s
+        if caller_left_s is None:
+            caller_left_s = self.route.timeout_s
+        return self.arrived_s + caller_left_s
+
     def may_run_again(self) -> bool:
         """Return whether another run is allowed after one that broke or failed."""
         return self.route.is_repeatable() and self.runs < self.route.max_attempts
@@ -110,12 +117,9 @@
             priority = self.route.priority
             if workspace is not None and workspace.priority is not None:
                 priority = workspace.priority
-        caller_left_s = self.request.deadline_s
-        if caller_left_s is None:
-            caller_left_s = self.route.timeout_s
         return ForwardingFields(
             instance_id,
-            max(0.001, self.arrived_s + caller_left_s - now_s),
+            max(0.001, self.run_deadline_s() - now_s),
             workspace.name if workspace else "",
             priority,
             adapter_version,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -407,17 +407,21 @@
         finally:
             # The run is recorded also if the caller has disconnected or the deadline
             # has passed: the backend server may have crashed without a reply.
-            self._record_run(attempt, exchange.fingerprint, incarnation)
+            self._record_run(attempt, exchange, incarnation)
         return attempt
 
     def _record_run(
-        self, attempt: BackendAttempt, fingerprint: str, incarnation: Incarnation
+        self, attempt: BackendAttempt, exchange: Exchange, incarnation: Incarnation
     ) -> None:
         """Report how a run ended to the crash controller."""
         now_s = boot_clock_s()
+        fingerprint = exchange.fingerprint
         if attempt.may_be_running and attempt.connection_broke:
             self._crashes.note_broken(fingerprint, incarnation, now_s)
-        elif attempt.may_be_running or attempt.failure is not None:
+        elif attempt.may_be_running:
+            until_s = exchange.run_deadline_s()
+            self._crashes.note_pending(fingerprint, incarnation, now_s, until_s)
+        elif attempt.failure is not None:
             self._crashes.note_pending(fingerprint, incarnation, now_s)
         elif attempt.succeeded:
             self._crashes.note_served(fingerprint, now_s)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
@@ -136,6 +136,17 @@
         self.fleet.sync_all()
         self.assertEqual(self.count_refusing("m"), 3)
 
+    def test_the_leader_learns_how_long_a_run_that_was_given_up_may_last(self):
+        """Until then its backend server may crash under it."""
+        host, now_s = self.fleet.hosts[1], boot_clock_s()
+        host.crashes.note_pending("m", ("i-1", 1), now_s, now_s + 8.0)
+        host.crashes.note_pending("m", ("i-2", 1), now_s)
+        may_run_s = [notice.may_run_s for notice in host.crashes.notices(now_s)]
+        self.assertEqual(may_run_s, [8.0, 0.0])
+        host.sync_until_done()
+        runs = self.fleet.leader.crashes._tracker._pending["m"]
+        self.assertAlmostEqual(runs["i-1", 1].until_s, now_s + 8.0, delta=1.0)
+
     def test_committed_suspects_survive_a_restart_of_all_hosts(self):
         """The next crash refuses a request although all hosts lost their own counts."""
         self.report_runs("m", 2)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
@@ -298,7 +298,9 @@
         for number in range(REFUSED_AT):
             began_s, name = 10.0 * (number + 1), f"i-{number}"
             table.update(announcement(1, started_at_ms=5, name=name), began_s)
-            tracker.note_pending("m", (name, 5), began_s + 1.0)
+            # The deadline that the server got with the request.
+            until_s = began_s + 8.0
+            tracker.note_pending("m", (name, 5), began_s + 1.0, until_s)
             for step in (2, 3):
                 table.update(
                     announcement(step, started_at_ms=5, name=name), began_s + step
@@ -312,6 +314,18 @@
             table.end(f"{name}b", began_s + 4.5)
         self.assertTrue(tracker.is_refused("m"))
 
+    def test_a_run_that_was_given_up_is_outlived_after_its_deadline(self):
+        """By then the server has stopped working on the request."""
+        table, tracker = BackendTable(), CrashTracker()
+        table.update(announcement(1, started_at_ms=5), 10.0)
+        tracker.note_pending("m", ("i-1", 5), 11.0, 18.0)
+        for step in range(2, 12):
+            table.update(announcement(step, started_at_ms=5), 10.0 + step)
+            self.settle(table, tracker, 10.0 + step)
+        table.update(announcement(1, started_at_ms=9, name="i-2"), 22.0)
+        self.settle(table, tracker, 22.0)
+        self.assertEqual(tracker.count("m"), 0)
+
     @staticmethod
     def settle(table, tracker, now_s):
         def status_of(incarnation, since_s):
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -131,6 +131,17 @@
 _ORIGINAL_CLAIM = StateMachine.claim
 
 
+@contextlib.contextmanager
+def _no_run_outlasts_its_caller() -> Iterator[None]:
+    original = CrashTracker.note_pending
+
+    def note_pending(self: Any, fingerprint: str, *arguments: Any) -> None:
+        original(self, fingerprint, *arguments[:2])
+
+    with mock.patch.object(CrashTracker, "note_pending", note_pending):
+        yield
+
+
 def _grant_every_claim() -> Any:
     handlers = {**_state_machine._HANDLERS, "claim": _grant_claim}
     return mock.patch.object(_state_machine, "_HANDLERS", handlers)
@@ -336,6 +347,12 @@
         f"{GATEWAY}.test_crashes.CrashTrackerTests."
         "test_concurrent_requests_do_not_excuse_a_crashing_one_for_long",
     ),
+    Proof(
+        "a run that was given up may last until its deadline",
+        _no_run_outlasts_its_caller,
+        f"{GATEWAY}.test_crashes.GivenUpRunTests."
+        "test_a_run_that_was_given_up_counts_if_its_server_crashes_under_it_later",
+    ),
     Proof(
         "the quarantine is checked before each send",
         replace(Gateway, "_check_quarantine", lambda self, fingerprint: None),
