--- a/bench/request_limits.py
+++ b/bench/request_limits.py
@@ -17,10 +17,10 @@
     GrantLedger,
 )
 from damaskvalve_gateway._quota import TokenBucket
+from damaskvalve_gateway.tests.limit_rule import allowed_requests, most_in_window
 
 LENGTH_S = 60.0
 ELECTION_AT_S, ELECTION_S = 30.0, 1.5
-WINDOW_S = 4.0
 SEEDS = 10
 SERVER = ("i-1", 1)
 
@@ -84,15 +84,6 @@
     return admit
 
 
-def most_in_window(times_s: list[float]) -> int:
-    most = first = 0
-    for last, at_s in enumerate(times_s):
-        while times_s[first] <= at_s - WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def sent_times(
     make: Callable[[int, float], Admit], hosts: int, limit_per_s: float, seed: int
 ) -> list[float]:
@@ -115,7 +106,7 @@
     print("| --- | --- |" + " --- |" * len(ways))
     for hosts in (3, 70, 410):
         for limit_per_s in (1.0, 10.0, 100.0):
-            allowed = 1.5 * limit_per_s * WINDOW_S + 5
+            allowed = allowed_requests(limit_per_s)
             cells = []
             for way in ways:
                 sent = whole = most = 0
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -13,7 +13,7 @@
     BufferBudgetExceededError,
     ReplyHead,
 )
-from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._events import EventSplitter, first_event_id, has_event
 from damaskvalve_gateway._exchange import Exchange
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_choice.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_choice.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from damaskvalve_gateway._backends import MAX_FAILURE_SHARE, Backend
+from damaskvalve_gateway._backend import MAX_FAILURE_SHARE, Backend
 
 
 def _score(name: str, instance_id: str) -> int:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -14,6 +14,7 @@
     is_sampled,
 )
 from damaskvalve_core.http import BackendPool, IncomingRequest, Responder
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._backend_attempt import (
     ANSWERED,
     BROKEN,
@@ -24,7 +25,6 @@
     ReplyCallback,
     relay,
 )
-from damaskvalve_gateway._backends import Backend
 from damaskvalve_gateway._choice import order_engines, order_plain
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_store.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_store.py
@@ -143,10 +143,6 @@
         held = self._held.get(incarnation)
         return 0.0 if held is None else held.empty_until_s.get(claim, 0.0)
 
-    def forget(self, incarnation: Incarnation) -> None:
-        """Drop what is held for a backend server that has no limit any more."""
-        self._held.pop(incarnation, None)
-
 
 def _decay(passed_s: float) -> float:
     return math.exp(-max(0.0, passed_s) / SENDS_AVERAGING_S)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_limits.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_limits.py
@@ -2,7 +2,8 @@
 
 from damaskvalve_core import DecisionLog
 from damaskvalve_core.messages import BackendNotice
-from damaskvalve_gateway._backends import Backend, BackendTable
+from damaskvalve_gateway._backend import Backend
+from damaskvalve_gateway._backends import BackendTable
 from damaskvalve_gateway._notices import from_limit_notice
 
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_notices.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_notices.py
@@ -3,7 +3,7 @@
 import math
 
 from damaskvalve_core.messages import BackendNotice, LimitNotice
-from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._limit_statements import NEVER_S, LimitStatement
 from damaskvalve_gateway._model import Announcement
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_overload.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_overload.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Sequence
 
-from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._grant_ledger import MIN_RATE_PER_S
 
 # Time to a reply that is assumed for a backend server that has not replied yet.
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits.py
@@ -22,7 +22,7 @@
     EngineLimits,
 )
 from damaskvalve_core.rpc import RpcCall, RpcClient
-from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._model import EngineSpec
 from damaskvalve_gateway._send_gate import SendGate, SendGrant
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_quarantine.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_quarantine.py
@@ -4,7 +4,7 @@
 
 from damaskvalve_core import RefusedError
 from damaskvalve_core.messages import SuspectRecord
-from damaskvalve_gateway._backends import ANNOUNCEMENT_TIMEOUT_S
+from damaskvalve_gateway._backend import ANNOUNCEMENT_TIMEOUT_S
 from damaskvalve_gateway._crashes import REFUSED_AT, CrashTracker
 
 # A request in quarantine is tried once more after this time. If that run breaks too,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_reply_fields.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_reply_fields.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from damaskvalve_core import DecisionLog
-from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._backend import Backend
 
 # Each header is logged once for each start of a backend server, as long as it is among
 # this many newest ones.
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -25,8 +25,8 @@
 )
 from damaskvalve_core.metrics import CONTENT_TYPE
 from damaskvalve_core.rpc import RpcClient, serving_rpc
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._backend_attempt import ReplyCallback
-from damaskvalve_gateway._backends import Backend
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._control_service import ControlService
 from damaskvalve_gateway._crash_controller import CrashController
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send_gate.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send_gate.py
@@ -16,7 +16,7 @@
     SendGrantReturn,
     SendGrantsReply,
 )
-from damaskvalve_gateway._backends import Backend
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._crashes import Incarnation
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._grant_store import GRANT_LIFETIME_S, GrantStore
@@ -24,7 +24,7 @@
 from damaskvalve_gateway._notices import to_limit_notice
 
 # After a call that failed, nothing is asked for this long.
-LEADER_BACKOFF_S = 0.2
+LEADER_BACKOFF_S = 0.5
 # Why a request was not admitted.
 NO_TOKEN = "limit"
 NO_LEADER = "no_leader"
@@ -225,13 +225,13 @@
         claims = []
         for (incarnation, (priority, workspace)), ask in asks.items():
             statement = ask.backend.limit_statement
-            if statement is None:
-                continue
             ask.waiters = [item for item in ask.waiters if not item.done()]
+            if statement is None or not ask.waiters:
+                continue
             wanted = self._store.wanted(incarnation, asked_s) - 1 + len(ask.waiters)
             notice = to_limit_notice(statement, asked_s)
             claims.append(
-                SendGrantAsk(*incarnation, notice, max(1, wanted), priority, workspace)
+                SendGrantAsk(*incarnation, notice, wanted, priority, workspace)
             )
         returned = [
             SendGrantReturn(*incarnation, count)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -19,7 +19,8 @@
     SyncReply,
     SyncRequest,
 )
-from damaskvalve_gateway._backends import ANNOUNCEMENT_OVERDUE_S, Backend
+from damaskvalve_gateway._backend import Backend
+from damaskvalve_gateway._backends import ANNOUNCEMENT_OVERDUE_S
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._leader_clock import LeaderClock
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
@@ -6,8 +6,8 @@
 
 from damaskvalve_core import ChannelError, boot_clock_s
 from damaskvalve_core.http import BackendPool
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._backend_attempt import BackendAttempt
-from damaskvalve_gateway._backends import Backend
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._model import (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/limit_simulation.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/limit_simulation.py
@@ -24,6 +24,7 @@
 from damaskvalve_gateway._send_gate import SendGate
 from damaskvalve_gateway._sync import SyncController
 from damaskvalve_gateway.tests.attempt_fixtures import make_exchange
+from damaskvalve_gateway.tests.limit_rule import most_in_window
 
 SLACK = QuotaSlack(0.0, 0.0, 8.0)
 SERVER = "i-1"
@@ -355,7 +356,7 @@
 
     # ---- results ----
 
-    def most_in_window(self, from_s, window_s, *, excuse_s=None):
+    def most_in_window(self, from_s, *, excuse_s=None):
         """Return the most arrivals in a window that begins at ``from_s`` or later.
 
         With ``excuse_s``, only those of hosts count that had read a reply with a limit
@@ -367,12 +368,7 @@
             if item.at_s >= from_s
             and (excuse_s is None or self._counts(item, excuse_s))
         )
-        most = first = 0
-        for last, at_s in enumerate(times_s):
-            while times_s[first] <= at_s - window_s:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
+        return most_in_window(times_s)
 
     @staticmethod
     def _counts(arrival, excuse_s):
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_backends.py
@@ -2,11 +2,8 @@
 
 import unittest
 
-from damaskvalve_gateway._backends import (
-    ANNOUNCEMENT_OVERDUE_S,
-    ANNOUNCEMENT_TIMEOUT_S,
-    BackendTable,
-)
+from damaskvalve_gateway._backend import ANNOUNCEMENT_TIMEOUT_S
+from damaskvalve_gateway._backends import ANNOUNCEMENT_OVERDUE_S, BackendTable
 from damaskvalve_gateway._model import GONE, LEAVING, READY, Announcement
 
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crashes.py
@@ -6,7 +6,8 @@
 
 from damaskvalve_core import RefusedError
 from damaskvalve_core.messages import SuspectRecord
-from damaskvalve_gateway._backends import ANNOUNCEMENT_TIMEOUT_S, BackendTable
+from damaskvalve_gateway._backend import ANNOUNCEMENT_TIMEOUT_S
+from damaskvalve_gateway._backends import BackendTable
 from damaskvalve_gateway._crashes import (
     ENDED,
     EXCUSED_RUNS,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_grant_ledger.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_grant_ledger.py
@@ -16,9 +16,13 @@
     GrantLedger,
 )
 from damaskvalve_gateway._quota import TokenBucket
+from damaskvalve_gateway.tests.limit_rule import (
+    WINDOW_S,
+    allowed_requests,
+    most_in_window,
+)
 
 SERVER = ("i-1", 1)
-WINDOW_S = 4.0
 # How much later than its grant a request may arrive: the lifetime of a grant.
 LATE_S = 0.5
 
@@ -27,16 +31,6 @@
     return GrantClaim(host, priority, workspace, wanted)
 
 
-def most_in_window(times_s, window_s):
-    """Return the most times in any window of a length."""
-    most = first = 0
-    for last, at_s in enumerate(times_s):
-        while times_s[first] <= at_s - window_s:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 class WindowTests(unittest.TestCase):
     """From the users' rule: one and a half times the limit, and five requests."""
 
@@ -73,8 +67,8 @@
                 used = max(0, count - unused)
                 ledger.give_back(SERVER, count - used)
                 granted_s += [now_s] * used
-        allowed = 1.5 * limit_per_s * WINDOW_S + 5
-        self.assertLessEqual(most_in_window(granted_s, WINDOW_S + LATE_S), allowed)
+        most = most_in_window(granted_s, WINDOW_S + LATE_S)
+        self.assertLessEqual(most, allowed_requests(limit_per_s))
 
     def test_a_lower_limit_binds_at_once(self):
         """What had accrued under the higher one is gone."""
@@ -85,7 +79,9 @@
             now_s = 102.0 + step * 0.02
             count, _ = ledger.take(SERVER, 1.0, claim(wanted=50), now_s)
             times_s += [now_s] * count
-        self.assertLessEqual(most_in_window(times_s, WINDOW_S + LATE_S), 11)
+        self.assertLessEqual(
+            most_in_window(times_s, WINDOW_S + LATE_S), allowed_requests(1.0)
+        )
 
     def test_a_limit_of_zero_gets_a_request_now_and_then(self):
         """Its reply shows whether the limit still holds."""
@@ -94,7 +90,9 @@
             now_s = 100.0 + step * 0.02
             count, _ = ledger.take(SERVER, 0.0, claim(f"h{step % 70}"), now_s)
             times_s += [now_s] * count
-        self.assertLessEqual(most_in_window(times_s, WINDOW_S + LATE_S), 5)
+        self.assertLessEqual(
+            most_in_window(times_s, WINDOW_S + LATE_S), allowed_requests(0.0)
+        )
         self.assertGreaterEqual(len(times_s), 8)
 
     def test_grants_that_come_back_exceed_no_depth(self):
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_overload.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_overload.py
@@ -6,8 +6,9 @@
 
 from damaskvalve_core import boot_clock_s
 from damaskvalve_core.http import BackendPool
+from damaskvalve_gateway._backend import MAX_BACKOFF_S
 from damaskvalve_gateway._backend_attempt import ANSWERED, NOT_RUN
-from damaskvalve_gateway._backends import MAX_BACKOFF_S, BackendTable
+from damaskvalve_gateway._backends import BackendTable
 from damaskvalve_gateway._limit_statements import LimitStatement
 from damaskvalve_gateway._model import GONE, LEAVING, READY
 from damaskvalve_gateway._overload import MAX_SPREAD_S, RetryAfterScheduler
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_request_limits.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_request_limits.py
@@ -3,22 +3,15 @@
 import asyncio
 import unittest
 
+from damaskvalve_gateway.tests.limit_rule import SETTLE_S, allowed_requests
 from damaskvalve_gateway.tests.limit_simulation import Simulation
 
-# From the users' rule.
-SETTLE_S = 3.0
-WINDOW_S = 4.0
-
-
-def allowed_requests(limit_per_s):
-    return 1.5 * limit_per_s * WINDOW_S + 5
-
 
 class RequestLimitTests(unittest.TestCase):
     def assert_kept(self, simulation, limit_per_s, *, excuse_s=None):
         """Check the arrivals from when the limit binds."""
         from_s = simulation.first_stated_s + SETTLE_S
-        most = simulation.most_in_window(from_s, WINDOW_S, excuse_s=excuse_s)
+        most = simulation.most_in_window(from_s, excuse_s=excuse_s)
         self.assertLessEqual(most, allowed_requests(limit_per_s))
 
     def test_a_limit_holds_for_the_sum_of_all_hosts(self):
@@ -146,5 +139,5 @@
             await asyncio.sleep(10.0)
 
         simulation.run(scenario)
-        most = simulation.most_in_window(self.restarted_s, WINDOW_S)
+        most = simulation.most_in_window(self.restarted_s)
         self.assertLessEqual(most, allowed_requests(1.0))
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
@@ -5,14 +5,14 @@
 from hypothesis import given, strategies as st
 
 from damaskvalve_core.http import ServerLimits
-from damaskvalve_gateway._backends import (
+from damaskvalve_gateway._backend import (
     ABSENT,
     CACHED,
     MAX_CACHED_ADAPTERS,
     RESIDENT,
     Backend,
-    BackendTable,
 )
+from damaskvalve_gateway._backends import BackendTable
 from damaskvalve_gateway._choice import order_engines, order_plain
 from damaskvalve_gateway._events import EventSplitter, first_event_id
 from damaskvalve_gateway._model import (
--- a/testing/damaskvalve-standins/damaskvalve_standins/_limit_proofs.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/_limit_proofs.py
@@ -7,6 +7,7 @@
 
 from damaskvalve_core.messages import SendGrant, SendGrantsReply
 from damaskvalve_gateway import (
+    _backend,
     _backends,
     _grant_ledger,
     _grant_store,
@@ -144,7 +145,7 @@
     ),
     Proof(
         "the share grows back after a limit",
-        replace(_backends, "LIMIT_RAMP_S", 0.0),
+        replace(_backend, "LIMIT_RAMP_S", 0.0),
         f"{_OVERLOAD}.test_a_server_gets_its_share_back_over_two_seconds",
     ),
 )
