--- a/testing/damaskvalve-standins/damaskvalve_standins/_limit_proofs.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/_limit_proofs.py
@@ -110,7 +110,7 @@
     Proof(
         "grants of lost replies come back",
         _lost_replies_forgotten,
-        f"{_SIMULATED}.test_nearly_all_of_a_limit_is_used",
+        f"{_GATE}.GrantReplyTests.test_grants_of_a_lost_reply_come_back",
     ),
     Proof(
         "a reply from before a limit does not end it",
