Logs name the parts of a prompt in broken runs and unusual requests

The logs of the incident could not tell the hypotheses apart: a host did not decode the parts of a prompt, so what broken runs had in common could not be read from them, nor whether a run had relayed events before it broke. broken_run now has both. No decision uses them yet.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -105,6 +105,8 @@
         # Whether the connection closed or the reply was invalid. A time-out does not
         # count.
         self.connection_broke = False
+        # Number of groups of events that this attempt has relayed.
+        self.event_groups = 0
         # Whether a complete reply with a 2xx status has arrived.
         self.succeeded = False
 
@@ -319,6 +321,7 @@
             if exchange.first_event_s is None:
                 self._backend.note_success(now_s - started_at_s)
             exchange.note_events(now_s)
+            self.event_groups += 1
             self._on_started()
             await responder.write(events)
             exchange.last_event_id = splitter.last_event_id
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -278,6 +278,8 @@
             reason=attempt.reason,
             runs=exchange.runs,
             last_event=exchange.last_event_id or "",
+            events=attempt.event_groups,
+            parts=" ".join(exchange.request.prompt_parts),
         )
 
     def _candidates(self, exchange: Exchange) -> Sequence[Backend]:
@@ -450,6 +452,7 @@
             workspace=exchange.workspace.name if exchange.workspace else "",
             backend=exchange.backend_id,
             adapter=request.adapter,
+            parts=" ".join(request.prompt_parts),
             outcome=outcome,
             sends=exchange.attempts,
             runs=exchange.runs,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -193,6 +193,7 @@
         "adapter",
         "prompt_tokens",
         "output_tokens",
+        "prompt_parts",
         "last_event_id",
     )
 
@@ -211,6 +212,7 @@
         adapter: str = "",
         prompt_tokens: int | None = None,
         output_tokens: int = 0,
+        prompt_parts: Sequence[str] = (),
         last_event_id: int | None = None,
     ) -> None:
         self.request_id = request_id
@@ -230,6 +232,8 @@
         # None if the request does not declare its tokens.
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
+        # Ids of the parts of the prompt that other requests may share.
+        self.prompt_parts = tuple(prompt_parts)
         # Id of the last event that the caller received; None if it resumes no stream.
         self.last_event_id = last_event_id
 
