Parts of prompts that crash backend servers are refused by all hosts

Callers saw 502, 503 and cut streams as long as requests with one part of a prompt came, no two alike: each engine ended again within a second or two of its return.

Cause: crashes were attributed to whole requests only. The fingerprint covers the body, and no host decoded the parts of a prompt, so such requests never reached three runs. Hosts also repeated each broken run at once on another engine, which ended that one too.

Runs are now counted by part as well, in the same tracker, reports and records. A part under which an engine has answered for 0.25 s is sound and never blamed; hosts tell each other only of parts that are not. Of the others the fewest that explain the crashes are refused, after three to eight crashes by how many requests broke with each. Servers that fail together count as one crash. Parts that always occur together are refused together only. A run that a suspected part may have broken is not repeated. The quarantine ends when a run with the part is answered, not by time: trials would end servers.

`make prove` has four new entries.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -431,6 +431,8 @@
   6: optional bool pending
   // For how many seconds the backend server may still be running it.
   7: optional double may_run_s
+  // Ids of the parts of its prompt of which the host does not know that they are sound.
+  8: optional list<string> parts
 }
 
 // Asked of any host that lends; tokens below 0 are returned to it.
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2173,6 +2173,7 @@
      - served_age_s
      - pending
      - may_run_s
+     - parts
 
     """
 
@@ -2184,10 +2185,11 @@
         'served_age_s',
         'pending',
         'may_run_s',
+        'parts',
     )
 
 
-    def __init__(self, fingerprint=None, instance_id=None, age_s=None, started_at_ms=None, served_age_s=None, pending=None, may_run_s=None,):
+    def __init__(self, fingerprint=None, instance_id=None, age_s=None, started_at_ms=None, served_age_s=None, pending=None, may_run_s=None, parts=None,):
         self.fingerprint = fingerprint
         self.instance_id = instance_id
         self.age_s = age_s
@@ -2195,6 +2197,7 @@
         self.served_age_s = served_age_s
         self.pending = pending
         self.may_run_s = may_run_s
+        self.parts = parts
 
 
 class TokensRequest(TBase):
@@ -3191,6 +3194,7 @@
     (5, TType.DOUBLE, 'served_age_s', None, None, ),  # 5
     (6, TType.BOOL, 'pending', None, None, ),  # 6
     (7, TType.DOUBLE, 'may_run_s', None, None, ),  # 7
+    (8, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 8
 )
 all_structs.append(TokensRequest)
 TokensRequest.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from damaskvalve_gateway._crashes import Incarnation
+from damaskvalve_gateway._incarnations import Incarnation
 from damaskvalve_gateway._limit_statements import LimitStatement
 from damaskvalve_gateway._model import READY, Announcement
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -33,6 +33,8 @@
 # The connection broke; the request may have run.
 BROKEN = "broken"
 
+# A backend server that crashes as it begins an answer sends no events for this long.
+SURVIVED_START_S = 0.25
 # A connection that has been idle for longer than this is not used for a request that
 # may not be repeated. If the backend server closes an idle connection while a request
 # is sent, the outcome of the request is unknown.
@@ -105,8 +107,10 @@
         # Whether the connection closed or the reply was invalid. A time-out does not
         # count.
         self.connection_broke = False
-        # Number of groups of events that this attempt has relayed.
+        # Number of groups of events that this attempt has relayed, and the times of the
+        # first and the last of them.
         self.event_groups = 0
+        self._first_event_s = self._last_event_s = 0.0
         # Whether a complete reply with a 2xx status has arrived.
         self.succeeded = False
 
@@ -204,6 +208,21 @@
         self._note_complete_reply(head)
         return await self._relay_whole(head, body, started_at_s)
 
+    def _note_event(self, now_s: float) -> None:
+        if not self.event_groups:
+            self._first_event_s = now_s
+        self._last_event_s = now_s
+        self.event_groups += 1
+
+    def has_answered(self) -> bool:
+        """Return whether the backend server has survived the start of its answer."""
+        if self._exchange.route.kind != STREAMING:
+            return self.succeeded
+        wrote_s = self._last_event_s - self._first_event_s
+        return bool(self.event_groups) and (
+            self.succeeded or wrote_s >= SURVIVED_START_S
+        )
+
     def _note_complete_reply(self, head: ReplyHead) -> None:
         """Record that a complete reply has arrived.
 
@@ -321,7 +340,7 @@
             if exchange.first_event_s is None:
                 self._backend.note_success(now_s - started_at_s)
             exchange.note_events(now_s)
-            self.event_groups += 1
+            self._note_event(now_s)
             self._on_started()
             await responder.write(events)
             exchange.last_event_id = splitter.last_event_id
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
@@ -4,11 +4,15 @@
 of all hosts and commits a record of a request once its runs broke on two incarnations
 of backend servers. The record reaches every host and survives restarts. Nearly all
 broken runs are single ones, which cost one notice to the leader and nothing else.
+
+Records about parts of prompts work in the same way. A host names in its reports only
+the parts that it does not know to be sound, and tells the leader which suspected parts
+have proved sound on it.
 """
 
 import asyncio
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from damaskvalve_core import DecisionLog, RetryLaterError, boot_clock_s
 from damaskvalve_core.messages import (
@@ -24,8 +28,11 @@
     PENDING_TIMEOUT_S,
     REFUSED_AT,
     SUSPECTED_AT,
-    Incarnation,
+    parts_key,
+    parts_of_key,
 )
+from damaskvalve_gateway._incarnations import Incarnation
+from damaskvalve_gateway._part_blame import count_causes
 from damaskvalve_gateway._state_client import StateClient
 
 # The longest time between two evaluations of pending runs and, on the leader, of all
@@ -34,6 +41,10 @@
 URGENT_SETTLE_S = 0.1
 # Maximum number of records in one command, which is sent to all hosts: some 15 kB.
 MAX_RECORDS = 100
+# Maximum number of crashes that a record about parts lists.
+MAX_RECORDED_CRASHES = 8
+# Committed records do not hold when crashes happened, only that they were separate.
+RESTORED_CRASH_INTERVAL_S = 1.0
 # Maximum number of runs, and of successes, in one call to the leader.
 MAX_NOTICES = 200
 
@@ -41,10 +52,13 @@
 class _UnreportedRun:
     """A run that has not been reported to the leader yet."""
 
-    __slots__ = ("at_s", "pending", "until_s")
+    __slots__ = ("at_s", "pending", "until_s", "parts")
 
-    def __init__(self, at_s: float, pending: bool, until_s: float) -> None:
+    def __init__(
+        self, at_s: float, pending: bool, until_s: float, parts: Sequence[str]
+    ) -> None:
         self.at_s = at_s
+        self.parts = tuple(parts)
         self.pending = pending
         # Until when the backend server may still be running a pending run.
         self.until_s = until_s
@@ -76,11 +90,16 @@
     # ---- runs of this host ----
 
     def note_broken(
-        self, fingerprint: str, incarnation: Incarnation, at_s: float
+        self,
+        fingerprint: str,
+        incarnation: Incarnation,
+        at_s: float,
+        parts: Sequence[str] = (),
     ) -> None:
-        """Count a run whose connection broke."""
-        if self._tracker.note_run(fingerprint, incarnation, at_s):
-            self._queue_run(fingerprint, incarnation, at_s, pending=False)
+        """Count a run whose connection broke, also for the parts of its prompt."""
+        parts = self._tracker.unproved_parts(parts)
+        if self._tracker.note_run(fingerprint, incarnation, at_s, parts=parts):
+            self._queue_run(fingerprint, incarnation, at_s, pending=False, parts=parts)
 
     def note_pending(
         self,
@@ -88,13 +107,22 @@
         incarnation: Incarnation,
         at_s: float,
         until_s: float = NEVER_S,
+        parts: Sequence[str] = (),
     ) -> None:
         """Record a run that was cancelled or answered with a failure.
 
         Until ``until_s`` the backend server may still be running the request.
         """
-        self._tracker.note_pending(fingerprint, incarnation, at_s, until_s)
-        self._queue_run(fingerprint, incarnation, at_s, pending=True, until_s=until_s)
+        parts = self._tracker.unproved_parts(parts)
+        self._tracker.note_pending(fingerprint, incarnation, at_s, until_s, parts)
+        self._queue_run(
+            fingerprint,
+            incarnation,
+            at_s,
+            pending=True,
+            until_s=until_s,
+            parts=parts,
+        )
 
     def _queue_run(
         self,
@@ -104,17 +132,49 @@
         *,
         pending: bool,
         until_s: float = NEVER_S,
+        parts: Sequence[str] = (),
     ) -> None:
         """Queue a run for the leader, dropping the oldest if the queue is full."""
         self._unreported_runs[fingerprint, incarnation] = _UnreportedRun(
-            at_s, pending, until_s
+            at_s, pending, until_s, parts
         )
         if len(self._unreported_runs) > MAX_FINGERPRINTS:
             del self._unreported_runs[next(iter(self._unreported_runs))]
-        if self._is_suspected(fingerprint):
+        # Requests with a crashing part differ, so their first broken runs are urgent.
+        if self._is_suspected(fingerprint) or (parts and not pending):
             self.urgent.set()
             self._changed.set()
 
+    def note_sound(self, parts: Sequence[str], at_s: float) -> None:
+        """Record that backend servers have answered requests with these parts."""
+        for part in parts:
+            had_runs = self._tracker.note_sound(part, at_s)
+            if had_runs or self._view.suspect_keys_of(part):
+                self._report_sound(part, at_s)
+
+    def _report_sound(self, part: str, at_s: float) -> None:
+        self._unreported_served[parts_key((part,))] = at_s
+        self.urgent.set()
+
+    def _report_suspects_known_sound(self, now_s: float) -> None:
+        """Tell the leader of suspected parts that have proved sound on this host."""
+        for key in self._view.suspect_statuses:
+            for part in parts_of_key(key):
+                age_s = self._tracker.sound_age_s(part, now_s)
+                if age_s is not None:
+                    self._report_sound(part, now_s - age_s)
+
+    def may_repeat(self, parts: Sequence[str]) -> bool:
+        """Return whether a request whose run broke may be sent again at once.
+
+        A part that several crashes point to may have broken the run.
+        """
+        return not any(
+            self._view.suspect_keys_of(part)
+            or self._tracker.count(parts_key((part,))) >= SUSPECTED_AT
+            for part in self._tracker.unproved_parts(parts)
+        )
+
     def note_served(self, fingerprint: str, at_s: float) -> None:
         """Record a run that succeeded."""
         had_runs = self._tracker.note_served(fingerprint, at_s)
@@ -142,6 +202,7 @@
                 self._served_age_s(fingerprint, now_s),
                 run.pending,
                 max(0.0, run.until_s - now_s),
+                self._tracker.unproved_parts(run.parts) or None,
             )
             for (fingerprint, (instance_id, started_at_ms)), run in self._next_runs()
         ]
@@ -172,7 +233,8 @@
     def requeue_recent(self, now_s: float) -> None:
         """Queue all recent counted runs to be reported to a new leader."""
         for fingerprint, incarnation, at_s in self._tracker.recent(now_s):
-            self._queue_run(fingerprint, incarnation, at_s, pending=False)
+            parts = self._tracker.parts_of(fingerprint)
+            self._queue_run(fingerprint, incarnation, at_s, pending=False, parts=parts)
 
     # ---- the leader's side ----
 
@@ -188,19 +250,37 @@
             age_s = notice.served_age_s
             served_at_s = NEVER_S if age_s is None else now_s - age_s
             fingerprint, at_s = notice.fingerprint, now_s - notice.age_s
+            parts = self._tracker.unproved_parts(notice.parts or ())
             if notice.pending:
                 until_s = now_s + (notice.may_run_s or 0.0)
-                self._tracker.note_pending(fingerprint, incarnation, at_s, until_s)
-            elif self._tracker.note_run(fingerprint, incarnation, at_s, served_at_s):
-                self._log.line(
-                    "crash_counted", fingerprint=fingerprint, backend=incarnation[0]
+                self._tracker.note_pending(
+                    fingerprint, incarnation, at_s, until_s, parts
                 )
-            if self._is_suspected(fingerprint):
+            elif self._tracker.note_run(
+                fingerprint, incarnation, at_s, served_at_s, parts
+            ):
+                self._log_counted(fingerprint, incarnation, parts)
+            if parts or self._is_suspected(fingerprint):
                 self._changed.set()
         for fingerprint, age_s in served.items():
             self._clear_suspect(fingerprint, now_s - age_s)
 
+    def _log_counted(
+        self, fingerprint: str, incarnation: Incarnation, parts: Sequence[str]
+    ) -> None:
+        self._log.line(
+            "crash_counted",
+            fingerprint=fingerprint,
+            backend=incarnation[0],
+            unproved_parts=" ".join(parts),
+        )
+
     def _clear_suspect(self, fingerprint: str, at_s: float) -> None:
+        for part in parts_of_key(fingerprint):
+            self._tracker.note_sound(part, at_s)
+            self._cleared.update(self._view.suspect_keys_of(part))
+            self._changed.set()
+            return
         self._tracker.note_served(fingerprint, at_s)
         suspect = self._view.suspect_statuses.get(fingerprint)
         if suspect is not None:
@@ -210,21 +290,40 @@
     def restore(self, now_s: float) -> None:
         """Load the records committed under earlier leaders."""
         for fingerprint, suspect in self._view.suspect_statuses.items():
+            if parts_of_key(fingerprint):
+                self._restore_parts(suspect.record, now_s)
+                continue
             for name in suspect.record.starts or ():
                 incarnation = parse_incarnation(name)
                 self._tracker.note_run(fingerprint, incarnation, now_s)
                 if suspect.record.quarantined:
                     self._tracker.note_ended(fingerprint, incarnation)
 
+    def _restore_parts(self, record: SuspectRecord, now_s: float) -> None:
+        """Load a committed record about parts.
+
+        Its incarnations ended one after the other, each under a request of its own.
+        """
+        for number, name in enumerate(record.starts or ()):
+            incarnation = parse_incarnation(name)
+            at_s = now_s - number * RESTORED_CRASH_INTERVAL_S
+            for part in parts_of_key(record.fingerprint):
+                self._tracker.note_run_of_part(part, name, incarnation, at_s)
+                if record.quarantined:
+                    self._tracker.note_ended(parts_key((part,)), incarnation)
+
     def changed_records(self, now_s: float) -> Sequence[SuspectRecord]:
         """Return the records to commit next, those with the most crashes first."""
         committed = self._view.suspect_statuses
+        part_records = self._evaluate_parts()
         fingerprints = {*committed, *self._tracker.suspected()}
+        fingerprints.difference_update(part_records)
         changed: list[SuspectRecord] = []
-        for fingerprint in sorted(
-            fingerprints, key=lambda item: (-self._tracker.count(item), item)
+        for fingerprint in (
+            *part_records,
+            *sorted(fingerprints, key=lambda item: (-self._tracker.count(item), item)),
         ):
-            record = self._evaluate(fingerprint, now_s)
+            record = part_records.get(fingerprint) or self._evaluate(fingerprint, now_s)
             known = committed.get(fingerprint)
             if record != (known.record if known else _cleared_record(fingerprint)):
                 changed.append(record)
@@ -232,9 +331,47 @@
                 break
         return changed
 
+    def _evaluate_parts(self) -> Mapping[str, SuspectRecord]:
+        """Return the records about parts that follow from the counted runs, by key.
+
+        Parts that are to blame come first.
+        """
+        evidence = self._tracker.part_evidence(only_ended=False)
+        known = [
+            parts_of_key(key)
+            for key, suspect in self._view.suspect_statuses.items()
+            if parts_of_key(key) and suspect.record.refused
+        ]
+        proved = {
+            parts_key(parts)
+            for parts in self._tracker.blamed_parts(only_ended=True, known=known)
+        }
+        records: dict[str, SuspectRecord] = {}
+        blamed: set[str] = set()
+        for parts in self._tracker.blamed_parts(only_ended=False, known=known):
+            key = parts_key(parts)
+            crashes = evidence[parts[0]].crashes
+            records[key] = _part_record(
+                key, crashes, quarantined=key in proved, refused=True
+            )
+            blamed.update(parts)
+        for part, item in evidence.items():
+            key = parts_key((part,))
+            if part not in blamed and item.is_suspect():
+                records[key] = _part_record(
+                    key, item.crashes, quarantined=False, refused=False
+                )
+        for key, suspect in self._view.suspect_statuses.items():
+            # Parts stay in quarantine until they prove sound.
+            if parts_of_key(key) and suspect.record.quarantined:
+                records[key] = suspect.record
+        return {
+            key: record for key, record in records.items() if key not in self._cleared
+        }
+
     def _evaluate(self, fingerprint: str, now_s: float) -> SuspectRecord:
         known = self._view.suspect_statuses.get(fingerprint)
-        if fingerprint in self._cleared:
+        if fingerprint in self._cleared or parts_of_key(fingerprint):
             return _cleared_record(fingerprint)
         if known is not None and known.record.quarantined:
             if known.left_s(now_s) > 0:
@@ -281,12 +418,22 @@
             # Other hosts receive announcements later than the leader, so only the
             # leader counts a pending run by its time-out.
             PENDING_TIMEOUT_S if leads else math.inf,
+            self._quarantined_parts(),
         )
         for fingerprint, incarnation, at_s in counted:
-            self._log.line(
-                "crash_counted", fingerprint=fingerprint, backend=incarnation[0]
-            )
-            self._queue_run(fingerprint, incarnation, at_s, pending=False)
+            parts = self._tracker.parts_of(fingerprint)
+            self._log_counted(fingerprint, incarnation, parts)
+            self._queue_run(fingerprint, incarnation, at_s, pending=False, parts=parts)
+        self._report_suspects_known_sound(now_s)
+
+    def _quarantined_parts(self) -> Collection[str]:
+        """Return the keys of parts in quarantine; their runs are kept."""
+        return [
+            parts_key((part,))
+            for key, suspect in self._view.suspect_statuses.items()
+            if suspect.record.quarantined
+            for part in parts_of_key(key)
+        ]
 
     async def _commit_changes(self, now_s: float) -> None:
         leader_id = self._state_client.status().leader_id
@@ -309,8 +456,9 @@
             return
         self._cleared.difference_update(item.fingerprint for item in records)
         for item in records:
+            subject = "parts" if parts_of_key(item.fingerprint) else "request"
             self._log.line(
-                "request_suspected" if item.crashes else "request_cleared",
+                f"{subject}_suspected" if item.crashes else f"{subject}_cleared",
                 fingerprint=item.fingerprint,
                 crashes=item.crashes,
                 refused=bool(item.refused),
@@ -324,6 +472,24 @@
     return SuspectRecord(fingerprint, 0, False)
 
 
+def _part_record(
+    key: str,
+    crashes: Mapping[Incarnation, float],
+    *,
+    quarantined: bool,
+    refused: bool,
+) -> SuspectRecord:
+    """Return a record about parts, with one incarnation for each separate crash."""
+    starts: list[str] = []
+    times_s: list[float] = []
+    for incarnation, at_s in sorted(crashes.items(), key=lambda item: item[1]):
+        if count_causes([*times_s, at_s]) > len(times_s):
+            times_s.append(at_s)
+            starts.append(format_incarnation(incarnation))
+    starts = starts[:MAX_RECORDED_CRASHES]
+    return SuspectRecord(key, len(starts), quarantined, sorted(starts), refused)
+
+
 def format_incarnation(incarnation: Incarnation) -> str:
     """Return the text that stands for an incarnation in committed records."""
     instance_id, started_at_ms = incarnation
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
@@ -1,7 +1,9 @@
 """Tracking of requests that crash the backend servers that run them.
 
 Callers send such a request again under another id, so its fingerprint is computed from
-workspace, method, target, model, adapter and body. A run is one transmission of a
+workspace, method, target, model, adapter and body. A part of its prompt may crash
+backend servers too, whatever else the request holds, so runs are counted by two kinds
+of key: the fingerprint, and one key for each part. A run is one transmission of a
 request to one incarnation of a backend server. A run whose connection broke counts
 against the request until the backend server is known to have outlived the run. A run
 that was cancelled or answered with a failure counts if the backend server ends while it
@@ -13,12 +15,11 @@
 import collections
 import hashlib
 import itertools
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 
+from damaskvalve_gateway._incarnations import Incarnation
 from damaskvalve_gateway._model import CallerRequest
-
-#: One start of a backend server: its id and its time of start in milliseconds.
-Incarnation = tuple[str, int]
+from damaskvalve_gateway._part_blame import PartEvidence, blamed_parts
 
 # What is known about an incarnation after a run on it that did not complete: the
 # incarnation has ended, it was still running after the run, or neither is known.
@@ -51,14 +52,35 @@
 # Broken runs are kept for this long. This is longer than a quarantine, so that the
 # first run after a quarantine is not counted as the first of three.
 RUN_RETENTION_S = 3600.0
-# Maximum number of requests with counted runs, and of those with pending runs.
+# Maximum number of keys with counted runs, and of those with pending runs.
 MAX_FINGERPRINTS = 4_000
+# Maximum number of parts that are remembered as sound.
+MAX_SOUND_PARTS = 8_000
+# Maximum number of requests that are told apart for one part; more are only counted.
+MAX_REQUESTS_PER_PART = 32
 # Maximum number of requests whose last success is kept.
 MAX_SERVED = 4_000
 # The time of the last success of a request that has not succeeded.
 NEVER_S = float("-inf")
 
 
+# Prefix of the keys of parts; fingerprints are hexadecimal.
+_PARTS_PREFIX = "parts/"
+_PARTS_SEPARATOR = "+"
+
+
+def parts_key(parts: Iterable[str]) -> str:
+    """Return the key of one part, or of a group of parts that occur together."""
+    return _PARTS_PREFIX + _PARTS_SEPARATOR.join(sorted(parts))
+
+
+def parts_of_key(key: str) -> Sequence[str]:
+    """Return the parts that a key names; none if it is the key of a request."""
+    if not key.startswith(_PARTS_PREFIX):
+        return ()
+    return key[len(_PARTS_PREFIX) :].split(_PARTS_SEPARATOR)
+
+
 def request_fingerprint(workspace: str, request: CallerRequest) -> str:
     """Return a digest that is the same if a request is repeated under another id."""
     digest = hashlib.blake2b(digest_size=12)
@@ -78,19 +100,20 @@
 class _PendingRun:
     """A run that does not count yet."""
 
-    __slots__ = ("at_s", "until_s")
+    __slots__ = ("at_s", "until_s", "parts")
 
-    def __init__(self, at_s: float, until_s: float) -> None:
+    def __init__(self, at_s: float, until_s: float, parts: Sequence[str]) -> None:
         # When the run was given up.
         self.at_s = at_s
+        self.parts = tuple(parts)
         # Until when the backend server may still be running the request.
         self.until_s = until_s
 
 
 class _RequestRuns:
-    """The counted runs of one request."""
+    """The counted runs of one request, or of the requests with one part."""
 
-    __slots__ = ("runs", "ended", "served_at_s")
+    __slots__ = ("runs", "ended", "served_at_s", "parts", "requests", "more_requests")
 
     def __init__(self) -> None:
         # Time at which each run broke, by the incarnation that it ran on.
@@ -99,13 +122,19 @@
         self.ended: set[Incarnation] = set()
         # When the request last succeeded on any host; NEVER_S if it has not.
         self.served_at_s = NEVER_S
+        # The parts of a request's prompt that may be to blame.
+        self.parts: tuple[str, ...] = ()
+        # Fingerprints of the requests with a part; empty for a request.
+        self.requests: set[str] = set()
+        # Number of runs by requests that are not told apart.
+        self.more_requests = 0
 
 
 class CrashTracker:
-    """Counts broken runs by fingerprint and incarnation."""
+    """Counts broken runs by key and incarnation."""
 
     def __init__(self) -> None:
-        # By fingerprint. The request with the newest run is at the end.
+        # By key. The one with the newest run is at the end.
         self._records: collections.OrderedDict[str, _RequestRuns] = (
             collections.OrderedDict()
         )
@@ -113,7 +142,11 @@
         self._by_incarnation: dict[Incarnation, set[str]] = {}
         # Time of the last success on this host, by fingerprint.
         self._served: collections.OrderedDict[str, float] = collections.OrderedDict()
-        # The runs that do not count yet, by fingerprint and incarnation.
+        # The time at which parts last proved sound.
+        self._sound_parts: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        # The runs that do not count yet, by key and incarnation.
         self._pending: collections.OrderedDict[str, dict[Incarnation, _PendingRun]] = (
             collections.OrderedDict()
         )
@@ -126,14 +159,18 @@
         incarnation: Incarnation,
         at_s: float,
         served_at_s: float = NEVER_S,
+        parts: Sequence[str] = (),
     ) -> bool:
         """Count a broken run; return False if it was already counted.
 
         ``served_at_s`` is when the request last succeeded on the reporting host;
-        NEVER_S if it has not.
+        NEVER_S if it has not. The run counts for the ``parts`` of the prompt too.
         """
+        for part in parts:
+            self.note_run_of_part(part, fingerprint, incarnation, at_s)
         record = self._records.setdefault(fingerprint, _RequestRuns())
         self._records.move_to_end(fingerprint)
+        record.parts = record.parts or tuple(parts)
         record.served_at_s = max(
             record.served_at_s, served_at_s, self.served_at_s(fingerprint)
         )
@@ -145,12 +182,29 @@
             self._evict_oldest()
         return True
 
+    def note_run_of_part(
+        self, part: str, fingerprint: str, incarnation: Incarnation, at_s: float
+    ) -> None:
+        """Count a broken run of a request for one part, unless the part is sound."""
+        if part in self._sound_parts:
+            return
+        key = parts_key((part,))
+        self.note_run(key, incarnation, at_s)
+        record = self._records.get(key)
+        if record is None or fingerprint in record.requests:
+            return
+        if len(record.requests) < MAX_REQUESTS_PER_PART:
+            record.requests.add(fingerprint)
+        else:
+            record.more_requests += 1
+
     def note_pending(
         self,
         fingerprint: str,
         incarnation: Incarnation,
         at_s: float,
         until_s: float = NEVER_S,
+        parts: Sequence[str] = (),
     ) -> None:
         """Record a run that does not by itself show whether its backend server ended.
 
@@ -159,7 +213,7 @@
         ``until_s`` the backend server may still be running the request.
         """
         runs = self._pending.setdefault(fingerprint, {})
-        runs[incarnation] = _PendingRun(at_s, max(at_s, until_s))
+        runs[incarnation] = _PendingRun(at_s, max(at_s, until_s), parts)
         self._pending.move_to_end(fingerprint)
         if len(self._pending) > MAX_FINGERPRINTS:
             self._pending.popitem(last=False)
@@ -186,6 +240,20 @@
                 self._remove_run(fingerprint, incarnation)
         return True
 
+    def note_sound(self, part: str, at_s: float) -> bool:
+        """Record that a part does not crash backend servers.
+
+        Its runs no longer count. Return False if none were counted.
+        """
+        self._sound_parts[part] = at_s
+        self._sound_parts.move_to_end(part)
+        if len(self._sound_parts) > MAX_SOUND_PARTS:
+            self._sound_parts.popitem(last=False)
+        key = parts_key((part,))
+        had_runs = key in self._records
+        self.forget(key)
+        return had_runs
+
     def forget(self, fingerprint: str) -> None:
         """Remove all runs of a request."""
         self.keep_newest(fingerprint, 0)
@@ -201,18 +269,19 @@
         status_of: StatusOf,
         now_s: float,
         pending_timeout_s: float = PENDING_TIMEOUT_S,
+        kept: Collection[str] = (),
     ) -> Sequence[tuple[str, Incarnation, float]]:
         """Remove old runs and those that their backend servers have outlived.
 
         A pending run counts once its backend server is known to have ended, or if it is
         not known to have been running within ``pending_timeout_s`` after the run was
         given up. A backend server that was running then has outlived the run only once
-        it can no longer be running the request. Return the pending runs that count from
-        now on, each with its time.
+        it can no longer be running the request. The runs of the ``kept`` keys do not
+        grow old. Return the pending runs that count from now on, each with its time.
         """
         for fingerprint, record in list(self._records.items()):
             for incarnation, at_s in list(record.runs.items()):
-                if now_s - at_s > RUN_RETENTION_S:
+                if now_s - at_s > RUN_RETENTION_S and fingerprint not in kept:
                     self._remove_run(fingerprint, incarnation)
                     continue
                 status = status_of(incarnation, at_s)
@@ -232,7 +301,9 @@
                     if status == UNKNOWN:
                         continue
                 del incarnations[incarnation]
-                if status != OUTLIVED and self.note_run(fingerprint, incarnation, at_s):
+                if status != OUTLIVED and self.note_run(
+                    fingerprint, incarnation, at_s, parts=run.parts
+                ):
                     counted.append((fingerprint, incarnation, at_s))
                 if status == ENDED:
                     self.note_ended(fingerprint, incarnation)
@@ -260,7 +331,52 @@
         )
         self.forget(next(single_runs, next(iter(self._records))))
 
-    # ---- verdicts ----
+    # ---- verdicts on parts ----
+
+    def is_sound(self, part: str) -> bool:
+        """Return whether a part is known not to crash backend servers."""
+        return part in self._sound_parts
+
+    def unproved_parts(self, parts: Iterable[str]) -> Sequence[str]:
+        """Return those parts that are not known to be sound."""
+        return [part for part in parts if part not in self._sound_parts]
+
+    def sound_age_s(self, part: str, now_s: float) -> float | None:
+        """Return how long ago a part last proved sound; None if it is not known."""
+        at_s = self._sound_parts.get(part)
+        return None if at_s is None else now_s - at_s
+
+    def parts_of(self, fingerprint: str) -> Sequence[str]:
+        """Return the parts with which the runs of a request are counted."""
+        record = self._records.get(fingerprint)
+        return record.parts if record is not None else ()
+
+    def part_evidence(self, *, only_ended: bool) -> Mapping[str, PartEvidence]:
+        """Return the counted runs by part; of ``only_ended`` incarnations if set."""
+        evidence: dict[str, PartEvidence] = {}
+        for key, record in self._records.items():
+            for part in parts_of_key(key):
+                crashes = {
+                    incarnation: at_s
+                    for incarnation, at_s in record.runs.items()
+                    if not only_ended or incarnation in record.ended
+                }
+                if len(crashes) >= SUSPECTED_AT:
+                    evidence[part] = PartEvidence(
+                        crashes, record.requests, record.more_requests
+                    )
+        return evidence
+
+    def blamed_parts(
+        self, *, only_ended: bool, known: Collection[Sequence[str]] = ()
+    ) -> Sequence[tuple[str, ...]]:
+        """Return the groups of parts that are to blame, by the same runs.
+
+        ``known`` groups are refused already.
+        """
+        return blamed_parts(self.part_evidence(only_ended=only_ended), known)
+
+    # ---- verdicts on requests ----
 
     def count(self, fingerprint: str) -> int:
         """Return on how many incarnations a request has a counted run."""
@@ -281,7 +397,7 @@
         return [
             fingerprint
             for fingerprint, record in self._records.items()
-            if len(record.runs) >= SUSPECTED_AT
+            if len(record.runs) >= SUSPECTED_AT and not parts_of_key(fingerprint)
         ]
 
     def is_refused(self, fingerprint: str) -> bool:
@@ -325,9 +441,10 @@
         The other request has a counted run on it too, and at least REFUSED_AT - 1
         counted runs on incarnations on which this request has none.
         """
-        for other in itertools.islice(
-            self._by_incarnation[incarnation], MAX_CONCURRENT_RUNS
-        ):
+        requests = (
+            key for key in self._by_incarnation[incarnation] if not parts_of_key(key)
+        )
+        for other in itertools.islice(requests, MAX_CONCURRENT_RUNS):
             if other == fingerprint:
                 continue
             elsewhere = self._records[other].runs.keys() - record.runs.keys()
@@ -338,6 +455,8 @@
     def recent(self, now_s: float) -> Iterator[tuple[str, Incarnation, float]]:
         """Yield the fingerprint, the incarnation and the time of each counted run."""
         for fingerprint, record in self._records.items():
+            if parts_of_key(fingerprint):
+                continue
             for incarnation, at_s in record.runs.items():
                 if now_s - at_s < RUN_RETENTION_S:
                     yield fingerprint, incarnation, at_s
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -28,9 +28,10 @@
 from damaskvalve_gateway._choice import order_engines, order_plain
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
-from damaskvalve_gateway._crashes import Incarnation, request_fingerprint
+from damaskvalve_gateway._crashes import request_fingerprint
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._exchange import Exchange
+from damaskvalve_gateway._incarnations import Incarnation
 from damaskvalve_gateway._metrics import GatewayMetrics
 from damaskvalve_gateway._model import (
     CallerRequest,
@@ -39,6 +40,7 @@
     Workspace,
 )
 from damaskvalve_gateway._overload import RetryAfterScheduler
+from damaskvalve_gateway._part_quarantine import check_parts
 from damaskvalve_gateway._permits import Permit, PermitClient
 from damaskvalve_gateway._quarantine import check_quarantine
 from damaskvalve_gateway._rate import RateFilter
@@ -154,23 +156,22 @@
         workspace = self._authenticate(configuration, route, request)
         name = workspace.name if workspace else ""
         fingerprint = request_fingerprint(name, request)
-        self._check_quarantine(fingerprint)
+        self._check_quarantine(fingerprint, request.prompt_parts)
         point = xxhash.xxh32_intdigest(request.request_id.encode()) / 2**32
         service = configuration.services[route.choose_service(point)]
         return Exchange(
             request, route, workspace, service, responder, arrived_s, fingerprint
         )
 
-    def _check_quarantine(self, fingerprint: str) -> None:
+    def _check_quarantine(self, fingerprint: str, parts: Sequence[str]) -> None:
         """Raise :class:`RefusedError` if the request is known to crash backend servers.
 
         This is checked again before each attempt: while this host waited, runs on other
         hosts may have crashed backend servers.
         """
-        view = self._view
-        check_quarantine(
-            fingerprint, view.crashes, view.suspect_statuses, boot_clock_s()
-        )
+        view, now_s = self._view, boot_clock_s()
+        check_quarantine(fingerprint, view.crashes, view.suspect_statuses, now_s)
+        check_parts(view, parts, now_s)
 
     def _startup_retry_after_s(self, now_s: float, needs_engine: bool) -> float:
         """Return the Retry-After, in seconds, of a request for which state is missing.
@@ -263,6 +264,10 @@
     def _may_retry(self, exchange: Exchange, outcome: str) -> bool:
         if outcome != NOT_RUN and not exchange.may_run_again():
             return False
+        if outcome == BROKEN and not self._crashes.may_repeat(
+            exchange.request.prompt_parts
+        ):
+            return False
         service = exchange.service.name
         if not exchange.attempts:
             return True
@@ -374,7 +379,7 @@
         ranked = order_engines(candidates, name, boot_clock_s())
 
         def check_refused() -> None:
-            self._check_quarantine(exchange.fingerprint)
+            self._check_quarantine(exchange.fingerprint, request.prompt_parts)
 
         permits = self._permits.permit(
             exchange,
@@ -402,7 +407,7 @@
             self._on_reply,
             permit.grant.spend,
         )
-        self._check_quarantine(exchange.fingerprint)
+        self._check_quarantine(exchange.fingerprint, exchange.request.prompt_parts)
         incarnation = exchange.backend_id, backend.announcement.started_at_ms
         try:
             await attempt.run()
@@ -417,14 +422,16 @@
     ) -> None:
         """Report how a run ended to the crash controller."""
         now_s = boot_clock_s()
-        fingerprint = exchange.fingerprint
+        fingerprint, parts = exchange.fingerprint, exchange.request.prompt_parts
+        if attempt.has_answered():
+            self._crashes.note_sound(parts, now_s)
         if attempt.may_be_running and attempt.connection_broke:
-            self._crashes.note_broken(fingerprint, incarnation, now_s)
+            self._crashes.note_broken(fingerprint, incarnation, now_s, parts)
         elif attempt.may_be_running:
             until_s = exchange.run_deadline_s()
-            self._crashes.note_pending(fingerprint, incarnation, now_s, until_s)
+            self._crashes.note_pending(fingerprint, incarnation, now_s, until_s, parts)
         elif attempt.failure is not None:
-            self._crashes.note_pending(fingerprint, incarnation, now_s)
+            self._crashes.note_pending(fingerprint, incarnation, now_s, parts=parts)
         elif attempt.succeeded:
             self._crashes.note_served(fingerprint, now_s)
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_ledger.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_ledger.py
@@ -14,7 +14,7 @@
 import collections
 import math
 
-from damaskvalve_gateway._crashes import Incarnation
+from damaskvalve_gateway._incarnations import Incarnation
 
 # Grants a second to a backend server that allows fewer. Their replies show whether the
 # limit still holds. With the depth below, a window of four seconds has at most four.
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_replies.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Mapping
 
-from damaskvalve_gateway._crashes import Incarnation
+from damaskvalve_gateway._incarnations import Incarnation
 
 # The last call of a host that has not asked for this long is forgotten.
 CALL_RETENTION_S = 60.0
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_store.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_grant_store.py
@@ -8,7 +8,7 @@
 import collections
 import math
 
-from damaskvalve_gateway._crashes import Incarnation
+from damaskvalve_gateway._incarnations import Incarnation
 
 # A grant may be used for this long after the host asked for it.
 GRANT_LIFETIME_S = 0.5
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
@@ -22,9 +22,9 @@
 from damaskvalve_core.rpc import RpcCall
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
-from damaskvalve_gateway._crashes import Incarnation
 from damaskvalve_gateway._grant_ledger import GrantClaim, GrantLedger
 from damaskvalve_gateway._grant_replies import GrantReplies
+from damaskvalve_gateway._incarnations import Incarnation
 from damaskvalve_gateway._limits import apply_limit_notice, log_limit_change
 from damaskvalve_gateway._model import Workspace
 from damaskvalve_gateway._notices import from_limit_notice, from_notice, to_notice
--- /dev/null
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_part_quarantine.py
@@ -0,0 +1,39 @@
+"""Quarantine of requests whose prompts hold parts that crash backend servers."""
+
+from collections.abc import Iterator, Sequence
+
+from damaskvalve_core import RefusedError
+from damaskvalve_gateway._cluster_view import ClusterView
+from damaskvalve_gateway._crashes import parts_of_key
+from damaskvalve_gateway._quarantine import MIN_QUARANTINE_RETRY_S, UNPROVED_REFUSAL_S
+
+# A host that has had no contact with the leader for this long decides by the runs that
+# it has seen itself.
+LEADER_CONTACT_TIMEOUT_S = 2.5
+
+
+def check_parts(view: ClusterView, parts: Sequence[str], now_s: float) -> None:
+    """Raise :class:`RefusedError` if parts of a prompt crash backend servers."""
+    for blamed, wait_s in _refused_groups(view, parts, now_s):
+        if set(blamed) <= set(parts):
+            names = " and ".join(blamed)
+            raise RefusedError(
+                503,
+                "crashing_prompt_part",
+                f"backend servers crashed on requests with prompt part {names}",
+                retry_after_s=max(MIN_QUARANTINE_RETRY_S, wait_s),
+            )
+
+
+def _refused_groups(
+    view: ClusterView, parts: Sequence[str], now_s: float
+) -> Iterator[tuple[Sequence[str], float]]:
+    """Yield the groups of refused parts that may concern a prompt, and the wait."""
+    for part in parts:
+        for key in view.suspect_keys_of(part):
+            status = view.suspect_statuses[key]
+            if status.is_refused(now_s):
+                yield parts_of_key(key), status.left_s(now_s)
+    if parts and now_s - view.leader_contact_s > LEADER_CONTACT_TIMEOUT_S:
+        for group in view.crashes.blamed_parts(only_ended=False):
+            yield group, UNPROVED_REFUSAL_S
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_send_gate.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_send_gate.py
@@ -17,9 +17,9 @@
     SendGrantsReply,
 )
 from damaskvalve_gateway._backend import Backend
-from damaskvalve_gateway._crashes import Incarnation
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._grant_store import GRANT_LIFETIME_S, GrantStore
+from damaskvalve_gateway._incarnations import Incarnation
 from damaskvalve_gateway._lending import ELECTION_RETRY_AFTER_S
 from damaskvalve_gateway._notices import to_limit_notice
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from damaskvalve_core import boot_clock_s
+from damaskvalve_core import RefusedError, boot_clock_s
 from damaskvalve_core.messages import SuspectRecord
 from damaskvalve_gateway._crash_controller import (
     MAX_NOTICES,
@@ -11,7 +11,8 @@
     format_incarnation,
     parse_incarnation,
 )
-from damaskvalve_gateway._crashes import PENDING_TIMEOUT_S, REFUSED_AT
+from damaskvalve_gateway._crashes import PENDING_TIMEOUT_S, REFUSED_AT, parts_key
+from damaskvalve_gateway._part_quarantine import check_parts
 from damaskvalve_gateway._quarantine import (
     QUARANTINE_S,
     SuspectStatus,
@@ -61,6 +62,88 @@
             other.state_client.leader_id = "L/2"
 
 
+class CrashingPartTests(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+
+    def report_crashes(self, part, count, first=0):
+        """Let the hosts in turn observe crashes under different requests."""
+        for number in range(first, first + count):
+            host = self.fleet.hosts[number % len(self.fleet.hosts)]
+            at_s = boot_clock_s() - 10.0 + number
+            host.crashes.note_broken(
+                f"f{number}", (f"i-{number}", 1), at_s, ("shared", part)
+            )
+
+    def is_refused(self, host, *parts):
+        try:
+            check_parts(host.view, parts, boot_clock_s())
+        except RefusedError as error:
+            self.assertEqual(error.code, "crashing_prompt_part")
+            return True
+        return False
+
+    def count_refusing(self, *parts):
+        return sum(self.is_refused(host, *parts) for host in self.fleet.hosts)
+
+    def test_crashes_on_several_hosts_are_added_up_and_bind_all_of_them(self):
+        """Each host has seen one crash; the shared part is sound on one of them."""
+        self.fleet.hosts[1].crashes.note_sound(("shared",), boot_clock_s())
+        self.report_crashes("deadly", 2)
+        self.fleet.sync_all()
+        self.assertEqual(self.count_refusing("shared", "deadly"), 0)
+        self.report_crashes("deadly", 1, first=2)
+        self.fleet.hosts[1].crashes._settle(boot_clock_s(), leads=False)
+        self.fleet.sync_all()
+        self.fleet.sync_all()
+        self.assertEqual(self.count_refusing("deadly", "other"), 3)
+        self.assertEqual(self.count_refusing("shared", "other"), 0)
+
+    def test_crashes_are_counted_on_after_all_hosts_were_restarted(self):
+        """Only the committed records are left."""
+        for host in self.fleet.hosts:
+            host.crashes.note_sound(("shared",), boot_clock_s())
+        self.report_crashes("deadly", 2)
+        self.fleet.sync_all()
+        records = self.fleet.records
+        self.fleet = Fleet()
+        self.fleet.records = records
+        self.fleet.replicate()
+        self.report_crashes("deadly", 1, first=2)
+        self.fleet.sync_all()
+        self.assertEqual(self.count_refusing("shared", "deadly"), 3)
+
+    def test_a_refused_part_that_proves_sound_is_served_again_everywhere(self):
+        """A run that had begun before the refusal is answered."""
+        self.report_crashes("innocent", 3)
+        self.fleet.sync_all()
+        self.assertEqual(self.count_refusing("shared", "innocent"), 3)
+        self.fleet.hosts[2].crashes.note_sound(("innocent", "shared"), boot_clock_s())
+        self.fleet.sync_all()
+        self.assertEqual(self.count_refusing("shared", "innocent"), 0)
+
+    def test_a_quarantine_of_parts_does_not_end_by_itself(self):
+        """Each trial of a crashing part would end one more backend server."""
+        record = SuspectRecord(parts_key(("deadly",)), 3, True, [], True)
+        for host in self.fleet.hosts:
+            host.view.suspect_statuses = {
+                record.fingerprint: SuspectStatus(record, -10 * QUARANTINE_S)
+            }
+        self.assertEqual(self.fleet.leader.crashes.changed_records(0.0), [])
+        self.assertEqual(self.count_refusing("deadly"), 3)
+
+    def test_a_run_that_a_suspected_part_may_have_broken_is_not_repeated(self):
+        """The repeat would end one more backend server."""
+        crashes = self.fleet.leader.crashes
+        self.assertTrue(crashes.may_repeat(("deadly",)))
+        for number in range(2):
+            crashes.note_broken(f"f{number}", (f"i-{number}", 1), 1.0, ("deadly",))
+        self.assertFalse(crashes.may_repeat(("shared", "deadly")))
+        self.assertTrue(crashes.may_repeat(("shared",)))
+        crashes.note_sound(("deadly",), 2.0)
+        self.assertTrue(crashes.may_repeat(("deadly",)))
+
+
 class CrashControllerTests(unittest.TestCase):
     def setUp(self):
         self.fleet = Fleet()
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -19,7 +19,13 @@
 from damaskvalve_agent._permits._pace import PrefillPacer
 from damaskvalve_agent.permits import AdmissionController
 from damaskvalve_core import RefusedError
-from damaskvalve_gateway import _backend_attempt, _backends, _crashes, _overload
+from damaskvalve_gateway import (
+    _backend_attempt,
+    _backends,
+    _crashes,
+    _overload,
+    _part_blame,
+)
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._crashes import CrashTracker
 from damaskvalve_gateway._gateway import Gateway
@@ -355,7 +361,7 @@
     ),
     Proof(
         "the quarantine is checked before each send",
-        replace(Gateway, "_check_quarantine", lambda self, fingerprint: None),
+        replace(Gateway, "_check_quarantine", lambda self, fingerprint, parts: None),
         f"{GATEWAY}.test_later_attempts.LaterAttemptTests."
         "test_an_admitted_request_is_not_sent_after_it_becomes_refused",
     ),
@@ -365,6 +371,30 @@
         f"{GATEWAY}.test_crash_controller.CrashControllerTests."
         "test_committed_suspects_survive_a_restart_of_all_hosts",
     ),
+    Proof(
+        "crashes are explained by the fewest parts",
+        replace(_part_blame, "_own_crashes", lambda item, _: [*item.crashes.values()]),
+        f"{GATEWAY}.test_part_blame.BlamedPartTests."
+        "test_two_crashing_parts_are_both_blamed_instead_of_the_part_they_share",
+    ),
+    Proof(
+        "servers that fail together are one crash",
+        replace(_part_blame, "SAME_CAUSE_S", 0.0),
+        f"{GATEWAY}.test_part_blame.BlamedPartTests."
+        "test_servers_that_fail_together_are_one_crash",
+    ),
+    Proof(
+        "a part that proved sound is not blamed",
+        replace(CrashTracker, "note_sound", lambda *_: False),
+        f"{GATEWAY}.test_part_blame.BlamedPartTests."
+        "test_a_part_that_proved_sound_is_never_blamed",
+    ),
+    Proof(
+        "a leader restores the committed parts",
+        replace(CrashController, "_restore_parts", lambda *_: None),
+        f"{GATEWAY}.test_crash_controller.CrashingPartTests."
+        "test_crashes_are_counted_on_after_all_hosts_were_restarted",
+    ),
     Proof(
         "retries are spread after a backoff",
         replace(_overload, "_step_s", lambda backends, hosts: 0.0),
