Logs name the software versions of backend servers

Announcements now carry it between hosts, and backend_started, broken_run and request have it; resumed streams are always logged, with the id that they name. No decision uses it yet.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -390,6 +390,7 @@
   10: i32 slots
   // Absent if it has never stated a limit.
   11: optional LimitNotice limit
+  12: optional string software_version
 }
 
 struct SyncRequest {
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2051,6 +2051,7 @@
      - resident
      - slots
      - limit
+     - software_version
 
     """
 
@@ -2066,10 +2067,11 @@
         'resident',
         'slots',
         'limit',
+        'software_version',
     )
 
 
-    def __init__(self, instance_id=None, service_name=None, address=None, data_centre=None, state=None, started_at_ms=None, sequence=None, age_s=None, resident=None, slots=None, limit=None,):
+    def __init__(self, instance_id=None, service_name=None, address=None, data_centre=None, state=None, started_at_ms=None, sequence=None, age_s=None, resident=None, slots=None, limit=None, software_version=None,):
         self.instance_id = instance_id
         self.service_name = service_name
         self.address = address
@@ -2081,6 +2083,7 @@
         self.resident = resident
         self.slots = slots
         self.limit = limit
+        self.software_version = software_version
 
 
 class SyncRequest(TBase):
@@ -3156,6 +3159,7 @@
     (9, TType.LIST, 'resident', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.I32, 'slots', None, None, ),  # 10
     (11, TType.STRUCT, 'limit', [LimitNotice, None], None, ),  # 11
+    (12, TType.STRING, 'software_version', 'UTF8', None, ),  # 12
 )
 all_structs.append(SyncRequest)
 SyncRequest.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
@@ -31,6 +31,7 @@
         "longest_pause_s",
         "waited_s",
         "backend_id",
+        "backend_version",
         "outcome",
     )
 
@@ -72,6 +73,8 @@
         self.waited_s = 0.0
         # Id of the instance of the last attempt; empty before the first.
         self.backend_id = ""
+        # Software version of that instance.
+        self.backend_version = ""
         # Empty unless the deadline has passed.
         self.outcome = ""
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -280,6 +280,7 @@
             request=exchange.request.request_id,
             fingerprint=exchange.fingerprint,
             backend=exchange.backend_id,
+            software_version=exchange.backend_version,
             reason=attempt.reason,
             runs=exchange.runs,
             last_event=exchange.last_event_id or "",
@@ -397,6 +398,7 @@
     async def _attempt(self, exchange: Exchange, permit: Permit) -> BackendAttempt:
         backend = permit.backend
         exchange.backend_id = backend.announcement.instance_id
+        exchange.backend_version = backend.announcement.software_version
         attempt = BackendAttempt(
             exchange,
             backend,
@@ -447,7 +449,12 @@
             answered_outcome if is_complete else "not-answered"
         )
         self._metrics.note_request(exchange, outcome, now_s)
-        is_unusual = not is_complete or late or exchange.attempts != 1
+        is_unusual = (
+            not is_complete
+            or late
+            or exchange.attempts != 1
+            or request.last_event_id is not None
+        )
         if not is_unusual and not is_sampled(request.request_id):
             return
         first_s = exchange.first_event_s
@@ -458,6 +465,8 @@
             route=exchange.route.name,
             workspace=exchange.workspace.name if exchange.workspace else "",
             backend=exchange.backend_id,
+            software_version=exchange.backend_version,
+            resumes=request.resumes,
             adapter=request.adapter,
             parts=" ".join(request.prompt_parts),
             outcome=outcome,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -195,6 +195,7 @@
         "output_tokens",
         "prompt_parts",
         "last_event_id",
+        "resumes",
     )
 
     def __init__(
@@ -214,6 +215,7 @@
         output_tokens: int = 0,
         prompt_parts: Sequence[str] = (),
         last_event_id: int | None = None,
+        resumes: str = "",
     ) -> None:
         self.request_id = request_id
         self.method = method
@@ -236,6 +238,9 @@
         self.prompt_parts = tuple(prompt_parts)
         # Id of the last event that the caller received; None if it resumes no stream.
         self.last_event_id = last_event_id
+        # Id of the request whose reply began the stream that this one resumes; empty if
+        # the caller did not say.
+        self.resumes = resumes
 
 
 class ForwardingFields:
@@ -331,6 +336,7 @@
         "sequence",
         "slots",
         "resident",
+        "software_version",
     )
 
     def __init__(
@@ -344,6 +350,7 @@
         sequence: int,
         slots: int,
         resident: Sequence[str],
+        software_version: str = "",
     ) -> None:
         self.instance_id = instance_id
         self.service = service
@@ -357,6 +364,8 @@
         self.slots = slots
         # Resident adapters as ``model/adapter@version``.
         self.resident = tuple(resident)
+        # Version of the backend server's software; empty if it announces none.
+        self.software_version = software_version
 
     def with_state(self, state: str, resident: Sequence[str]) -> "Announcement":
         """Return a copy with another state and other resident adapters."""
@@ -370,4 +379,5 @@
             self.sequence,
             self.slots,
             resident,
+            self.software_version,
         )
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_notices.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_notices.py
@@ -27,6 +27,7 @@
         None if brief else list(newest.resident),
         newest.slots,
         None if statement is None else to_limit_notice(statement, now_s),
+        newest.software_version,
     )
 
 
@@ -73,4 +74,5 @@
         notice.sequence,
         notice.slots,
         resident,
+        notice.software_version or "",
     )
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -103,6 +103,7 @@
                 backend=announcement.instance_id,
                 address=announcement.address,
                 service=announcement.service,
+                software_version=announcement.software_version,
                 started_at_ms=announcement.started_at_ms,
             )
         if backend is not None:
