Streams go on only at the software version that began them

Callers got streams whose first part is of one software version of the backend servers and whose rest is of another, in one answer or over their own attempts, with nothing to show it.

Cause: the software version in announcements and the id that a resumed request names were not read. A broken stream was resumed at any engine, and no host but the first knew which engine had begun it; after a restart of all hosts nobody did.

Candidates for a stream that goes on are now those of its version; if there is none, it breaks off visibly, or the take-up is refused at once. The replicated state holds a base version for each service. Streams of other versions are recorded there before their first event is relayed, in batches, while the engine reads the prompt; streams without a record are of the base version, so nothing is recorded while one version serves. A host that finds no record asks the leader first whether it knows all.

`make prove` has four new entries.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -148,6 +148,8 @@
   13: i64 recent_floor
   14: list<DocumentRecord> documents
   15: list<VersionRecord> adapter_versions
+  16: list<StreamRecord> streams
+  17: list<BaseVersion> base_versions
 }
 
 // A whole configuration under one version number; the highest version is in force.
@@ -155,6 +157,12 @@
 // The newest version of an adapter that an operator has named.
 struct VersionRecord { 1: string adapter  2: i64 version }
 
+// The software version of the backend server that began a stream, by a digest of the id
+// of the request that began it.
+struct StreamRecord { 1: binary stream  2: string software_version  3: i64 index }
+// The software version of all streams of a service that have no record.
+struct BaseVersion { 1: string service_name  2: string software_version }
+
 struct SnapshotFile {
   1: i64 last_index
   2: i64 last_term
@@ -186,6 +194,8 @@
 // Each replaces what is known of its request; one without crashes is forgotten.
 struct RecordSuspects { 1: list<SuspectRecord> suspects }
 struct ExpireClaims { 1: i64 through_index }
+struct RecordStreams { 1: list<StreamRecord> streams }
+struct ExpireStreams { 1: i64 through_index }
 
 struct Command {
   1: optional ChangeConfiguration change
@@ -204,6 +214,9 @@
   14: optional DocumentRecord document
   15: optional VersionRecord name_version
   16: optional RecordSuspects record_suspects
+  17: optional RecordStreams record_streams
+  18: optional ExpireStreams expire_streams
+  19: optional BaseVersion base_version
 }
 
 struct CommandResult {
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -640,6 +640,8 @@
      - recent_floor
      - documents
      - adapter_versions
+     - streams
+     - base_versions
 
     """
 
@@ -659,10 +661,12 @@
         'recent_floor',
         'documents',
         'adapter_versions',
+        'streams',
+        'base_versions',
     )
 
 
-    def __init__(self, revision=None, rows=None, operations=None, claims=None, jobs=None, credits=None, fences=None, suspects=None, audit=None, recent=None, crash_reports=None, suspects_version=None, recent_floor=None, documents=None, adapter_versions=None,):
+    def __init__(self, revision=None, rows=None, operations=None, claims=None, jobs=None, credits=None, fences=None, suspects=None, audit=None, recent=None, crash_reports=None, suspects_version=None, recent_floor=None, documents=None, adapter_versions=None, streams=None, base_versions=None,):
         self.revision = revision
         self.rows = rows
         self.operations = operations
@@ -678,6 +682,8 @@
         self.recent_floor = recent_floor
         self.documents = documents
         self.adapter_versions = adapter_versions
+        self.streams = streams
+        self.base_versions = base_versions
 
 
 class DocumentRecord(TBase):
@@ -721,6 +727,47 @@
         self.version = version
 
 
+class StreamRecord(TBase):
+    """
+    Attributes:
+     - stream
+     - software_version
+     - index
+
+    """
+
+    __slots__ = (
+        'stream',
+        'software_version',
+        'index',
+    )
+
+
+    def __init__(self, stream=None, software_version=None, index=None,):
+        self.stream = stream
+        self.software_version = software_version
+        self.index = index
+
+
+class BaseVersion(TBase):
+    """
+    Attributes:
+     - service_name
+     - software_version
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'software_version',
+    )
+
+
+    def __init__(self, service_name=None, software_version=None,):
+        self.service_name = service_name
+        self.software_version = software_version
+
+
 class SnapshotFile(TBase):
     """
     Attributes:
@@ -1027,6 +1074,38 @@
         self.through_index = through_index
 
 
+class RecordStreams(TBase):
+    """
+    Attributes:
+     - streams
+
+    """
+
+    __slots__ = (
+        'streams',
+    )
+
+
+    def __init__(self, streams=None,):
+        self.streams = streams
+
+
+class ExpireStreams(TBase):
+    """
+    Attributes:
+     - through_index
+
+    """
+
+    __slots__ = (
+        'through_index',
+    )
+
+
+    def __init__(self, through_index=None,):
+        self.through_index = through_index
+
+
 class Command(TBase):
     """
     Attributes:
@@ -1046,6 +1125,9 @@
      - document
      - name_version
      - record_suspects
+     - record_streams
+     - expire_streams
+     - base_version
 
     """
 
@@ -1066,10 +1148,13 @@
         'document',
         'name_version',
         'record_suspects',
+        'record_streams',
+        'expire_streams',
+        'base_version',
     )
 
 
-    def __init__(self, change=None, claim=None, answer=None, release=None, resolve=None, submit=None, finish=None, drop=None, reserve=None, fence=None, crash=None, clear=None, expire=None, document=None, name_version=None, record_suspects=None,):
+    def __init__(self, change=None, claim=None, answer=None, release=None, resolve=None, submit=None, finish=None, drop=None, reserve=None, fence=None, crash=None, clear=None, expire=None, document=None, name_version=None, record_suspects=None, record_streams=None, expire_streams=None, base_version=None,):
         self.change = change
         self.claim = claim
         self.answer = answer
@@ -1086,6 +1171,9 @@
         self.document = document
         self.name_version = name_version
         self.record_suspects = record_suspects
+        self.record_streams = record_streams
+        self.expire_streams = expire_streams
+        self.base_version = base_version
 
 
 class CommandResult(TBase):
@@ -2709,6 +2797,8 @@
     (13, TType.I64, 'recent_floor', None, None, ),  # 13
     (14, TType.LIST, 'documents', (TType.STRUCT, [DocumentRecord, None], False), None, ),  # 14
     (15, TType.LIST, 'adapter_versions', (TType.STRUCT, [VersionRecord, None], False), None, ),  # 15
+    (16, TType.LIST, 'streams', (TType.STRUCT, [StreamRecord, None], False), None, ),  # 16
+    (17, TType.LIST, 'base_versions', (TType.STRUCT, [BaseVersion, None], False), None, ),  # 17
 )
 all_structs.append(DocumentRecord)
 DocumentRecord.thrift_spec = (
@@ -2723,6 +2813,19 @@
     (1, TType.STRING, 'adapter', 'UTF8', None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
 )
+all_structs.append(StreamRecord)
+StreamRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'software_version', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'index', None, None, ),  # 3
+)
+all_structs.append(BaseVersion)
+BaseVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'software_version', 'UTF8', None, ),  # 2
+)
 all_structs.append(SnapshotFile)
 SnapshotFile.thrift_spec = (
     None,  # 0
@@ -2820,6 +2923,16 @@
     None,  # 0
     (1, TType.I64, 'through_index', None, None, ),  # 1
 )
+all_structs.append(RecordStreams)
+RecordStreams.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'streams', (TType.STRUCT, [StreamRecord, None], False), None, ),  # 1
+)
+all_structs.append(ExpireStreams)
+ExpireStreams.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'through_index', None, None, ),  # 1
+)
 all_structs.append(Command)
 Command.thrift_spec = (
     None,  # 0
@@ -2839,6 +2952,9 @@
     (14, TType.STRUCT, 'document', [DocumentRecord, None], None, ),  # 14
     (15, TType.STRUCT, 'name_version', [VersionRecord, None], None, ),  # 15
     (16, TType.STRUCT, 'record_suspects', [RecordSuspects, None], None, ),  # 16
+    (17, TType.STRUCT, 'record_streams', [RecordStreams, None], None, ),  # 17
+    (18, TType.STRUCT, 'expire_streams', [ExpireStreams, None], None, ),  # 18
+    (19, TType.STRUCT, 'base_version', [BaseVersion, None], None, ),  # 19
 )
 all_structs.append(CommandResult)
 CommandResult.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -84,6 +84,7 @@
         on_started: Callable[[], None],
         on_reply: ReplyCallback,
         may_send: Callable[[float], bool],
+        await_recorded: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self._exchange = exchange
         self._backend = backend
@@ -96,6 +97,9 @@
         self._on_reply = on_reply
         # Called right before the request is sent; False if it may not be sent now.
         self._may_send = may_send
+        # Called before the first event of a stream is relayed; None if the stream needs
+        # no record of the software version that begins it.
+        self._await_recorded = await_recorded
         # The outcome and its reason, set by run(). The reason is empty if the outcome
         # is ANSWERED.
         self.outcome = ""
@@ -334,6 +338,10 @@
                     await responder.write(events)
                 continue
             self._check_order(events)
+            if exchange.software_version is None:
+                if self._await_recorded is not None:
+                    await self._await_recorded()
+                exchange.software_version = self._backend.announcement.software_version
             if not responder.started:
                 await responder.start(head.status, reply_headers(head))
             now_s = boot_clock_s()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -2,7 +2,8 @@
 
 import collections
 import itertools
-from collections.abc import Mapping, Sequence
+import math
+from collections.abc import Collection, Mapping, Sequence
 
 from damaskvalve_gateway._backend import ANNOUNCEMENT_TIMEOUT_S, NEVER_S, Backend
 from damaskvalve_gateway._crashes import ENDED, OUTLIVED, UNKNOWN, Incarnation
@@ -171,6 +172,32 @@
         ]
         return _newest_by_address(found)
 
+    def services(self) -> Collection[str]:
+        """Return the services of the known backend servers."""
+        names = {item.announcement.service for item in self._backends.values()}
+        return sorted(names - {""})
+
+    def versions(
+        self, service: str, now_s: float = 0.0, max_age_s: float = math.inf
+    ) -> Sequence[str]:
+        """Return the software version of each backend server of a service.
+
+        Servers that were not seen within ``max_age_s``, or are gone, are left out; by
+        default all that are remembered count.
+        """
+        return [
+            item.announcement.software_version
+            for item in self._backends.values()
+            if item.announcement.service == service
+            and (
+                math.isinf(max_age_s)
+                or (
+                    item.announcement.state != GONE
+                    and now_s - item.last_seen_s < max_age_s
+                )
+            )
+        ]
+
     def count_limited(self) -> int:
         """Return the number of ready backend servers that have a request limit."""
         return sum(
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_cluster_view.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_cluster_view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
+from damaskvalve_core.messages import StreamRecord
 from damaskvalve_gateway._backends import BackendTable
 from damaskvalve_gateway._crashes import CrashTracker, parts_of_key
 from damaskvalve_gateway._model import GatewayConfiguration
@@ -21,6 +22,10 @@
         self.configuration_body = b""
         # Current version by ``model/adapter``, where operators have set one.
         self.adapter_versions: Mapping[str, int] = {}
+        # Software version of the streams without a record, by service, and the records
+        # of the other streams.
+        self.base_versions: Mapping[str, str] = {}
+        self.stream_records: Mapping[bytes, StreamRecord] = {}
         self.backends = BackendTable()
         # Crashes that this host has observed; on the leader, those of all hosts.
         self.crashes = CrashTracker()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
@@ -2,6 +2,7 @@
 
 from damaskvalve_core.http import Responder
 from damaskvalve_gateway._model import (
+    STREAMING,
     CallerRequest,
     ForwardingFields,
     Route,
@@ -26,6 +27,7 @@
         "attempts",
         "runs",
         "last_event_id",
+        "software_version",
         "first_event_s",
         "last_event_s",
         "longest_pause_s",
@@ -65,6 +67,8 @@
         self.runs = 0
         # Id of the newest event that the caller has; None if it has none with an id.
         self.last_event_id = request.last_event_id
+        # Software version that wrote the caller's events; None if it has none.
+        self.software_version: str | None = None
         # Time of the first event; None before it arrives.
         self.first_event_s: float | None = None
         self.last_event_s = 0.0
@@ -89,6 +93,10 @@
             caller_left_s = self.route.timeout_s
         return self.arrived_s + caller_left_s
 
+    def is_resumable_stream(self) -> bool:
+        """Return whether the caller may resume the reply after it broke off."""
+        return self.route.kind == STREAMING and self.route.resumable
+
     def may_run_again(self) -> bool:
         """Return whether another run is allowed after one that broke or failed."""
         return self.route.is_repeatable() and self.runs < self.route.max_attempts
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import traceback
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import xxhash
 
@@ -34,6 +34,7 @@
 from damaskvalve_gateway._incarnations import Incarnation
 from damaskvalve_gateway._metrics import GatewayMetrics
 from damaskvalve_gateway._model import (
+    STREAMING,
     CallerRequest,
     GatewayConfiguration,
     Route,
@@ -47,6 +48,7 @@
 from damaskvalve_gateway._retries import RetryBudget
 from damaskvalve_gateway._send_gate import SendGate
 from damaskvalve_gateway._starting import startup_retry_after_s
+from damaskvalve_gateway._stream_versions import StreamVersions
 
 NO_BACKEND_RETRY_AFTER_S = 0.5
 # A host without leader contact for this long receives no announcements through the
@@ -56,6 +58,17 @@
 MAX_NOT_RUN_ATTEMPTS = 3
 
 
+def _of_version(
+    backends: Sequence[Backend], software_version: str
+) -> Sequence[Backend]:
+    """Return the backend servers of a software version."""
+    return [
+        item
+        for item in backends
+        if item.announcement.software_version == software_version
+    ]
+
+
 class Gateway:
     """Serves callers' requests from the host's current view of the cluster."""
 
@@ -69,6 +82,7 @@
         rate: RateFilter,
         retries: RetryBudget,
         crashes: CrashController,
+        streams: StreamVersions,
         on_reply: ReplyCallback,
         data_centre: str,
         log: DecisionLog,
@@ -82,6 +96,7 @@
         self._rate = rate
         self._retries = retries
         self._crashes = crashes
+        self._streams = streams
         self._on_reply = on_reply
         self._retry_after_scheduler = RetryAfterScheduler()
         self._started_at_s = boot_clock_s()
@@ -220,6 +235,11 @@
 
     async def _dispatch(self, exchange: Exchange) -> None:
         self._retries.earn(exchange.service.name, boot_clock_s())
+        if (
+            exchange.route.kind == STREAMING
+            and exchange.request.last_event_id is not None
+        ):
+            exchange.software_version = await self._streams.origin(exchange)
         last_failure: FailureReply | None = None
         not_run_count = 0
         while True:
@@ -293,7 +313,11 @@
         stale = now_s - self._view.leader_contact_s > LEADER_CONTACT_TIMEOUT_S
         service = exchange.service.name
         live = self._view.backends.live(service, now_s, stale=stale)
+        if exchange.software_version is not None:
+            live = _of_version(live, exchange.software_version)
         accepting = [item for item in live if item.takes_work(now_s)]
+        if exchange.software_version is None and exchange.is_resumable_stream():
+            accepting = list(self._streams.preferred(service, accepting, now_s))
         if live and not accepting:
             raise RefusedError(
                 503,
@@ -342,6 +366,15 @@
 
     async def _attempt_once(self, exchange: Exchange) -> BackendAttempt:
         candidates = self._candidates(exchange)
+        if not candidates and exchange.software_version is not None:
+            raise RefusedError(
+                503,
+                "no_backend_of_version",
+                f"no backend server of {exchange.service.name} with software version "
+                f"{exchange.software_version!r}, which began the stream, accepts "
+                "requests",
+                retry_after_s=NO_BACKEND_RETRY_AFTER_S,
+            )
         if not candidates:
             raise RefusedError(
                 503,
@@ -407,7 +440,9 @@
             self._dialect,
             permit.note_started,
             self._on_reply,
-            permit.grant.spend,
+            lambda now_s: self._is_current(backend, exchange)
+            and permit.grant.spend(now_s),
+            self._record_stream(exchange),
         )
         self._check_quarantine(exchange.fingerprint, exchange.request.prompt_parts)
         incarnation = exchange.backend_id, backend.announcement.started_at_ms
@@ -419,6 +454,31 @@
             self._record_run(attempt, exchange, incarnation)
         return attempt
 
+    def _is_current(self, backend: Backend, exchange: Exchange) -> bool:
+        """Return whether a stream that goes on may be sent to a backend server.
+
+        It may have started again under its id, with other software.
+        """
+        if exchange.software_version is None:
+            return True
+        instance_id = backend.announcement.instance_id
+        return self._view.backends.find(instance_id) is backend
+
+    def _record_stream(
+        self, exchange: Exchange
+    ) -> Callable[[], Awaitable[None]] | None:
+        """Record which software version may begin a stream.
+
+        Return what to await before its first event is relayed.
+        """
+        if exchange.software_version is not None or not exchange.is_resumable_stream():
+            return None
+        request_id = exchange.request.request_id
+        recorded = self._streams.begin(
+            request_id, exchange.service.name, exchange.backend_version
+        )
+        return lambda: self._streams.wait_until_recorded(recorded, request_id)
+
     def _record_run(
         self, attempt: BackendAttempt, exchange: Exchange, incarnation: Incarnation
     ) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -159,6 +159,11 @@
         for route in sorted(routes, key=lambda item: -len(item.prefix)):
             self._routes.setdefault(route.host, []).append(route)
 
+    def longest_timeout_s(self) -> float:
+        """Return the longest timeout of a route."""
+        routes = (route for found in self._routes.values() for route in found)
+        return max((route.timeout_s for route in routes), default=0.0)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None."""
         for route in self._routes.get(host, ()):
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -27,6 +27,7 @@
 from damaskvalve_core.rpc import RpcClient, serving_rpc
 from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._backend_attempt import ReplyCallback
+from damaskvalve_gateway._base_versions import BaseVersionController
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._control_service import ControlService
 from damaskvalve_gateway._crash_controller import CrashController
@@ -44,6 +45,7 @@
 from damaskvalve_gateway._send_gate import SendGate
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_client import StateClient
+from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_gateway._sync import SyncController
 from damaskvalve_state import (
     Group,
@@ -166,6 +168,8 @@
     state_client = StateClient(settings, group, rpc_client, view, dialect, log)
     quota = HostQuota(settings.quota_slack, started_at_s)
     crashes = CrashController(state_client, view, log)
+    streams = StreamVersions(state_client, view, log)
+    base_versions = BaseVersionController(state_client, view, log)
     leader_service = LeaderService(settings, state_client, view, quota, crashes, log)
     sync = SyncController(
         settings, state_client, view, quota, leader_service, crashes, log
@@ -188,6 +192,7 @@
                 retry_settings.ratio, retry_settings.slack, retry_settings.window_s
             ),
             crashes,
+            streams,
             make_reply_observer(sync, ineffective_fields),
             settings.data_centre,
             log,
@@ -221,6 +226,8 @@
             loop.create_task(state_client.watch()),
             loop.create_task(sync.run()),
             loop.create_task(crashes.run()),
+            loop.create_task(streams.run()),
+            loop.create_task(base_versions.run()),
             loop.create_task(_load_metrics(metrics)),
             loop.create_task(_watch_suspension(pool, rpc_client, log)),
         ]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
@@ -114,6 +114,9 @@
         self._loop.call_soon_threadsafe(
             self._apply_state, document, hosts, versions, node.applied_index
         )
+        # Records of streams are many and looked up rarely, so they are not copied.
+        self._view.stream_records = node.state_machine.streams
+        self._view.base_versions = dict(node.state_machine.base_versions)
         if node.state_machine.suspects_version != self._suspects_version:
             self._suspects_version = node.state_machine.suspects_version
             suspects = dict(node.state_machine.suspects)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_later_attempts.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_later_attempts.py
@@ -14,6 +14,7 @@
 from damaskvalve_gateway._model import READY, SAFE, Announcement
 from damaskvalve_gateway._permits import PermitClient
 from damaskvalve_gateway._retries import RetryBudget
+from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_gateway.tests.attempt_fixtures import (
     DIALECT,
     OK,
@@ -27,6 +28,13 @@
 FINGERPRINT = "m"
 
 
+def make_streams(view):
+    """Return stream versions that know of one version only."""
+    streams = StreamVersions(mock.Mock(), view, mock.Mock())
+    streams.origin = mock.AsyncMock(return_value="")
+    return streams
+
+
 def make_gateway(view, permits=None):
     log = mock.Mock()
     crashes = CrashController(mock.Mock(), view, log)
@@ -39,6 +47,7 @@
         mock.Mock(),
         RetryBudget(1.0, 100.0, 10.0),
         crashes,
+        make_streams(view),
         mock.Mock(),
         "dc",
         log,
--- a/packages/damaskvalve-state/damaskvalve_state/_machine_state.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_machine_state.py
@@ -6,6 +6,7 @@
 from damaskvalve_core import decode_struct, encode_struct
 from damaskvalve_core.messages import (
     AuditRecord,
+    BaseVersion,
     ClaimRecord,
     CreditRecord,
     DocumentRecord,
@@ -14,6 +15,7 @@
     OperationRecord,
     Row,
     StateSnapshot,
+    StreamRecord,
     SuspectRecord,
     VersionRecord,
 )
@@ -39,6 +41,10 @@
         self._crash_reports: OrderedDict[str, None] = OrderedDict()
         self.documents: dict[str, DocumentRecord] = {}
         self.adapter_versions: dict[str, int] = {}
+        # The one recorded last is at the end.
+        self.streams: OrderedDict[bytes, StreamRecord] = OrderedDict()
+        # Software version of the streams without a record, by service.
+        self.base_versions: dict[str, str] = {}
 
     def _all_rows(self) -> list[Row]:
         return [
@@ -69,6 +75,11 @@
                     VersionRecord(key, self.adapter_versions[key])
                     for key in sorted(self.adapter_versions)
                 ],
+                list(self.streams.values()),
+                [
+                    BaseVersion(key, self.base_versions[key])
+                    for key in sorted(self.base_versions)
+                ],
             )
         )
 
@@ -103,4 +114,11 @@
         state_machine.adapter_versions = {
             item.adapter: item.version for item in snapshot.adapter_versions or ()
         }
+        state_machine.streams.update(
+            (item.stream, item) for item in snapshot.streams or ()
+        )
+        state_machine.base_versions = {
+            item.service_name: item.software_version
+            for item in snapshot.base_versions or ()
+        }
         return state_machine
--- a/packages/damaskvalve-state/damaskvalve_state/_state_machine.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_state_machine.py
@@ -7,6 +7,7 @@
 from damaskvalve_core.messages import (
     AnswerOnce,
     AuditRecord,
+    BaseVersion,
     ChangeConfiguration,
     ClaimOnce,
     ClaimRecord,
@@ -16,11 +17,13 @@
     DocumentRecord,
     DropJob,
     ExpireClaims,
+    ExpireStreams,
     FenceRecord,
     FinishJob,
     GrantFence,
     JobRecord,
     OperationRecord,
+    RecordStreams,
     RecordSuspects,
     ReleaseOnce,
     ReportCrash,
@@ -28,6 +31,7 @@
     ResolveOnce,
     Row,
     StoredAnswer,
+    StreamRecord,
     SubmitJob,
     SuspectRecord,
     VersionRecord,
@@ -45,6 +49,7 @@
 MAX_AUDIT = 2_000
 MAX_CLAIMS = 200_000
 MAX_SUSPECTS = 1_000
+MAX_STREAMS = 200_000
 # Number of crashes, the last one in an isolated run, that quarantines a request.
 QUARANTINE_CRASHES = 2
 
@@ -293,6 +298,32 @@
         del self.jobs[body.job_id]
         return self._result(accepted=True)
 
+    # ---- software versions of streams ----
+
+    def record_streams(self, index: int, body: RecordStreams) -> CommandResult:
+        """Record which software version began streams; a later record replaces one."""
+        for item in body.streams:
+            record = StreamRecord(item.stream, item.software_version, index)
+            self.streams[item.stream] = record
+            self.streams.move_to_end(item.stream)
+        while len(self.streams) > MAX_STREAMS:
+            self.streams.popitem(last=False)
+        return self._result(accepted=True)
+
+    def expire_streams(self, index: int, body: ExpireStreams) -> CommandResult:
+        """Delete the records of streams that no caller can resume any more."""
+        while self.streams:
+            oldest = next(iter(self.streams))
+            if self.streams[oldest].index > body.through_index:
+                break
+            del self.streams[oldest]
+        return self._result(accepted=True)
+
+    def set_base_version(self, index: int, body: BaseVersion) -> CommandResult:
+        """Set the software version of a service's streams that have no record."""
+        self.base_versions[body.service_name] = body.software_version
+        return self._result(accepted=True)
+
     # ---- credit, fences, suspects ----
 
     def reserve(self, index: int, body: ReserveCredit) -> CommandResult:
@@ -384,4 +415,7 @@
     "expire": StateMachine.expire,
     "document": StateMachine.put_document,
     "name_version": StateMachine.name_version,
+    "record_streams": StateMachine.record_streams,
+    "expire_streams": StateMachine.expire_streams,
+    "base_version": StateMachine.set_base_version,
 }
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -22,7 +22,9 @@
 from damaskvalve_gateway import (
     _backend_attempt,
     _backends,
+    _base_versions,
     _crashes,
+    _gateway,
     _overload,
     _part_blame,
 )
@@ -37,6 +39,7 @@
     TokenBucket,
     TokenReservations,
 )
+from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_standins._limit_proofs import LIMIT_PROOFS
 from damaskvalve_standins._proof import Proof, replace
 from damaskvalve_standins.run_tests import use_fixed_profile
@@ -58,6 +61,10 @@
 GATEWAY = "damaskvalve_gateway.tests"
 
 
+async def _record_nothing(*_: Any) -> None:
+    """Return at once."""
+
+
 def _keep_member_id_after_lost_disk() -> Any:
     from damaskvalve_core.messages import Member
     from damaskvalve_state.tests.fake_group import Host
@@ -389,6 +396,30 @@
         f"{GATEWAY}.test_part_blame.BlamedPartTests."
         "test_a_part_that_proved_sound_is_never_blamed",
     ),
+    Proof(
+        "a stream goes on at its software version",
+        replace(_gateway, "_of_version", lambda backends, software_version: backends),
+        f"{GATEWAY}.test_stream_versions.GatewayVersionTests."
+        "test_a_broken_stream_goes_on_at_its_version_only",
+    ),
+    Proof(
+        "a stream is recorded before its first event",
+        replace(StreamVersions, "wait_until_recorded", _record_nothing),
+        f"{GATEWAY}.test_stream_versions.StreamVersionTests."
+        "test_a_stream_of_another_version_is_known_after_a_restart_of_all_hosts",
+    ),
+    Proof(
+        "a host confirms that it knows all records",
+        replace(StreamVersions, "_catch_up", _record_nothing),
+        f"{GATEWAY}.test_stream_versions.StreamVersionTests."
+        "test_a_stream_is_not_resumed_while_its_version_may_be_unknown",
+    ),
+    Proof(
+        "the base version outlives its last server",
+        replace(_base_versions, "MIN_STREAM_RETENTION_S", 0.0),
+        f"{GATEWAY}.test_stream_versions.BaseVersionTests."
+        "test_the_base_changes_once_its_streams_cannot_be_resumed_any_more",
+    ),
     Proof(
         "a leader restores the committed parts",
         replace(CrashController, "_restore_parts", lambda *_: None),
