A repeated refusal does not refuse a request that may run

Reported from a system like this one: a faulty backend server writes an earlier refusal once more on a kept connection. Callers were told "not run" for requests that ran, or such a request ran at a second server.

A refusal without an id now counts only on a connection that has carried no other request; on a used one the outcome is unknown. A request that comes to a server for the second time gets a connection of its own.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -47,6 +47,13 @@
         """Return the first value of a header, or an empty one if it is absent."""
         return next((value for key, value in self.headers if key == name), b"")
 
+    def has_framing(self) -> bool:
+        """Return whether the body has an end of its own before the connection's."""
+        return bool(
+            self.header_value(b"content-length")
+            or self.header_value(b"transfer-encoding")
+        )
+
 
 class BackendConnection(asyncio.Protocol):
     """One connection to one backend server."""
@@ -63,6 +70,8 @@
         self._reusable = False
         self.usable_until_s = 0.0
         self.idle_since_s = 0.0
+        # Number of requests that were sent on this connection.
+        self.request_count = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -111,6 +120,7 @@
         )
         self._busy = True
         self._reusable = False
+        self.request_count += 1
         request = h11.Request(method=method, target=target, headers=list(headers))
         data = self._framing.send(request) or b""
         if body:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -15,7 +15,11 @@
 )
 from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._dialect import Dialect
-from damaskvalve_gateway._events import EventSplitter, first_event_id, has_event
+from damaskvalve_gateway._events import (
+    EventSplitter,
+    first_event_id,
+    has_event,
+)
 from damaskvalve_gateway._exchange import Exchange
 from damaskvalve_gateway._model import STREAMING, ReplyMetadata
 from damaskvalve_gateway._stall import (
@@ -41,6 +45,8 @@
 UNSAFE_MAX_IDLE_S = 0.5
 # The same limit for requests that may be repeated.
 MAX_IDLE_S = 60.0
+# Forces a new connection.
+NEVER_REUSED_S = -1.0
 MAX_REPLY_BODY_BYTES = 16 * 1024 * 1024
 # The head of a reply that refuses the request is sufficient. The body is read only so
 # that the connection can be reused, and only within these limits.
@@ -129,6 +135,9 @@
         started_at_s = boot_clock_s()
         unsafe = not exchange.route.is_repeatable()
         max_idle_s = UNSAFE_MAX_IDLE_S if unsafe else MAX_IDLE_S
+        if instance_id in exchange.tried_instances:
+            # The earlier reply to this request might be repeated on its connection.
+            max_idle_s = NEVER_REUSED_S
         try:
             connection = await self._pool.acquire(
                 instance_id, backend.announcement.address, started_at_s, max_idle_s
@@ -189,12 +198,7 @@
         head = await self._read_head(connection, started_at_s)
         read_s = boot_clock_s()
         metadata = self._dialect.read_reply(head.status, head.headers)
-        # A refusal may lack a request id. A reply with the id of another request is a
-        # duplicate of an earlier reply and does not show whether this request runs.
-        if metadata.request_id != request.request_id and (
-            metadata.request_id or not metadata.not_run
-        ):
-            raise BackendFailedError("the reply carries the id of another request")
+        self._check_request_id(metadata, connection)
         self._apply_availability(head, metadata, sent_s, read_s)
         if metadata.not_run:
             self.may_be_running = False
@@ -212,6 +216,22 @@
         self._note_complete_reply(head)
         return await self._relay_whole(head, body, started_at_s)
 
+    def _check_request_id(
+        self, metadata: ReplyMetadata, connection: BackendConnection
+    ) -> None:
+        """Raise :class:`BackendFailedError` unless a reply is one to this request.
+
+        A duplicate of an earlier reply does not show whether this request runs. A
+        refusal may lack a request id; on a connection that carried another request
+        before, it may be a duplicate too.
+        """
+        if metadata.request_id == self._exchange.request.request_id:
+            return
+        if metadata.request_id:
+            raise BackendFailedError("the reply carries the id of another request")
+        if not metadata.not_run or connection.request_count > 1:
+            raise BackendFailedError("the reply carries no request id")
+
     def _note_event(self, now_s: float) -> None:
         if not self.event_groups:
             self._first_event_s = now_s
