Only events of the stream itself are relayed in a stream

Reported from a system like this one: a stream broke off, the next backend server answered with an error, and callers found its text or its whole head in the middle of their stream, or the stream ended as if it were complete.

Each line has to be a field of an event (those of server-sent events, and the dialect's) before its block is relayed. A stream goes on only with an event stream whose first id is above the caller's last one. A reply without length and without events is broken off.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -18,6 +18,7 @@
 from damaskvalve_gateway._events import (
     EventSplitter,
     first_event_id,
+    foreign_line,
     has_event,
 )
 from damaskvalve_gateway._exchange import Exchange
@@ -55,6 +56,8 @@
 # A reply with this status may come from another instance that reuses the address.
 MISDIRECTED_STATUS = 421
 
+STREAM_TYPE = b"text/event-stream"
+
 _T = TypeVar("_T")
 
 #: Called with a backend server, the metadata of a reply from it, the time at which the
@@ -341,6 +344,7 @@
         exchange = self._exchange
         responder = exchange.responder
         splitter = EventSplitter(exchange.last_event_id)
+        self._check_content_type(head)
         # Only complete events reset the stall timer. Neither comments nor the bytes of
         # an event that never ends keep a stream alive.
         watch = StallWatch(first_event_limit_s(exchange), started_at_s)
@@ -351,6 +355,9 @@
             events = splitter.feed(piece)
             if splitter.is_too_large():
                 raise BackendFailedError("an event exceeds the size limit")
+            line = foreign_line(events, self._dialect.event_fields)
+            if line is not None:
+                raise BackendFailedError(f"got {line[:80]!r} in place of an event")
             if not has_event(events):
                 if watch.is_stalled(boot_clock_s()):
                     raise BackendTimeoutError(f"no event for {watch.limit_s:.2f} s")
@@ -375,6 +382,8 @@
             watch = StallWatch(pause_limit_s(exchange), boot_clock_s())
         if splitter.has_partial_event():
             raise BackendFailedError("the stream ended within an event")
+        if not self.event_groups and not head.has_framing():
+            raise BackendFailedError("the connection ended before the first event")
         self._note_complete_reply(head)
         now_s = boot_clock_s()
         connection.finish_reply(head, now_s)
@@ -385,11 +394,18 @@
         await responder.finish()
         return ANSWERED
 
+    def _check_content_type(self, head: ReplyHead) -> None:
+        """Raise :class:`BackendFailedError` if a stream would go on with other data."""
+        content_type = head.header_value(b"content-type").strip().lower()
+        goes_on = self._exchange.last_event_id is not None
+        if goes_on and content_type and not content_type.startswith(STREAM_TYPE):
+            raise BackendFailedError(f"the stream went on as {content_type[:80]!r}")
+
     def _check_order(self, events: bytes) -> None:
         """Raise :class:`BackendFailedError` if a resumed run repeats events."""
         last = self._exchange.last_event_id
         first = first_event_id(events)
-        if last is None or first is None or self._exchange.first_event_s is None:
+        if last is None or first is None:
             return
         if first <= last:
             raise BackendFailedError(f"got event {first} after event {last}")
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_dialect.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_dialect.py
@@ -3,7 +3,7 @@
 Each wire format supplies one :class:`Dialect`, whose functions decode and encode bytes.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from damaskvalve_core import RefusedError
 from damaskvalve_core.http import Headers, IncomingRequest
@@ -24,6 +24,7 @@
         "read_reply",
         "refusal",
         "read_configuration",
+        "event_fields",
     )
 
     def __init__(
@@ -35,6 +36,7 @@
         read_reply: Callable[[int, Headers], ReplyMetadata],
         refusal: Callable[[RefusedError], tuple[Headers, bytes]],
         read_configuration: Callable[[bytes], GatewayConfiguration],
+        event_fields: Collection[bytes] = (),
     ) -> None:
         # Raises RefusedError for a malformed request.
         self.read_request = read_request
@@ -43,3 +45,5 @@
         self.refusal = refusal
         # Raises SettingsError with every finding for an invalid configuration.
         self.read_configuration = read_configuration
+        # Fields of events besides those of server-sent events.
+        self.event_fields = frozenset(event_fields)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
@@ -1,5 +1,9 @@
 """Splits streams of server-sent events into complete events."""
 
+from collections.abc import Collection
+
+# The fields of server-sent events.
+STANDARD_FIELDS = frozenset((b"id", b"event", b"data", b"retry"))
 # Incomplete data beyond this size is not accepted as an event.
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -37,6 +41,19 @@
         return len(self._partial) > MAX_EVENT_BYTES
 
 
+def foreign_line(events: bytes, other_fields: Collection[bytes]) -> bytes | None:
+    """Return the first line that is no part of an event; None if there is none.
+
+    ``other_fields`` are the fields of events that a dialect has besides the standard
+    ones.
+    """
+    for line in events.replace(b"\r\n", b"\n").split(b"\n"):
+        name = line.partition(b":")[0]
+        if name and name not in STANDARD_FIELDS and name not in other_fields:
+            return line
+    return None
+
+
 def has_event(events: bytes) -> bool:
     """Return whether any block holds more than comments and empty lines."""
     return any(
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
@@ -55,6 +55,7 @@
     read_reply,
     mock.Mock(),
     mock.Mock(),
+    event_fields=(b"version-of-weights",),
 )
 
 
