Refused parts of prompts get two trials, on one host

A sound part that was blamed wrongly stayed refused for good, unless a run with it was still being answered: nothing but an answer clears a part, and none was sent any more.

After one and after ten further minutes in quarantine the leader commits a trial and lets one request with the part through, on its own host. An answer clears the part on all hosts; a crash leaves it refused. Two trials end at most two backend servers, within the three requests that the platform allows after the fifth crash; the committed count survives restarts.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -129,6 +129,8 @@
   // refused already while it is not proved that all of them have ended.
   4: optional list<string> starts
   5: optional bool refused
+  // Of parts of prompts: how many requests were let through since they are refused.
+  6: optional i32 trials
 }
 struct AuditRecord { 1: i64 revision  2: string actor  3: string operation_id  4: string summary  5: double at_s }
 
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -574,6 +574,7 @@
      - quarantined
      - starts
      - refused
+     - trials
 
     """
 
@@ -583,15 +584,17 @@
         'quarantined',
         'starts',
         'refused',
+        'trials',
     )
 
 
-    def __init__(self, fingerprint=None, crashes=None, quarantined=None, starts=None, refused=None,):
+    def __init__(self, fingerprint=None, crashes=None, quarantined=None, starts=None, refused=None, trials=None,):
         self.fingerprint = fingerprint
         self.crashes = crashes
         self.quarantined = quarantined
         self.starts = starts
         self.refused = refused
+        self.trials = trials
 
 
 class AuditRecord(TBase):
@@ -2769,6 +2772,7 @@
     (3, TType.BOOL, 'quarantined', None, None, ),  # 3
     (4, TType.LIST, 'starts', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.BOOL, 'refused', None, None, ),  # 5
+    (6, TType.I32, 'trials', None, None, ),  # 6
 )
 all_structs.append(AuditRecord)
 AuditRecord.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_cluster_view.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_cluster_view.py
@@ -29,6 +29,8 @@
         self.backends = BackendTable()
         # Crashes that this host has observed; on the leader, those of all hosts.
         self.crashes = CrashTracker()
+        # Keys of refused parts of which this host may send one request as a trial.
+        self.trial_parts: set[str] = set()
         self._suspect_statuses: Mapping[str, SuspectStatus] = {}
         # The keys of committed records about parts of prompts, by each part they name.
         self._keys_by_part: dict[str, list[str]] = {}
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
@@ -33,6 +33,7 @@
 )
 from damaskvalve_gateway._incarnations import Incarnation
 from damaskvalve_gateway._part_blame import count_causes
+from damaskvalve_gateway._quarantine import SuspectStatus
 from damaskvalve_gateway._state_client import StateClient
 
 # The longest time between two evaluations of pending runs and, on the leader, of all
@@ -43,6 +44,9 @@
 MAX_RECORDS = 100
 # Maximum number of crashes that a record about parts lists.
 MAX_RECORDED_CRASHES = 8
+# After these times in quarantine, one request with the parts is let through, so that
+# sound parts that were blamed get out. Crashing parts end a backend server each time.
+TRIALS_AFTER_S = (60.0, 600.0)
 # Committed records do not hold when crashes happened, only that they were separate.
 RESTORED_CRASH_INTERVAL_S = 1.0
 # Maximum number of runs, and of successes, in one call to the leader.
@@ -315,7 +319,7 @@
     def changed_records(self, now_s: float) -> Sequence[SuspectRecord]:
         """Return the records to commit next, those with the most crashes first."""
         committed = self._view.suspect_statuses
-        part_records = self._evaluate_parts()
+        part_records = self._evaluate_parts(now_s)
         fingerprints = {*committed, *self._tracker.suspected()}
         fingerprints.difference_update(part_records)
         changed: list[SuspectRecord] = []
@@ -331,7 +335,39 @@
                 break
         return changed
 
-    def _evaluate_parts(self) -> Mapping[str, SuspectRecord]:
+    @staticmethod
+    def _next_trial(suspect: SuspectStatus, now_s: float) -> SuspectRecord:
+        """Return the record of parts in quarantine, with a new trial if one is due."""
+        record = suspect.record
+        trials = record.trials or 0
+        if trials >= len(TRIALS_AFTER_S):
+            return record
+        if now_s - suspect.since_s < TRIALS_AFTER_S[trials]:
+            return record
+        return SuspectRecord(
+            record.fingerprint,
+            record.crashes,
+            record.quarantined,
+            record.starts,
+            record.refused,
+            trials + 1,
+        )
+
+    def _begin_trials(
+        self,
+        records: Sequence[SuspectRecord],
+        previous: Mapping[str, SuspectStatus],
+    ) -> None:
+        """Let this host send one request for each trial that was committed."""
+        for record in records:
+            known = previous.get(record.fingerprint)
+            if record.trials and known and known.record.trials != record.trials:
+                self._view.trial_parts.add(record.fingerprint)
+                self._log.line(
+                    "parts_trial", fingerprint=record.fingerprint, trial=record.trials
+                )
+
+    def _evaluate_parts(self, now_s: float) -> Mapping[str, SuspectRecord]:
         """Return the records about parts that follow from the counted runs, by key.
 
         Parts that are to blame come first.
@@ -364,7 +400,7 @@
         for key, suspect in self._view.suspect_statuses.items():
             # Parts stay in quarantine until they prove sound.
             if parts_of_key(key) and suspect.record.quarantined:
-                records[key] = suspect.record
+                records[key] = self._next_trial(suspect, now_s)
         return {
             key: record for key, record in records.items() if key not in self._cleared
         }
@@ -448,12 +484,14 @@
         if not records:
             self._cleared.clear()
             return
+        previous = dict(self._view.suspect_statuses)
         try:
             command = Command(record_suspects=RecordSuspects(list(records)))
             await self._state_client.commit(command)
         except RetryLaterError as error:
             self._log.line("suspects_not_recorded", reason=str(error))
             return
+        self._begin_trials(records, previous)
         self._cleared.difference_update(item.fingerprint for item in records)
         for item in records:
             subject = "parts" if parts_of_key(item.fingerprint) else "request"
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -178,7 +178,9 @@
             request, route, workspace, service, responder, arrived_s, fingerprint
         )
 
-    def _check_quarantine(self, fingerprint: str, parts: Sequence[str]) -> None:
+    def _check_quarantine(
+        self, fingerprint: str, parts: Sequence[str], *, before_send: bool = False
+    ) -> None:
         """Raise :class:`RefusedError` if the request is known to crash backend servers.
 
         This is checked again before each attempt: while this host waited, runs on other
@@ -186,7 +188,7 @@
         """
         view, now_s = self._view, boot_clock_s()
         check_quarantine(fingerprint, view.crashes, view.suspect_statuses, now_s)
-        check_parts(view, parts, now_s)
+        check_parts(view, parts, now_s, before_send=before_send)
 
     def _startup_retry_after_s(self, now_s: float, needs_engine: bool) -> float:
         """Return the Retry-After, in seconds, of a request for which state is missing.
@@ -444,7 +446,9 @@
             and permit.grant.spend(now_s),
             self._record_stream(exchange),
         )
-        self._check_quarantine(exchange.fingerprint, exchange.request.prompt_parts)
+        self._check_quarantine(
+            exchange.fingerprint, exchange.request.prompt_parts, before_send=True
+        )
         incarnation = exchange.backend_id, backend.announcement.started_at_ms
         try:
             await attempt.run()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_part_quarantine.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_part_quarantine.py
@@ -4,7 +4,7 @@
 
 from damaskvalve_core import RefusedError
 from damaskvalve_gateway._cluster_view import ClusterView
-from damaskvalve_gateway._crashes import parts_of_key
+from damaskvalve_gateway._crashes import parts_key, parts_of_key
 from damaskvalve_gateway._quarantine import MIN_QUARANTINE_RETRY_S, UNPROVED_REFUSAL_S
 
 # A host that has had no contact with the leader for this long decides by the runs that
@@ -12,10 +12,19 @@
 LEADER_CONTACT_TIMEOUT_S = 2.5
 
 
-def check_parts(view: ClusterView, parts: Sequence[str], now_s: float) -> None:
-    """Raise :class:`RefusedError` if parts of a prompt crash backend servers."""
+def check_parts(
+    view: ClusterView, parts: Sequence[str], now_s: float, *, before_send: bool = False
+) -> None:
+    """Raise :class:`RefusedError` if parts of a prompt crash backend servers.
+
+    A trial is used up by the check right ``before_send``.
+    """
     for blamed, wait_s in _refused_groups(view, parts, now_s):
         if set(blamed) <= set(parts):
+            if parts_key(blamed) in view.trial_parts:
+                if before_send:
+                    view.trial_parts.discard(parts_key(blamed))
+                continue
             names = " and ".join(blamed)
             raise RefusedError(
                 503,
