--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -368,7 +368,9 @@
     ),
     Proof(
         "the quarantine is checked before each send",
-        replace(Gateway, "_check_quarantine", lambda self, fingerprint, parts, **_: None),
+        replace(
+            Gateway, "_check_quarantine", lambda self, fingerprint, parts, **_: None
+        ),
         f"{GATEWAY}.test_later_attempts.LaterAttemptTests."
         "test_an_admitted_request_is_not_sent_after_it_becomes_refused",
     ),
