Take-ups on routes without records are resumed at one version only

Streams of routes that are not resumable are not recorded, so a take-up there counted as one of the base version although the stream may be of another: a joined stream. With several versions in service it is refused now, as a take-up that names no request. Found in reading the change; the new test got the base version before.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_stream_versions.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_stream_versions.py
@@ -169,10 +169,15 @@
             await self._catch_up(exchange)
             known = self._known_version(key)
         base = self._view.base_versions.get(service)
-        if known is None and key is None and self._has_other_versions(service, base):
+        is_recorded = key is not None and exchange.is_resumable_stream()
+        if (
+            known is None
+            and not is_recorded
+            and self._has_other_versions(service, base)
+        ):
             raise self._refusal(
-                "the request does not name the request that began its stream, and "
-                "backend servers of several software versions serve"
+                "the stream has no record, and backend servers of several software "
+                "versions serve"
             )
         version = known if known is not None else base
         if version is None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stream_versions.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stream_versions.py
@@ -135,6 +135,17 @@
         with self.assertRaises(RefusedError):
             await host.streams.origin(resume(""))
 
+    async def test_a_stream_of_a_route_without_records_is_resumed_at_one_version(self):
+        """Streams of routes that are not resumable are not recorded."""
+        host = self.cluster.start_host()
+        announce(host.view, "i-1", "v1")
+        exchange = resume("r-1")
+        exchange.route.resumable = False
+        self.assertEqual(await host.streams.origin(exchange), "v1")
+        announce(host.view, "i-22", "v2")
+        with self.assertRaises(RefusedError):
+            await host.streams.origin(exchange)
+
     async def test_streams_begin_at_the_base_version_while_none_can_be_recorded(self):
         """If it has no backend server, they begin at another one."""
         host = self.cluster.start_host()
