Records about parts of prompts have a module of their own

What follows from the counted runs, and the trials, are plain functions now; the text of incarnations stands beside their type. No behaviour changes.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import math
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from damaskvalve_core import DecisionLog, RetryLaterError, boot_clock_s
 from damaskvalve_core.messages import (
@@ -31,8 +31,12 @@
     parts_key,
     parts_of_key,
 )
-from damaskvalve_gateway._incarnations import Incarnation
-from damaskvalve_gateway._part_blame import count_causes
+from damaskvalve_gateway._incarnations import (
+    Incarnation,
+    format_incarnation,
+    parse_incarnation,
+)
+from damaskvalve_gateway._part_records import part_records, quarantined_parts
 from damaskvalve_gateway._quarantine import SuspectStatus
 from damaskvalve_gateway._state_client import StateClient
 
@@ -42,11 +46,6 @@
 URGENT_SETTLE_S = 0.1
 # Maximum number of records in one command, which is sent to all hosts: some 15 kB.
 MAX_RECORDS = 100
-# Maximum number of crashes that a record about parts lists.
-MAX_RECORDED_CRASHES = 8
-# After these times in quarantine, one request with the parts is let through, so that
-# sound parts that were blamed get out. Crashing parts end a backend server each time.
-TRIALS_AFTER_S = (60.0, 600.0)
 # Committed records do not hold when crashes happened, only that they were separate.
 RESTORED_CRASH_INTERVAL_S = 1.0
 # Maximum number of runs, and of successes, in one call to the leader.
@@ -319,7 +318,7 @@
     def changed_records(self, now_s: float) -> Sequence[SuspectRecord]:
         """Return the records to commit next, those with the most crashes first."""
         committed = self._view.suspect_statuses
-        part_records = self._evaluate_parts(now_s)
+        part_records = self._part_records(now_s)
         fingerprints = {*committed, *self._tracker.suspected()}
         fingerprints.difference_update(part_records)
         changed: list[SuspectRecord] = []
@@ -335,24 +334,6 @@
                 break
         return changed
 
-    @staticmethod
-    def _next_trial(suspect: SuspectStatus, now_s: float) -> SuspectRecord:
-        """Return the record of parts in quarantine, with a new trial if one is due."""
-        record = suspect.record
-        trials = record.trials or 0
-        if trials >= len(TRIALS_AFTER_S):
-            return record
-        if now_s - suspect.since_s < TRIALS_AFTER_S[trials]:
-            return record
-        return SuspectRecord(
-            record.fingerprint,
-            record.crashes,
-            record.quarantined,
-            record.starts,
-            record.refused,
-            trials + 1,
-        )
-
     def _begin_trials(
         self,
         records: Sequence[SuspectRecord],
@@ -367,40 +348,9 @@
                     "parts_trial", fingerprint=record.fingerprint, trial=record.trials
                 )
 
-    def _evaluate_parts(self, now_s: float) -> Mapping[str, SuspectRecord]:
-        """Return the records about parts that follow from the counted runs, by key.
-
-        Parts that are to blame come first.
-        """
-        evidence = self._tracker.part_evidence(only_ended=False)
-        known = [
-            parts_of_key(key)
-            for key, suspect in self._view.suspect_statuses.items()
-            if parts_of_key(key) and suspect.record.refused
-        ]
-        proved = {
-            parts_key(parts)
-            for parts in self._tracker.blamed_parts(only_ended=True, known=known)
-        }
-        records: dict[str, SuspectRecord] = {}
-        blamed: set[str] = set()
-        for parts in self._tracker.blamed_parts(only_ended=False, known=known):
-            key = parts_key(parts)
-            crashes = evidence[parts[0]].crashes
-            records[key] = _part_record(
-                key, crashes, quarantined=key in proved, refused=True
-            )
-            blamed.update(parts)
-        for part, item in evidence.items():
-            key = parts_key((part,))
-            if part not in blamed and item.is_suspect():
-                records[key] = _part_record(
-                    key, item.crashes, quarantined=False, refused=False
-                )
-        for key, suspect in self._view.suspect_statuses.items():
-            # Parts stay in quarantine until they prove sound.
-            if parts_of_key(key) and suspect.record.quarantined:
-                records[key] = self._next_trial(suspect, now_s)
+    def _part_records(self, now_s: float) -> Mapping[str, SuspectRecord]:
+        """Return the records about parts that have not proved sound since, by key."""
+        records = part_records(self._tracker, self._view.suspect_statuses, now_s)
         return {
             key: record for key, record in records.items() if key not in self._cleared
         }
@@ -454,7 +404,7 @@
             # Other hosts receive announcements later than the leader, so only the
             # leader counts a pending run by its time-out.
             PENDING_TIMEOUT_S if leads else math.inf,
-            self._quarantined_parts(),
+            quarantined_parts(self._view.suspect_statuses),
         )
         for fingerprint, incarnation, at_s in counted:
             parts = self._tracker.parts_of(fingerprint)
@@ -462,15 +412,6 @@
             self._queue_run(fingerprint, incarnation, at_s, pending=False, parts=parts)
         self._report_suspects_known_sound(now_s)
 
-    def _quarantined_parts(self) -> Collection[str]:
-        """Return the keys of parts in quarantine; their runs are kept."""
-        return [
-            parts_key((part,))
-            for key, suspect in self._view.suspect_statuses.items()
-            if suspect.record.quarantined
-            for part in parts_of_key(key)
-        ]
-
     async def _commit_changes(self, now_s: float) -> None:
         leader_id = self._state_client.status().leader_id
         if leader_id != self._leader_id:
@@ -510,34 +451,4 @@
     return SuspectRecord(fingerprint, 0, False)
 
 
-def _part_record(
-    key: str,
-    crashes: Mapping[Incarnation, float],
-    *,
-    quarantined: bool,
-    refused: bool,
-) -> SuspectRecord:
-    """Return a record about parts, with one incarnation for each separate crash."""
-    starts: list[str] = []
-    times_s: list[float] = []
-    for incarnation, at_s in sorted(crashes.items(), key=lambda item: item[1]):
-        if count_causes([*times_s, at_s]) > len(times_s):
-            times_s.append(at_s)
-            starts.append(format_incarnation(incarnation))
-    starts = starts[:MAX_RECORDED_CRASHES]
-    return SuspectRecord(key, len(starts), quarantined, sorted(starts), refused)
-
-
-def format_incarnation(incarnation: Incarnation) -> str:
-    """Return the text that stands for an incarnation in committed records."""
-    instance_id, started_at_ms = incarnation
-    return f"{started_at_ms}/{instance_id}"
-
-
-def parse_incarnation(name: str) -> Incarnation:
-    """Return the incarnation that :func:`format_incarnation` wrote."""
-    started_at_ms, _, instance_id = name.partition("/")
-    return instance_id, int(started_at_ms)
-
-
-__all__ = ["CrashController", "format_incarnation", "parse_incarnation"]
+__all__ = ["CrashController"]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
@@ -8,12 +8,11 @@
 from damaskvalve_gateway._crash_controller import (
     MAX_NOTICES,
     MAX_RECORDS,
-    TRIALS_AFTER_S,
-    format_incarnation,
-    parse_incarnation,
 )
 from damaskvalve_gateway._crashes import PENDING_TIMEOUT_S, REFUSED_AT, parts_key
+from damaskvalve_gateway._incarnations import format_incarnation, parse_incarnation
 from damaskvalve_gateway._part_quarantine import check_parts
+from damaskvalve_gateway._part_records import TRIALS_AFTER_S
 from damaskvalve_gateway._quarantine import (
     QUARANTINE_S,
     SuspectStatus,
