Retry-After of refused parts is ten minutes, also later

After ten minutes in quarantine callers were told to return after half a second, though a quarantine of parts does not end by time: each would have come back twice a second for good. The test got 0.5 s before. An unused method is removed.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
@@ -333,10 +333,6 @@
 
     # ---- verdicts on parts ----
 
-    def is_sound(self, part: str) -> bool:
-        """Return whether a part is known not to crash backend servers."""
-        return part in self._sound_parts
-
     def unproved_parts(self, parts: Iterable[str]) -> Sequence[str]:
         """Return those parts that are not known to be sound."""
         return [part for part in parts if part not in self._sound_parts]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_part_quarantine.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_part_quarantine.py
@@ -5,7 +5,11 @@
 from damaskvalve_core import RefusedError
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crashes import parts_key, parts_of_key
-from damaskvalve_gateway._quarantine import MIN_QUARANTINE_RETRY_S, UNPROVED_REFUSAL_S
+from damaskvalve_gateway._quarantine import (
+    MIN_QUARANTINE_RETRY_S,
+    QUARANTINE_S,
+    UNPROVED_REFUSAL_S,
+)
 
 # A host that has had no contact with the leader for this long decides by the runs that
 # it has seen itself.
@@ -42,7 +46,11 @@
         for key in view.suspect_keys_of(part):
             status = view.suspect_statuses[key]
             if status.is_refused(now_s):
-                yield parts_of_key(key), status.left_s(now_s)
+                # Unlike that of a request, a quarantine of parts does not end by time.
+                proved = status.record.quarantined
+                yield parts_of_key(key), (
+                    QUARANTINE_S if proved else status.left_s(now_s)
+                )
     if parts and now_s - view.leader_contact_s > LEADER_CONTACT_TIMEOUT_S:
         for group in view.crashes.blamed_parts(only_ended=False):
             yield group, UNPROVED_REFUSAL_S
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_crash_controller.py
@@ -162,6 +162,9 @@
             }
         self.assertEqual(self.fleet.leader.crashes.changed_records(0.0), [])
         self.assertEqual(self.count_refusing("deadly"), 3)
+        with self.assertRaises(RefusedError) as context:
+            check_parts(self.fleet.leader.view, ("deadly",), boot_clock_s())
+        self.assertEqual(context.exception.retry_after_s, QUARANTINE_S)
 
     def test_a_run_that_a_suspected_part_may_have_broken_is_not_repeated(self):
         """The repeat would end one more backend server."""
