Refusals without an id are followed by the backoff that they ask for

The backoff of such a refusal was dropped with it. Whichever request it refuses, the backend server wants none for a while, so it is applied.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -232,6 +232,9 @@
             return
         if metadata.request_id:
             raise BackendFailedError("the reply carries the id of another request")
+        if metadata.backoff_s > 0:
+            # Whichever request it refuses, the backend server wants none for a while.
+            self._backend.back_off(metadata.backoff_s, boot_clock_s())
         if not metadata.not_run or connection.request_count > 1:
             raise BackendFailedError("the reply carries no request id")
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_foreign_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_foreign_replies.py
@@ -72,6 +72,13 @@
         outcomes, opened = await self.play([WHOLE, REFUSAL_WITHOUT_ID], exchanges)
         self.assertEqual((outcomes, opened), ([ANSWERED, BROKEN], 1))
 
+    async def test_a_refusal_without_an_id_is_followed_by_the_backoff_it_asks_for(self):
+        """The server wants no request for a while, whichever one it refuses."""
+        refusal = REFUSAL_WITHOUT_ID.replace(b"not-run", b"keep-off: 9\r\nnot-run")
+        exchanges = [make_exchange(kind=UNSAFE) for _ in range(3)]
+        outcomes, opened = await self.play([WHOLE, refusal, WHOLE], exchanges)
+        self.assertEqual(outcomes, [ANSWERED, BROKEN, NOT_RUN])
+
     async def test_a_request_that_comes_again_to_a_server_gets_a_new_connection(self):
         """On the old one, its own earlier refusal might be written once more."""
         exchange = make_exchange(kind=UNSAFE)
