--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_open_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_open_group.py
@@ -1,90 +1,12 @@
 """An open group: bootstrap from seeds, and members without a disk."""
 
-import contextlib
 import tempfile
 import time
 import unittest
-from pathlib import Path
 
-from damaskvalve_core import RetryLaterError, dialing, listening
-from damaskvalve_core.messages import Command, DocumentRecord, Member
-from damaskvalve_state import NodeSettings, Timing, next_members, running_group
-
-# Outside the ephemeral port range of the system.
-FIRST_PORT = 21_700
-TIMING = Timing(election_timeout_s=0.5, heartbeat_s=0.1)
-
-
-class Fleet:
-    """Members connected over loopback."""
-
-    def __init__(self, scratch):
-        self.scratch = Path(scratch)
-        self.stacks = {}
-        self.groups = {}
-
-    def start(self, number, seeds, *, durable=True, may_bootstrap=True):
-        address = f"127.0.0.1:{FIRST_PORT + number}"
-        folder = self.scratch / str(number) if durable else None
-        settings = NodeSettings(
-            folder,
-            address,
-            "dc",
-            [f"127.0.0.1:{FIRST_PORT + seed}" for seed in seeds],
-            TIMING,
-            may_bootstrap=may_bootstrap,
-            open_group=True,
-        )
-        stack = contextlib.ExitStack()
-        dialer = stack.enter_context(dialing(None))
-        group = stack.enter_context(running_group(settings, dialer))
-        answer = lambda request, _: [  # noqa: E731
-            group.handle_peer_message(request, 2.0)
-        ]
-        stack.enter_context(listening(address, None, answer))
-        self.stacks[number], self.groups[number] = stack, group
-
-    def stop(self, number):
-        self.stacks.pop(number).close()
-        del self.groups[number]
-
-    def stop_all(self):
-        for number in list(self.stacks):
-            self.stop(number)
-
-    def commit_document(self, version, within_s=10.0):
-        """Commit a document through the current leader."""
-        command = Command(document=DocumentRecord("d", version, b"x"))
-        deadline_s = time.monotonic() + within_s
-        while time.monotonic() < deadline_s:
-            for group in self.groups.values():
-                with contextlib.suppress(RetryLaterError):
-                    if group.propose(command, 1.0) is not None:
-                        return
-            time.sleep(0.05)
-        raise AssertionError("no member committed the document")
-
-    def version(self, number):
-        def read(node, now_s):
-            document = node.state_machine.documents.get("d")
-            return document.version if document else 0
-
-        return self.groups[number].run(read)
-
-    def await_version(self, number, version, within_s=10.0):
-        deadline_s = time.monotonic() + within_s
-        while self.version(number) < version:
-            if time.monotonic() > deadline_s:
-                raise AssertionError(
-                    f"member {number} did not receive version {version}"
-                )
-            time.sleep(0.05)
-
-    def voters(self, number):
-        def read(node, now_s):
-            return sorted(voter.address for voter in node.consensus.voters())
-
-        return self.groups[number].run(read)
+from damaskvalve_core.messages import Member
+from damaskvalve_state import next_members
+from damaskvalve_state.tests.open_fleet import FIRST_PORT, Fleet
 
 
 class OpenGroupTests(unittest.TestCase):
