Logs name the voters of the group, the silent ones and a missing quorum

The incident's logs could not tell whether a group that answered nothing had no quorum (and whose vote it lacked), had lost data, or was sound but not found: no host logged the member list, who joined, or that no leader was known.

Each member reports its voters when the list changes or commits, the leader that it follows, voters that fall silent and answer again, learners that are ready, and every five seconds without a leader whose votes it lacks.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -99,7 +99,7 @@
 
 
 @contextlib.contextmanager
-def _running_member(settings: GatewaySettings) -> Iterator[Group]:
+def _running_member(settings: GatewaySettings, log: DecisionLog) -> Iterator[Group]:
     """Run this host's member of the replication group."""
     node = NodeSettings(
         settings.folder,
@@ -112,7 +112,9 @@
     )
     with (
         dialing(settings.identity, settings.bind_ip) as dialer,
-        running_group(node, dialer) as group,
+        running_group(
+            node, dialer, lambda kind, fields: log.line(kind, **fields)
+        ) as group,
         listening(
             settings.bind_address(settings.group_address),
             settings.identity,
@@ -143,7 +145,7 @@
             may_found=settings.may_bootstrap,
         )
         _wait_for_folder(settings, log)
-        with _running_member(settings) as group:
+        with _running_member(settings, log) as group:
             asyncio.run(
                 _serve(settings, dialect, make_control, group, log, started_at_s)
             )
--- a/packages/damaskvalve-state/damaskvalve_state/_consensus.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus.py
@@ -73,6 +73,19 @@
             if item.acked_sent_at_s < since_s and item.added_at_s < since_s
         }
 
+    def silent_voters(self, now_s: float) -> Sequence[Member]:
+        """Return the voters that this leader has not heard of for an election timeout.
+
+        A new leader waits for that time before it calls a voter silent.
+        """
+        limit_s = self.timing.election_timeout_s
+        silent_ids = self.unresponsive_members(now_s, limit_s)
+        return [item for item in self.voters() if item.member_id in silent_ids]
+
+    def granted_votes(self) -> Collection[str]:
+        """Return the ids of the members that granted the last vote or pre-vote."""
+        return frozenset(self._votes)
+
     def remove_learners(self, member_ids: Collection[str]) -> None:
         """Stop replicating to learners; ids of voters are ignored.
 
--- a/packages/damaskvalve-state/damaskvalve_state/_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_group.py
@@ -9,6 +9,7 @@
 
 from damaskvalve_core import Dialer, RetryLaterError
 from damaskvalve_core.messages import Command, CommandResult
+from damaskvalve_state._group_reporter import GroupObserver, ignore_event
 from damaskvalve_state._node import GroupNode
 from damaskvalve_state._node_messages import PeerRequest, RunInActor, Tick
 from damaskvalve_state._node_settings import NodeSettings, NodeStatus, PublishedStatus
@@ -99,12 +100,18 @@
 
 
 @contextlib.contextmanager
-def running_group(settings: NodeSettings, dialer: Dialer) -> Iterator[Group]:
-    """Run a member of the group; stop it on exit."""
+def running_group(
+    settings: NodeSettings, dialer: Dialer, observer: GroupObserver = ignore_event
+) -> Iterator[Group]:
+    """Run a member of the group; stop it on exit.
+
+    The observer is called in the member's thread with each change of the voters, of
+    their contact with the leader, and of the leader.
+    """
     if settings.folder is not None:
         settings.folder.mkdir(parents=True, exist_ok=True)
     published = PublishedStatus()
-    actor = GroupNode.start(settings, dialer, published)
+    actor = GroupNode.start(settings, dialer, published, observer)
     group = Group(actor, published)
     stop = threading.Event()
     ticker = threading.Thread(target=_tick_until, args=(stop, group), daemon=True)
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -26,6 +26,7 @@
     VoteRequest,
 )
 from damaskvalve_state._consensus_state import LEADER
+from damaskvalve_state._group_reporter import addresses_text
 from damaskvalve_state._log import Log, empty_snapshot
 from damaskvalve_state._membership import (
     can_bootstrap,
@@ -102,6 +103,7 @@
         for hook in self.tick_hooks:
             hook(self, now_s)
         self._publish(now_s)
+        self.reporter.observe(self.consensus, now_s)
 
     def _on_run_in_actor(self, message: "RunInActor[Any]", now_s: float) -> None:
         try:
@@ -246,6 +248,7 @@
             members = next_members(voters, learners, addresses)
         if members is not None:
             self.consensus.propose_members(members, now_s)
+            self.reporter.report("voters_proposed", voters=addresses_text(members))
             _log.info("proposed a membership change to {} voters", len(members))
 
     def propose(self, command: Command, callback: ResultCallback, now_s: float) -> bool:
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -26,6 +26,11 @@
 )
 from damaskvalve_state._consensus import Consensus
 from damaskvalve_state._consensus_state import LEADER
+from damaskvalve_state._group_reporter import (
+    GroupObserver,
+    GroupReporter,
+    ignore_event,
+)
 from damaskvalve_state._journal import (
     JOURNAL_FILE,
     Journal,
@@ -66,8 +71,10 @@
         settings: NodeSettings,
         dialer: Dialer,
         published: PublishedStatus | None = None,
+        observer: GroupObserver = ignore_event,
     ) -> None:
         super().__init__()
+        self.reporter = GroupReporter(observer, boot_clock_s())
         self._published = published or PublishedStatus()
         self.settings = settings
         self.state_machine = StateMachine()
