--- a/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
@@ -278,7 +278,12 @@
             )
             self.send_hello(host, now_s)
         if host.consensus.role == "leader":
+            old_voter_ids = {voter.member_id for voter in host.consensus.voters()}
+            commit_index = host.consensus.commit_index
             self.step_membership(host, now_s)
+            self.check_new_voters(
+                self.existing(host.consensus.voters()), old_voter_ids, commit_index
+            )
             self.send_hello_to_seeds(host, now_s)
         self.flush(host)
 
@@ -390,6 +395,11 @@
                 on_ack, self.on_ack = self.on_ack, None
                 self.at(0.0, on_ack)
 
+    def existing(self, members):
+        """Return the members that are neither gone nor wiped."""
+        ids = {host.member_id for host in self.hosts.values()}
+        return [member for member in members if member.member_id in ids]
+
     def check_leader_knows_acknowledged_entries(self):
         for host in self.serving_hosts():
             applied_index = self.applied_index(host)
