Successors get the vote of a host that is gone before the next loss

What callers saw: after a host was replaced for good and another one lost its disk, no host answered with the configuration any more, and hosts that had not received the last version obeyed the one before (404).

Cause: a ready successor became a further voter beside the gone host, so three of four votes were needed, and the gone host was removed only after 8 s of silence, counted anew by each leader. The users' platform calls the loss repaired 4 s after the successor's start. Class: a time constant and a minimum (three voters) that were not compared with what the group has to bear.

Now - a voter is silent after an election timeout, and then gives its place to a learner that is ready; it is removed first, and nobody is added while a voter does not answer; - a host that stops says so to the leader, gives up its vote as soon as the others can spare it, and waits for that within its grace; - without a successor voters are removed only while twice the tolerated losses plus one remain; the tolerance comes from the settings; - a member that changes leaders greets both.

Failed tries: adding the successor of a stopping host only after its removal lost the quorum when another had died 0.1 s before; one learner that did not answer held back all new voters (both found by series in which a stopping host does not count as lost).

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -77,7 +77,7 @@
 struct FoundRequest { 1: list<Member> members }
 struct FoundReply { 1: bool founded }
 
-struct HelloRequest { 1: Member member  2: bool empty  3: optional bool leads }
+struct HelloRequest { 1: Member member  2: bool empty  3: optional bool leads  4: optional bool stopping }
 struct HelloReply { 1: Member member  2: bool empty  3: string leader_address }
 
 // ---- records of the journal and the snapshot file ----
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -306,6 +306,7 @@
      - member
      - empty
      - leads
+     - stopping
 
     """
 
@@ -313,13 +314,15 @@
         'member',
         'empty',
         'leads',
+        'stopping',
     )
 
 
-    def __init__(self, member=None, empty=None, leads=None,):
+    def __init__(self, member=None, empty=None, leads=None, stopping=None,):
         self.member = member
         self.empty = empty
         self.leads = leads
+        self.stopping = stopping
 
 
 class HelloReply(TBase):
@@ -2685,6 +2688,7 @@
     (1, TType.STRUCT, 'member', [Member, None], None, ),  # 1
     (2, TType.BOOL, 'empty', None, None, ),  # 2
     (3, TType.BOOL, 'leads', None, None, ),  # 3
+    (4, TType.BOOL, 'stopping', None, None, ),  # 4
 )
 all_structs.append(HelloReply)
 HelloReply.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -60,6 +60,9 @@
 # of the control address retry.
 ELECTION_TIMEOUT_S = 0.7
 HEARTBEAT_S = 0.15
+# The group takes up to this many election timeouts to elect a leader and to give the
+# vote of a lost host to its successor.
+REPAIR_ELECTION_TIMEOUTS = 4
 PEER_REPLY_TIMEOUT_S = 2.0
 # The load balancer checks the ready address every second and removes a host after two
 # failed checks.
@@ -109,7 +112,11 @@
         Timing(ELECTION_TIMEOUT_S, HEARTBEAT_S),
         may_bootstrap=settings.may_bootstrap,
         open_group=True,
+        tolerance=settings.tolerance,
     )
+    catch_up_s = settings.tolerance.catch_up_s
+    if catch_up_s < REPAIR_ELECTION_TIMEOUTS * ELECTION_TIMEOUT_S:
+        log.line("catch_up_too_short", catch_up_s=catch_up_s)
     with (
         dialing(settings.identity, settings.bind_ip) as dialer,
         running_group(
@@ -237,8 +244,10 @@
             task.add_done_callback(lambda ended: _log_failure(ended, log))
         try:
             await stopping.wait()
-            await _transfer_leadership(group, log)
+            await _announce_stop(group, log)
+            stopping_s = boot_clock_s()
             await _drain(settings, caller_server, log)
+            await _give_up_vote(settings, group, stopping_s, log)
         finally:
             for task in tasks:
                 task.cancel()
@@ -331,12 +340,27 @@
     )
 
 
-async def _transfer_leadership(group: Group, log: DecisionLog) -> None:
-    """Transfer leadership to another host before this one stops."""
+async def _announce_stop(group: Group, log: DecisionLog) -> None:
+    """Let the other hosts do without this one's leadership and vote."""
     try:
-        await asyncio.to_thread(group.transfer_leadership)
+        await asyncio.to_thread(group.announce_stop)
     except RetryLaterError as error:
-        log.line("not_handed_over", reason=str(error))
+        log.line("stop_not_announced", reason=str(error))
+
+
+async def _give_up_vote(
+    settings: GatewaySettings, group: Group, stopping_s: float, log: DecisionLog
+) -> None:
+    """Wait until the group has removed a vote that it can spare, or the grace ends.
+
+    This host may never start again; the others would go on counting its vote.
+    """
+    deadline_s = stopping_s + settings.grace_s - CLOSE_MARGIN_S
+    while group.status().has_spare_vote:
+        if boot_clock_s() >= deadline_s:
+            log.line("vote_kept", reason="the group did not remove it in time")
+            return
+        await asyncio.sleep(STOP_POLL_INTERVAL_S)
 
 
 async def _watch_suspension(
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
@@ -5,6 +5,7 @@
 
 from damaskvalve_core import Identity, split_address
 from damaskvalve_gateway._quota import QuotaSlack
+from damaskvalve_state import LossTolerance
 
 
 class RetryBudgetSettings:
@@ -39,6 +40,7 @@
         "retries",
         "grace_s",
         "bind_ip",
+        "tolerance",
     )
 
     def __init__(
@@ -61,6 +63,7 @@
         may_bootstrap: bool,
         identity: Identity | None = None,
         bind_ip: str = "",
+        tolerance: LossTolerance | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -88,6 +91,8 @@
         # Local IP address if others reach this host under a different one; empty if
         # they are the same.
         self.bind_ip = bind_ip
+        # The losses that the group of hosts has to outlive.
+        self.tolerance = tolerance or LossTolerance()
 
     def bind_address(self, address: str) -> str:
         """Return the local address to listen on for a published address."""
--- a/packages/damaskvalve-state/damaskvalve_state/__init__.py
+++ b/packages/damaskvalve-state/damaskvalve_state/__init__.py
@@ -10,6 +10,7 @@
     Limit,
 )
 from damaskvalve_state._group import Group, running_group
+from damaskvalve_state._group_reporter import GroupObserver
 from damaskvalve_state._journal import (
     Journal,
     open_journal,
@@ -24,7 +25,13 @@
     LoadRequest,
 )
 from damaskvalve_state._log import Log, empty_snapshot
-from damaskvalve_state._membership import next_members
+from damaskvalve_state._membership import (
+    LossTolerance,
+    MembershipChange,
+    MembershipView,
+    next_fixed_members,
+    next_members,
+)
 from damaskvalve_state._node import GroupNode
 from damaskvalve_state._node_settings import NodeSettings, NodeStatus
 from damaskvalve_state._state_machine import (
@@ -50,6 +57,7 @@
     "CreditLedger",
     "Group",
     "GroupNode",
+    "GroupObserver",
     "Journal",
     "Limit",
     "LoadBudget",
@@ -57,12 +65,16 @@
     "LoadLimit",
     "LoadRequest",
     "Log",
+    "LossTolerance",
+    "MembershipChange",
+    "MembershipView",
     "NodeSettings",
     "NodeStatus",
     "Output",
     "StateMachine",
     "Timing",
     "empty_snapshot",
+    "next_fixed_members",
     "next_members",
     "open_journal",
     "read_or_make_member_id",
--- a/packages/damaskvalve-state/damaskvalve_state/_consensus.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus.py
@@ -24,6 +24,12 @@
     LEADER,
 )
 from damaskvalve_state._elections import Elections
+from damaskvalve_state._membership import (
+    LossTolerance,
+    MembershipChange,
+    MembershipView,
+    next_members,
+)
 from damaskvalve_state._progress import (
     NEVER_S,
     Progress,
@@ -32,6 +38,11 @@
 # Entries that a snapshot covers stay in memory, up to this number, for followers that
 # lag behind.
 RETAINED_ENTRIES = 1_000
+# A voter that has not answered the heartbeats of this many intervals may be lost.
+DOUBTFUL_HEARTBEATS = 2
+# A member counts as stopping for this long after its last announcement. Should it start
+# again, it is treated like any other member afterwards.
+STOPPING_TIMEOUT_S = 2.0
 
 
 class Consensus(Elections):
@@ -78,10 +89,21 @@
 
         A new leader waits for that time before it calls a voter silent.
         """
-        limit_s = self.timing.election_timeout_s
-        silent_ids = self.unresponsive_members(now_s, limit_s)
+        silent_ids = self._silent_ids(now_s)
         return [item for item in self.voters() if item.member_id in silent_ids]
 
+    def _silent_ids(self, now_s: float) -> Collection[str]:
+        return self.unresponsive_members(now_s, self.timing.election_timeout_s)
+
+    def _doubtful_ids(self, now_s: float) -> Collection[str]:
+        """Return the ids of voters that have not answered the last heartbeats."""
+        since_s = now_s - DOUBTFUL_HEARTBEATS * self.timing.heartbeat_s
+        return {
+            member_id
+            for member_id, item in self.progress.items()
+            if self._is_other_voter(item.member) and item.acked_sent_at_s < since_s
+        }
+
     def granted_votes(self) -> Collection[str]:
         """Return the ids of the members that granted the last vote or pre-vote."""
         return frozenset(self._votes)
@@ -137,6 +159,36 @@
         self._broadcast(now_s)
         return indexes
 
+    def change_members(
+        self, tolerance: LossTolerance, now_s: float
+    ) -> MembershipChange | None:
+        """Propose the next change of an open group's members, if one is due.
+
+        Return the change, or None.
+        """
+        if not self.may_change_members():
+            return None
+        view = MembershipView(
+            self.voters(),
+            self.caught_up_learners(),
+            self._silent_ids(now_s),
+            self._doubtful_ids(now_s),
+            {
+                member_id
+                for member_id, item in self.progress.items()
+                if now_s < item.stopping_until_s
+            },
+        )
+        change = next_members(view, tolerance)
+        if change is not None:
+            self.propose_members(change.members, now_s)
+        return change
+
+    def has_spare_vote(self, tolerance: LossTolerance) -> bool:
+        """Return whether this member votes and the others suffice without it."""
+        voters = self.voters()
+        return self.is_voter() and len(voters) > tolerance.min_voters(voters)
+
     def propose_members(self, members: Sequence[Member], now_s: float) -> bool:
         """Append a member list, which must differ by one voter from the current one.
 
@@ -169,9 +221,16 @@
         if self.role != LEADER:
             return False
         candidates = [
-            item for item in self.progress.values() if self._is_other_voter(item.member)
+            item
+            for item in self.progress.values()
+            if self._is_other_voter(item.member) and now_s >= item.stopping_until_s
         ]
-        target = max(candidates, key=lambda item: item.match_index, default=None)
+        # Of those that hold the log, the one that answered last surely runs.
+        target = max(
+            candidates,
+            key=lambda item: (item.match_index, item.acked_sent_at_s),
+            default=None,
+        )
         if target is None or target.match_index < self.log.last_index:
             return False
         request = TakeOverRequest(self.term, self.member.member_id)
@@ -193,6 +252,12 @@
         )
         self._send_append(self.progress[member.member_id], now_s)
 
+    def note_stopping(self, member: Member, now_s: float) -> None:
+        """Record that a member announced its stop; it repeats that until it ends."""
+        item = self.progress.get(member.member_id)
+        if item is not None:
+            item.stopping_until_s = now_s + STOPPING_TIMEOUT_S
+
     def caught_up_learners(self) -> Sequence[Member]:
         """Return the learners that hold all committed entries."""
         voter_ids = {voter.member_id for voter in self.voters()}
--- a/packages/damaskvalve-state/damaskvalve_state/_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_group.py
@@ -66,12 +66,12 @@
             )
         return result
 
-    def transfer_leadership(self) -> None:
-        """Transfer leadership to another member before this one stops.
+    def announce_stop(self) -> None:
+        """Give up leadership and, if the others can spare it, the vote.
 
-        Does nothing if this member does not lead or no other voter has the whole log.
+        To be called some seconds before the member stops.
         """
-        self.run(lambda node, now_s: node.transfer_leadership(now_s))
+        self.run(lambda node, now_s: node.announce_stop(now_s))
 
     def status(self) -> NodeStatus:
         """Return the last published status without waiting for the actor."""
--- a/packages/damaskvalve-state/damaskvalve_state/_membership.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_membership.py
@@ -1,61 +1,164 @@
 """Membership changes, one voter at a time, and bootstrap of a group."""
 
+from collections import Counter
 from collections.abc import Collection, Sequence
 
 from damaskvalve_core.messages import Member
 
-# Unresponsive voters are not removed below this number: a smaller group would lose
-# its quorum with the next fault.
-MIN_VOTERS = 3
-# Tolerates the loss of four voters; more voters only slow down commits.
+# More voters only slow down commits, unless the tolerance asks for them.
 MAX_VOTERS = 9
 
 
+class LossTolerance:
+    """The losses that the group outlives at once, with their disks.
+
+    A host that was replaced for good counts as lost until its successor has run for
+    ``catch_up_s``; from then on the same number of other hosts may be lost.
+    """
+
+    __slots__ = ("hosts", "data_centres", "catch_up_s")
+
+    def __init__(
+        self, hosts: int = 1, data_centres: int = 0, catch_up_s: float = 4.0
+    ) -> None:
+        for name, value in (
+            ("hosts", hosts),
+            ("data_centres", data_centres),
+            ("catch_up_s", catch_up_s),
+        ):
+            if value < 0:
+                raise ValueError(f"{name} must not be negative: {value}")
+        self.hosts = hosts
+        self.data_centres = data_centres
+        self.catch_up_s = catch_up_s
+
+    def min_voters(self, members: Sequence[Member]) -> int:
+        """Return the number of voters that keeps a majority after these losses."""
+        counts = Counter(member.data_centre for member in members)
+        largest = sorted(counts.values(), reverse=True)[: self.data_centres]
+        return 2 * max(self.hosts, sum(largest)) + 1
+
+
+class MembershipView:
+    """What the leader knows of the members when it decides on their votes."""
+
+    __slots__ = ("voters", "ready", "silent_ids", "doubtful_ids", "stopping_ids")
+
+    def __init__(
+        self,
+        voters: Sequence[Member],
+        ready: Sequence[Member] = (),
+        silent_ids: Collection[str] = (),
+        doubtful_ids: Collection[str] = (),
+        stopping_ids: Collection[str] = (),
+    ) -> None:
+        self.voters = tuple(voters)
+        # Learners that hold all committed entries.
+        self.ready = tuple(ready)
+        # Voters that have not answered for an election timeout.
+        self.silent_ids = frozenset(silent_ids)
+        # Voters that did not answer the last heartbeats; the silent ones are among
+        # them.
+        self.doubtful_ids = frozenset(doubtful_ids)
+        # Members that have announced that they stop.
+        self.stopping_ids = frozenset(stopping_ids)
+
+    def without(self, lost: Member) -> Sequence[Member]:
+        """Return the voters without one of them."""
+        return [item for item in self.voters if item is not lost]
+
+
+class MembershipChange:
+    """The voters to propose, and why."""
+
+    __slots__ = ("members", "reason")
+
+    def __init__(self, members: Sequence[Member], reason: str) -> None:
+        self.members = tuple(members)
+        self.reason = reason
+
+
 def next_members(
-    voters: Sequence[Member],
-    caught_up_learners: Sequence[Member],
-    group_addresses: Sequence[str] | None,
-    unresponsive_ids: Collection[str] = (),
-) -> Sequence[Member] | None:
-    """Return the member list to propose, or None if no change is needed.
-
-    A caught-up learner at the address of a voter replaces it, because the voter's
-    data folder was lost: the old id is removed first, then the learner becomes a
-    voter. Each step changes one voter, so that old and new majorities overlap.
-
-    Without ``group_addresses`` any learner with a disk may become a voter, and an
-    unresponsive voter is removed: if a learner is ready to replace it, while there are
-    more than two voters; otherwise only while at least ``MIN_VOTERS`` remain.
+    view: MembershipView, tolerance: LossTolerance
+) -> MembershipChange | None:
+    """Return the next change of an open group, or None if none is needed.
+
+    A voter that is silent or lost its disk is replaced by a learner that is ready. It
+    is removed first: beside it the successor would raise the quorum without adding a
+    vote that can be counted on. A voter that stops still answers, so its successor is
+    added first. Without a successor such voters are removed while enough voters remain
+    for the tolerated losses. Each step changes one voter, so that old and new
+    majorities overlap.
     """
-    for learner in caught_up_learners:
-        if learner.memory_only:
-            continue
-        if group_addresses is not None and learner.address not in group_addresses:
-            continue
-        replaced = [voter for voter in voters if voter.address == learner.address]
-        if replaced and len(voters) > 1:
-            return [voter for voter in voters if voter not in replaced]
-        if replaced:
-            continue
-        if group_addresses is None:
-            remaining = _without_unresponsive(voters, unresponsive_ids)
-            if remaining is not None and len(voters) > 2:
-                return remaining
-            if len(voters) >= MAX_VOTERS:
-                continue
-        return [*voters, learner]
-    if group_addresses is None and len(voters) > MIN_VOTERS:
-        return _without_unresponsive(voters, unresponsive_ids)
+    ready = [
+        item
+        for item in view.ready
+        if not item.memory_only and item.member_id not in view.stopping_ids
+    ]
+    min_voters = tolerance.min_voters([*view.voters, *ready])
+    is_spared = len(view.voters) > min_voters
+    if is_spared or (ready and len(view.voters) > 1):
+        for lost, reason in _lost_voters(view, ready):
+            remaining = view.without(lost)
+            if _has_quorum(remaining, view.doubtful_ids):
+                return MembershipChange(remaining, f"{lost.address} {reason}")
+    has_room = len(view.voters) < max(MAX_VOTERS, min_voters)
+    # A voter that may be about to count as silent is replaced instead.
+    may_add = not view.doubtful_ids or len(view.voters) < min_voters
+    if ready and has_room and may_add:
+        return MembershipChange(
+            [*view.voters, ready[0]], f"{ready[0].address} is ready"
+        )
+    if is_spared or (ready and not has_room):
+        for voter in view.voters:
+            remaining = view.without(voter)
+            stops = voter.member_id in view.stopping_ids
+            if stops and _has_quorum(remaining, view.doubtful_ids):
+                return MembershipChange(remaining, f"{voter.address} stops")
     return None
 
 
-def _without_unresponsive(
-    voters: Sequence[Member], unresponsive_ids: Collection[str]
-) -> Sequence[Member] | None:
-    """Return the voters without the first unresponsive one; None if all respond."""
-    for voter in voters:
-        if voter.member_id in unresponsive_ids:
-            return [item for item in voters if item is not voter]
+def _lost_voters(
+    view: MembershipView, ready: Sequence[Member]
+) -> Sequence[tuple[Member, str]]:
+    """Return the voters whose vote cannot be counted on, and why."""
+    ready_addresses = {item.address for item in ready}
+    without_disk = [
+        (voter, "lost its disk")
+        for voter in view.voters
+        if voter.address in ready_addresses
+    ]
+    silent = [
+        (voter, "is silent")
+        for voter in view.voters
+        if voter.member_id in view.silent_ids
+    ]
+    return [*without_disk, *silent]
+
+
+def _has_quorum(voters: Sequence[Member], doubtful_ids: Collection[str]) -> bool:
+    """Return whether a majority of the voters answers."""
+    answering = sum(voter.member_id not in doubtful_ids for voter in voters)
+    return answering >= len(voters) // 2 + 1
+
+
+def next_fixed_members(
+    voters: Sequence[Member], ready: Sequence[Member], addresses: Sequence[str]
+) -> MembershipChange | None:
+    """Return the next change of a group with fixed addresses, or None.
+
+    A ready learner at the address of a voter replaces it, because the voter's data
+    folder was lost: the old id is removed first, then the learner becomes a voter.
+    """
+    for learner in ready:
+        if learner.memory_only or learner.address not in addresses:
+            continue
+        replaced = [voter for voter in voters if voter.address == learner.address]
+        if replaced and len(voters) > 1:
+            remaining = [voter for voter in voters if voter not in replaced]
+            return MembershipChange(remaining, f"{learner.address} lost its disk")
+        if not replaced:
+            return MembershipChange([*voters, learner], f"{learner.address} is ready")
     return None
 
 
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -32,7 +32,7 @@
     can_bootstrap,
     initial_voters,
     initiates_bootstrap,
-    next_members,
+    next_fixed_members,
 )
 from damaskvalve_state._node_messages import (
     Flush,
@@ -48,10 +48,10 @@
 # be addressed to the member that lost its disk at this address. So it keeps sending
 # hellos, at a longer interval.
 HELLO_INTERVAL_WITH_LEADER_S = 1.0
-# An unresponsive member is removed after this time: longer than a restart or a freeze
-# takes, but short enough that the group recovers before it has to tolerate another
-# loss.
-UNRESPONSIVE_TIMEOUT_S = 8.0
+# An unresponsive learner is dropped after this time. It sends a hello when it is back.
+LEARNER_TIMEOUT_S = 8.0
+# Interval at which a member that stops repeats that to the leader.
+STOPPING_INTERVAL_S = 0.3
 
 _log = logbook.Logger("group")
 
@@ -97,9 +97,11 @@
             )
             self._send_hello(now_s)
             self._try_bootstrap(now_s)
+        if self._stops and now_s >= self._next_stopping_s:
+            self._give_up_vote(now_s)
         if self.consensus.role == LEADER:
             self._change_members(now_s)
-            self._send_hello_to_seeds(now_s)
+            self._send_leader_hello(now_s)
         for hook in self.tick_hooks:
             hook(self, now_s)
         self._publish(now_s)
@@ -138,19 +140,23 @@
     # ---- bootstrap and membership ----
 
     def _send_hello(self, now_s: float) -> None:
-        request = HelloRequest(self.member, not self.is_bootstrapped)
+        request = HelloRequest(
+            self.member, not self.is_bootstrapped, stopping=self._stops
+        )
         targets = {*self.settings.group_addresses, self._advertised_leader}
         if self.settings.open_group:
             targets.update(voter.address for voter in self.consensus.voters())
             if self.consensus.has_leader_contact(now_s):
-                targets = {self.consensus.leader_address}
+                # A leader that has just stepped down names its successor.
+                targets = {self.consensus.leader_address, self._advertised_leader}
         for address in targets - {self.member.address, ""}:
             self._send(Member("", address, ""), request)
 
-    def _send_hello_to_seeds(self, now_s: float) -> None:
-        """Send the leader's address to seeds that do not follow it.
+    def _send_leader_hello(self, now_s: float) -> None:
+        """Send the leader's address to seeds and known hosts that do not follow it.
 
-        A restarted member knows only its seeds, and these may have lost their state.
+        A restarted member without a disk knows only its seeds. These may have lost
+        their state, or may have been replaced.
         """
         if not self.settings.open_group or now_s < self._next_hello_s:
             return
@@ -161,13 +167,22 @@
             if address != self.member.address:
                 self._send(Member("", address, ""), request)
 
-    def transfer_leadership(self, now_s: float) -> None:
-        """Transfer leadership to another member before this one stops.
+    def announce_stop(self, now_s: float) -> None:
+        """Give up leadership and vote, as far as the others can spare them.
 
-        Does nothing if this member does not lead or no other voter has the whole log.
+        The member goes on following the log. It does not know whether it will start
+        again; if it does, it becomes a voter like any other.
         """
+        self._stops = True
+        self._give_up_vote(now_s)
+
+    def _give_up_vote(self, now_s: float) -> None:
+        self._next_stopping_s = now_s + STOPPING_INTERVAL_S
         if self.consensus.transfer_leadership(now_s):
-            _log.info("transferred leadership to another member")
+            self.reporter.report("leadership_transferred", term=self.consensus.term)
+        elif self.consensus.leader_address not in ("", self.member.address):
+            request = HelloRequest(self.member, not self.is_bootstrapped, stopping=True)
+            self._send(Member("", self.consensus.leader_address, ""), request)
         self._publish(now_s)
 
     def _on_hello(self, request: HelloRequest, now_s: float) -> HelloReply:
@@ -176,6 +191,8 @@
             self._next_hello_s = now_s
         if self.consensus.role == LEADER:
             self.consensus.add_learner(request.member, now_s)
+            if request.stopping:
+                self.consensus.note_stopping(request.member, now_s)
         elif request.empty and self.is_bootstrapped:
             self._resend_bootstrap(request.member)
         return HelloReply(
@@ -233,23 +250,26 @@
         _log.info("joining an existing group as a learner")
 
     def _change_members(self, now_s: float) -> None:
-        if not self.consensus.may_change_members():
-            return
-        learners = self.consensus.caught_up_learners()
-        voters = self.consensus.voters()
+        consensus = self.consensus
         if self.settings.open_group:
-            unresponsive = self.consensus.unresponsive_members(
-                now_s, UNRESPONSIVE_TIMEOUT_S
+            consensus.remove_learners(
+                consensus.unresponsive_members(now_s, LEARNER_TIMEOUT_S)
+            )
+            change = consensus.change_members(self.settings.tolerance, now_s)
+        elif consensus.may_change_members():
+            change = next_fixed_members(
+                consensus.voters(),
+                consensus.caught_up_learners(),
+                self.settings.group_addresses,
             )
-            self.consensus.remove_learners(unresponsive)
-            members = next_members(voters, learners, None, unresponsive)
+            if change is not None:
+                consensus.propose_members(change.members, now_s)
         else:
-            addresses = self.settings.group_addresses
-            members = next_members(voters, learners, addresses)
-        if members is not None:
-            self.consensus.propose_members(members, now_s)
-            self.reporter.report("voters_proposed", voters=addresses_text(members))
-            _log.info("proposed a membership change to {} voters", len(members))
+            change = None
+        if change is not None:
+            voters = addresses_text(change.members)
+            self.reporter.report("voters_proposed", voters=voters, reason=change.reason)
+            _log.info("proposed as voters: {}, as {}", voters, change.reason)
 
     def propose(self, command: Command, callback: ResultCallback, now_s: float) -> bool:
         """Propose a command from within the actor; return False if not the leader."""
--- a/packages/damaskvalve-state/damaskvalve_state/_node_settings.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node_settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from damaskvalve_state._membership import LossTolerance
 from damaskvalve_state._timing import Timing
 
 
@@ -17,6 +18,7 @@
         "timing",
         "may_bootstrap",
         "open_group",
+        "tolerance",
     )
 
     def __init__(
@@ -29,6 +31,7 @@
         *,
         may_bootstrap: bool = True,
         open_group: bool = False,
+        tolerance: LossTolerance | None = None,
     ) -> None:
         # None for a member without a disk. It remains a learner, unless no initial
         # member has a disk; then all initial members are voters.
@@ -42,6 +45,8 @@
         self.may_bootstrap = may_bootstrap
         # Whether members at other addresses may join.
         self.open_group = open_group
+        # The losses that an open group has to outlive.
+        self.tolerance = tolerance or LossTolerance()
 
 
 class NodeStatus:
@@ -55,6 +60,7 @@
         "contact_s",
         "applied_index",
         "voter_addresses",
+        "has_spare_vote",
     )
 
     def __init__(
@@ -67,6 +73,7 @@
         contact_s: float,
         applied_index: int,
         voter_addresses: Sequence[str] = (),
+        has_spare_vote: bool = False,
     ) -> None:
         # Identifies a leader in one term; empty if no leader is known.
         self.leader_id = leader_id
@@ -80,6 +87,9 @@
         self.applied_index = applied_index
         # The addresses of the voters, as far as this member knows them.
         self.voter_addresses = tuple(voter_addresses)
+        # Whether this member votes and the others can spare its vote. A member that
+        # stops waits until it has given up such a vote.
+        self.has_spare_vote = has_spare_vote
 
 
 class PublishedStatus:
--- a/packages/damaskvalve-state/damaskvalve_state/_progress.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_progress.py
@@ -18,6 +18,7 @@
         "acked_sent_at_s",
         "in_flight_since_s",
         "added_at_s",
+        "stopping_until_s",
     )
 
     def __init__(self, member: Member, next_index: int, added_at_s: float) -> None:
@@ -31,6 +32,8 @@
         self.acked_sent_at_s = NEVER_S
         # When the unanswered request was sent; NEVER_S if there is none.
         self.in_flight_since_s = NEVER_S
+        # Until when the member counts as stopping; NEVER_S if it has not announced it.
+        self.stopping_until_s = NEVER_S
 
 
 def quorum_size(count: int) -> int:
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -87,6 +87,9 @@
         self._flush_scheduled = False
         self._hello_replies: dict[str, tuple[Member, bool]] = {}
         self._next_hello_s = 0.0
+        # Whether this member has announced its stop, and when it repeats that.
+        self._stops = False
+        self._next_stopping_s = 0.0
         # The leader's address as advertised by another member's hello or reply.
         self._advertised_leader = ""
         # The time of the current step on the boot clock.
@@ -276,4 +279,5 @@
             contact_s=now_s if is_leader else consensus.leader_contact_s(),
             applied_index=self.applied_index,
             voter_addresses=[voter.address for voter in consensus.voters()],
+            has_spare_vote=consensus.has_spare_vote(self.settings.tolerance),
         )
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_losses.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_losses.py
@@ -4,7 +4,12 @@
 
 from hypothesis import Phase, given, settings, strategies as st
 
-from damaskvalve_state.tests.loss_simulation import LossRule, run_losses, run_series
+from damaskvalve_state.tests.loss_simulation import (
+    LossGroup,
+    LossRule,
+    run_losses,
+    run_series,
+)
 
 SEEDS = st.integers(min_value=0, max_value=2**32)
 # A run is not shrunk: another seed gives other losses, not fewer.
@@ -110,6 +115,24 @@
         """A host that is gone must not vote beside its successor."""
         self.check_series("gone")
 
+    def test_a_successor_that_is_lost_at_once_leaves_a_quorum(self):
+        """It does not vote beside the host that is gone, so the others suffice."""
+        group = LossGroup(1, 3, 1)
+        group.run(3.0)
+        gone = next(host for host in group.hosts.values() if host is not group.leader())
+        group.remove(gone)
+        successor = group.add_successor(gone.slot)
+        group.run(0.6)
+        self.assertTrue(successor.has_joined)
+        group.remove(successor)
+        for host in group.hosts.values():
+            group.kill(host)
+            group.start_later(host, 0.5)
+        group.run(4.0)
+        before = len(group.accepted)
+        group.run(2.0)
+        self.assertGreater(len(group.accepted), before)
+
     def test_hosts_replaced_one_after_another_leave_a_quorum(self):
         """Each successor starts before the old host stops."""
         self.check_series("replace")
--- /dev/null
+++ b/testing/damaskvalve-standins/damaskvalve_standins/_membership_proofs.py
@@ -0,0 +1,64 @@
+"""Mechanisms of membership changes, each with the test that fails without it."""
+
+from collections.abc import Collection, Sequence
+from typing import Any
+
+from damaskvalve_standins._proof import Proof, replace
+from damaskvalve_state import Consensus, LossTolerance, _membership
+
+_LOSSES = "damaskvalve_state.tests.test_losses.LossTests."
+_MEMBERSHIP = "damaskvalve_state.tests.test_open_group.MembershipTests."
+_REPLACED = "damaskvalve_state.tests.test_replaced_hosts.ReplacedHostTests."
+# The time after which a silent voter was removed before the incident CONFIG.
+_LATE_S = 8.0
+
+
+def _silent_late(self: Any, now_s: float) -> Collection[str]:
+    ids: Collection[str] = self.unresponsive_members(now_s, _LATE_S)
+    return ids
+
+
+def _promote_all_learners(self: Any) -> Sequence[Any]:
+    voter_ids = {voter.member_id for voter in self.voters()}
+    return [
+        item.member
+        for item in self.progress.values()
+        if item.member.member_id not in voter_ids
+    ]
+
+
+MEMBERSHIP_PROOFS = (
+    Proof(
+        "a silent voter is replaced after an election timeout",
+        replace(Consensus, "_silent_ids", _silent_late),
+        f"{_LOSSES}test_hosts_gone_one_after_another_leave_a_quorum",
+    ),
+    Proof(
+        "a host that stops gives up its vote",
+        replace(Consensus, "note_stopping", lambda self, member, now_s: None),
+        f"{_REPLACED}test_change_survives_a_disk_lost_after_a_planned_replacement",
+    ),
+    Proof(
+        "no voter is added beside one that may be gone",
+        replace(Consensus, "_doubtful_ids", lambda self, now_s: ()),
+        f"{_LOSSES}test_a_successor_that_is_lost_at_once_leaves_a_quorum",
+    ),
+    Proof(
+        "a voter is removed only if a majority of the others answers",
+        replace(_membership, "_has_quorum", lambda voters, doubtful_ids: True),
+        f"{_MEMBERSHIP}"
+        "test_a_voter_is_removed_only_if_a_majority_of_the_others_answers",
+    ),
+    Proof(
+        "enough voters are kept for the tolerated losses",
+        replace(LossTolerance, "min_voters", lambda self, members: 2),
+        f"{_MEMBERSHIP}test_enough_voters_remain_for_the_tolerated_losses",
+    ),
+    Proof(
+        "a learner votes only once it holds all committed entries",
+        replace(Consensus, "caught_up_learners", _promote_all_learners),
+        f"{_LOSSES}test_group_survives_all_losses_within_a_tolerance_of_one",
+    ),
+)
+
+__all__ = ["MEMBERSHIP_PROOFS"]
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -41,6 +41,7 @@
 )
 from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_standins._limit_proofs import LIMIT_PROOFS
+from damaskvalve_standins._membership_proofs import MEMBERSHIP_PROOFS
 from damaskvalve_standins._proof import Proof, replace
 from damaskvalve_standins.run_tests import use_fixed_profile
 from damaskvalve_state import (
@@ -489,6 +490,7 @@
         "test_older_answer_never_reverts_the_configuration",
     ),
     *LIMIT_PROOFS,
+    *MEMBERSHIP_PROOFS,
 )
 
 
