A leader greets the hosts that the replicated state names

A restarted host without a disk knows only its seeds. If all of these have been replaced, and the leader restarted too, nobody knew the host any more: it served nothing until the platform gave it other seeds.

The leader now also sends its address to the hosts of the committed list that do not follow it. The test replaces all seeds, restarts the group and the host, and fails without the greeting (make prove).

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
@@ -99,6 +99,12 @@
         ip, port = split_address(address)
         return f"{self.bind_ip or ip}:{port}"
 
+    def group_address_of(self, address: str) -> str:
+        """Return the group address of the host that has the given address."""
+        ip, _ = split_address(address)
+        _, port = split_address(self.group_address)
+        return f"{ip}:{port}"
+
     def rpc_address(self, address: str) -> str:
         """Return the RPC address of the host that has the given address."""
         ip, _ = split_address(address)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
@@ -38,6 +38,12 @@
 CATCH_UP_POLL_INTERVAL_S = 0.02
 
 
+def _host_names(hosts: DocumentRecord) -> Sequence[str]:
+    """Return the RPC addresses in the list of hosts."""
+    names: list[str] = hosts.body.decode("ascii").split()
+    return names
+
+
 class StateClient:
     """Commits through the leader and keeps :class:`ClusterView` up to date."""
 
@@ -61,6 +67,8 @@
         self._configuration_version = -1
         # Version of the list of hosts; 0 if there is none.
         self._hosts_version = 0
+        # Version of the list of hosts that the group actor knows; 0 if there is none.
+        self._known_hosts_version = 0
         # Version of the suspects that the group actor passed on last; -1 before the
         # first.
         self._suspects_version = -1
@@ -111,6 +119,11 @@
         document = node.state_machine.documents.get(CONFIGURATION)
         hosts = node.state_machine.documents.get(HOSTS)
         versions = dict(node.state_machine.adapter_versions)
+        if hosts is not None and hosts.version != self._known_hosts_version:
+            self._known_hosts_version = hosts.version
+            node.known_addresses = frozenset(
+                self._settings.group_address_of(name) for name in _host_names(hosts)
+            )
         self._loop.call_soon_threadsafe(
             self._apply_state, document, hosts, versions, node.applied_index
         )
@@ -135,8 +148,7 @@
         self._view.adapter_versions = versions
         if hosts is not None and hosts.version > self._hosts_version:
             self._hosts_version = hosts.version
-            names = hosts.body.decode("ascii").split()
-            self._view.registered_hosts = frozenset(names)
+            self._view.registered_hosts = frozenset(_host_names(hosts))
         if document is not None and document.version > self._configuration_version:
             self._apply_configuration(document.version, document.body)
         self.applied_index = index
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -163,7 +163,8 @@
         self._next_hello_s = now_s + HELLO_INTERVAL_WITH_LEADER_S
         followers = {item.member.address for item in self.consensus.progress.values()}
         request = HelloRequest(self.member, not self.is_bootstrapped, True)
-        for address in set(self.settings.group_addresses) - followers:
+        addresses = self.known_addresses.union(self.settings.group_addresses)
+        for address in addresses - followers:
             if address != self.member.address:
                 self._send(Member("", address, ""), request)
 
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -94,6 +94,8 @@
         self._advertised_leader = ""
         # The time of the current step on the boot clock.
         self.step_at_s = boot_clock_s()
+        # Addresses of the group's hosts, as the replicated state names them.
+        self.known_addresses: frozenset[str] = frozenset()
         # Called in the actor's thread after committed commands are applied.
         self.apply_hooks: list[Callable[[Any], None]] = []
         self._stopping = False
--- a/packages/damaskvalve-state/damaskvalve_state/tests/open_fleet.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/open_fleet.py
@@ -92,6 +92,24 @@
                 )
             time.sleep(0.05)
 
+    def await_voter(self, number, within_s=10.0):
+        """Wait until a member follows the group as a voter."""
+        deadline_s = time.monotonic() + within_s
+        while f"127.0.0.1:{FIRST_PORT + number}" not in self.voters(number):
+            if time.monotonic() > deadline_s:
+                raise AssertionError(f"member {number} did not become a voter")
+            time.sleep(0.05)
+
+    def know_addresses(self, numbers):
+        """Tell all members the addresses of the group, as replicated state would."""
+        addresses = frozenset(f"127.0.0.1:{FIRST_PORT + item}" for item in numbers)
+
+        def know(node, now_s):
+            node.known_addresses = addresses
+
+        for number in numbers:
+            self.groups[number].run(know)
+
     def voters(self, number):
         def read(node, now_s):
             return sorted(voter.address for voter in node.consensus.voters())
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_replaced_hosts.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_replaced_hosts.py
@@ -63,3 +63,20 @@
             fleet.commit_document(number + 2)
         for number in (3, 4, 5):
             fleet.await_version(number, 4)
+
+    def test_a_host_without_a_disk_is_found_after_all_its_seeds_are_gone(self):
+        """After a restart it knows only seeds that have been replaced."""
+        fleet = self.fleet
+        fleet.start(6, [0, 1, 2], durable=False, may_bootstrap=False)
+        for number in range(3):
+            fleet.start(number + 3, [0, 1, 2, 3, 4], may_bootstrap=False)
+            fleet.await_voter(number + 3)
+            fleet.stop_gracefully(number)
+        for number in (3, 4, 5, 6):
+            fleet.stop(number)
+        for number in (3, 4, 5):
+            fleet.start(number, [0, 1, 2], may_bootstrap=False)
+        fleet.start(6, [0, 1, 2], durable=False, may_bootstrap=False)
+        fleet.know_addresses([3, 4, 5, 6])
+        fleet.commit_document(2)
+        fleet.await_version(6, 2)
--- a/testing/damaskvalve-standins/damaskvalve_standins/_membership_proofs.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/_membership_proofs.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from damaskvalve_standins._proof import Proof, replace
-from damaskvalve_state import Consensus, LossTolerance, _membership
+from damaskvalve_state import Consensus, GroupNode, LossTolerance, _membership
 
 _LOSSES = "damaskvalve_state.tests.test_losses.LossTests."
 _MEMBERSHIP = "damaskvalve_state.tests.test_open_group.MembershipTests."
@@ -27,6 +27,10 @@
     ]
 
 
+def _send_no_hello(self: Any, now_s: float) -> None:
+    """Send nothing."""
+
+
 MEMBERSHIP_PROOFS = (
     Proof(
         "a silent voter is replaced after an election timeout",
@@ -59,6 +63,12 @@
         replace(Consensus, "caught_up_learners", _promote_all_learners),
         f"{_LOSSES}test_group_survives_all_losses_within_a_tolerance_of_one",
     ),
+    Proof(
+        "a leader greets the hosts that the replicated state names",
+        replace(GroupNode, "_send_leader_hello", _send_no_hello),
+        f"{_REPLACED}"
+        "test_a_host_without_a_disk_is_found_after_all_its_seeds_are_gone",
+    ),
 )
 
 __all__ = ["MEMBERSHIP_PROOFS"]
