--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -28,6 +28,7 @@
     Order,
 )
 from damaskvalve_core import (
+    MAX_LEARNED_ADDRESSES,
     ChannelError,
     DecisionLog,
     LeaderClient,
@@ -97,6 +98,8 @@
         self._changed = asyncio.Event()
         self._holder = f"{settings.name}/{uuid.uuid4().hex[:8]}"
         self._fence_number = 0
+        # The IP addresses of the hosts that asked for permits, the newest last.
+        self._host_ips: list[str] = []
         self._instance_id = ""
         self._report_due = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
@@ -112,6 +115,7 @@
                 Problem("unknown", f"unexpected message {type(message).__name__}")
             )
             return
+        self._note_host(call.peer)
         now_s = boot_clock_s()
         limits = message.limits
         self._admission.set_engine_capacity(
@@ -313,10 +317,22 @@
         self._report_due.set()
         return outcome not in (CONFLICT, NO_ANSWER, REJECTED)
 
+    def _note_host(self, peer: str) -> None:
+        """Remember a host that asks for permits, until the fence is known."""
+        ip, _, _ = peer.rpartition(":")
+        if ip and not self._fence_number and ip not in self._host_ips:
+            self._host_ips = [*self._host_ips, ip][-MAX_LEARNED_ADDRESSES:]
+
     async def fetch_fence(self, leader: LeaderClient) -> None:
-        """Request the fencing number of this agent process until it is granted."""
+        """Request the fencing number of this agent process until it is granted.
+
+        The configured hosts are asked, and those that ask for permits: the others may
+        all have been replaced since the settings were written.
+        """
         command = Command(fence=GrantFence(self._settings.engine_address, self._holder))
         while not self._fence_number:
+            for address in self._settings.rpc_addresses(self._host_ips):
+                leader.learn(address)
             try:
                 result = await asyncio.to_thread(
                     leader.commit, command, FENCE_TIMEOUT_S
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_settings.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_settings.py
@@ -1,8 +1,8 @@
 """Settings of the permit server."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
-from damaskvalve_core import Identity
+from damaskvalve_core import Identity, split_address
 
 
 class PermitSettings:
@@ -33,3 +33,8 @@
         # RPC addresses of the hosts, through which the agent finds the leader.
         self.rpc_hosts = tuple(rpc_hosts)
         self.identity = identity
+
+    def rpc_addresses(self, ips: Iterable[str]) -> Sequence[str]:
+        """Return the RPC addresses of hosts; all hosts have the same port."""
+        ports = {split_address(address)[1] for address in self.rpc_hosts}
+        return [f"{ip}:{port}" for ip in ips for port in ports]
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -36,7 +36,7 @@
     RetryLaterError,
     SettingsError,
 )
-from damaskvalve_core._leader_client import LeaderClient
+from damaskvalve_core._leader_client import MAX_LEARNED_ADDRESSES, LeaderClient
 from damaskvalve_core._logs import logging_to
 from damaskvalve_core._process import run_from_settings
 from damaskvalve_core._time_line import (
@@ -61,6 +61,7 @@
     "HybridClock",
     "Identity",
     "LeaderClient",
+    "MAX_LEARNED_ADDRESSES",
     "NotSentError",
     "OperatorError",
     "ProtocolError",
--- a/packages/damaskvalve-core/damaskvalve_core/_leader_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_leader_client.py
@@ -9,6 +9,8 @@
 from damaskvalve_core._messages import Command, CommandResult, ProposeRequest
 
 MAX_REDIRECTS = 3
+# Number of learned addresses that are kept beside the configured ones.
+MAX_LEARNED_ADDRESSES = 8
 
 
 class LeaderClient:
@@ -24,6 +26,18 @@
         self._dialer = dialer
         self._lock = threading.Lock()
         self._leader = ""
+        self._learned: list[str] = []
+
+    def learn(self, address: str) -> None:
+        """Add the address of a host that may know the leader.
+
+        The configured hosts may all have been replaced. The newest addresses are kept.
+        """
+        with self._lock:
+            if address in self._addresses:
+                return
+            others = [item for item in self._learned if item != address]
+            self._learned = [*others, address][-MAX_LEARNED_ADDRESSES:]
 
     def call(self, request: Any, timeout_s: float) -> Any:
         """Return the leader's reply.
@@ -49,7 +63,8 @@
     def _candidate_addresses(self) -> Sequence[str]:
         with self._lock:
             leader = self._leader
-        others = [address for address in self._addresses if address != leader]
+            known = [*self._addresses, *reversed(self._learned)]
+        others = [address for address in known if address != leader]
         return [leader, *others] if leader else others
 
     def _call_with_redirects(self, address: str, request: Any, timeout_s: float) -> Any:
