--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
@@ -48,6 +48,8 @@
                 "configuration_version": version,
                 "leader_age_s": lambda: boot_clock_s() - view.leader_contact_s,
                 "leads": lambda: float(state_client.leads(boot_clock_s())),
+                "voters": lambda: len(state_client.status().voter_addresses),
+                "silent_voters": lambda: state_client.status().silent_voters,
                 "applied_index": lambda: state_client.applied_index,
                 "quota_part": lambda: quota.current_share(boot_clock_s()),
                 "hosts": lambda: view.host_count,
--- a/packages/damaskvalve-state/damaskvalve_state/_node_settings.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node_settings.py
@@ -61,6 +61,7 @@
         "applied_index",
         "voter_addresses",
         "has_spare_vote",
+        "silent_voters",
     )
 
     def __init__(
@@ -74,6 +75,7 @@
         applied_index: int,
         voter_addresses: Sequence[str] = (),
         has_spare_vote: bool = False,
+        silent_voters: int = 0,
     ) -> None:
         # Identifies a leader in one term; empty if no leader is known.
         self.leader_id = leader_id
@@ -90,6 +92,8 @@
         # Whether this member votes and the others can spare its vote. A member that
         # stops waits until it has given up such a vote.
         self.has_spare_vote = has_spare_vote
+        # The number of voters that do not answer this leader; 0 on other members.
+        self.silent_voters = silent_voters
 
 
 class PublishedStatus:
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -282,4 +282,5 @@
             applied_index=self.applied_index,
             voter_addresses=[voter.address for voter in consensus.voters()],
             has_spare_vote=consensus.has_spare_vote(self.settings.tolerance),
+            silent_voters=len(consensus.silent_voters(now_s)),
         )
