Hosts deny a request only while a leader confirms their configuration

Callers got 404 for a route whose version had been acknowledged by another host. Cause: acknowledged means committed, not yet in force everywhere, and a host that had lost the leader went on to judge requests by the configuration that it had, for as long as it ran. Nothing told it how old that was.

Each reply of the leader, given under its lease, now states the newest committed version of the configuration. A host whose version is not older takes that as a confirmation as of its request, by the boot clock, so that a suspension or a late reply makes it old by itself. It states the version and not the log index: other records are committed all the time, and a host that has applied a configuration that it cannot read obeys an older one. 404 and 401 need a confirmation that is younger than the time within which a configuration has to be in force (the platform's bounds; eleven seconds in the product). If it is older than one period of the exchange, the leader is asked first, once for all waiting requests and at most five times a second, so that a route acknowledged moments before is served. Otherwise the answer is 503 with Retry-After. What the configuration allows is served as before.

A leader whose host has not received what its member has applied states nothing, and replies of an older release confirm nothing; reads through the leader do both ways.

Logs: configuration_in_force names leader and log index, configuration_unconfirmed and configuration_confirmed come once for each change, and the refused lines of these requests have version, age, who confirmed it and why no leader did since. Gauges: configuration_age_s and leader_known.

The property test fails without the check of the age; five entries of make prove. An unreadable configuration was read again with each applied record; it is read once.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -434,6 +434,8 @@
   // There are more notices than fit: ask again at once.
   10: optional bool more
   11: optional double clock_s
+  // The newest committed configuration when the leader, under its lease, replied.
+  12: optional i64 configuration_version
 }
 // A run that did not end, on one start of a backend server.
 struct CrashNotice {
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2227,6 +2227,7 @@
      - silent
      - more
      - clock_s
+     - configuration_version
 
     """
 
@@ -2241,10 +2242,11 @@
         'silent',
         'more',
         'clock_s',
+        'configuration_version',
     )
 
 
-    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, share=None, share_s=None, hosts=None, silent=None, more=None, clock_s=None,):
+    def __init__(self, leader_address=None, leader_id=None, seen=None, notices=None, share=None, share_s=None, hosts=None, silent=None, more=None, clock_s=None, configuration_version=None,):
         self.leader_address = leader_address
         self.leader_id = leader_id
         self.seen = seen
@@ -2255,6 +2257,7 @@
         self.silent = silent
         self.more = more
         self.clock_s = clock_s
+        self.configuration_version = configuration_version
 
 
 class CrashNotice(TBase):
@@ -3307,6 +3310,7 @@
     (9, TType.MAP, 'silent', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 9
     (10, TType.BOOL, 'more', None, None, ),  # 10
     (11, TType.DOUBLE, 'clock_s', None, None, ),  # 11
+    (12, TType.I64, 'configuration_version', None, None, ),  # 12
 )
 all_structs.append(CrashNotice)
 CrashNotice.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_cluster_view.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_cluster_view.py
@@ -4,6 +4,7 @@
 
 from damaskvalve_core.messages import StreamRecord
 from damaskvalve_gateway._backends import BackendTable
+from damaskvalve_gateway._confirmations import Confirmations
 from damaskvalve_gateway._crashes import CrashTracker, parts_of_key
 from damaskvalve_gateway._model import GatewayConfiguration
 from damaskvalve_gateway._quarantine import SuspectStatus
@@ -20,6 +21,7 @@
         self.configuration: GatewayConfiguration | None = None
         # The configuration as operators sent it, uncompressed.
         self.configuration_body = b""
+        self.confirmations = Confirmations()
         # Current version by ``model/adapter``, where operators have set one.
         self.adapter_versions: Mapping[str, int] = {}
         # Software version of the streams without a record, by service, and the records
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -27,6 +27,13 @@
 )
 from damaskvalve_gateway._choice import order_engines, order_plain
 from damaskvalve_gateway._cluster_view import ClusterView
+from damaskvalve_gateway._confirmation_controller import (
+    DENIALS,
+    NO_ROUTE,
+    UNCONFIRMED,
+    UNKNOWN_KEY,
+    ConfirmationController,
+)
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._crashes import request_fingerprint
 from damaskvalve_gateway._dialect import Dialect
@@ -83,6 +90,7 @@
         retries: RetryBudget,
         crashes: CrashController,
         streams: StreamVersions,
+        confirmations: ConfirmationController,
         on_reply: ReplyCallback,
         data_centre: str,
         log: DecisionLog,
@@ -97,6 +105,7 @@
         self._retries = retries
         self._crashes = crashes
         self._streams = streams
+        self._confirmations = confirmations
         self._on_reply = on_reply
         self._retry_after_scheduler = RetryAfterScheduler()
         self._started_at_s = boot_clock_s()
@@ -111,7 +120,7 @@
         try:
             request = self._dialect.read_request(incoming)
             request_id = request.request_id
-            exchange = self._admit(request, responder, arrived_s)
+            exchange = await self._admit_or_deny(request, responder, arrived_s)
             await self._serve_within_deadline(exchange)
         except RefusedError as error:
             await self._refuse(error, request_id, responder, arrived_s)
@@ -141,6 +150,11 @@
             retry_after_s=error.retry_after_s or "",
             took_s=round(boot_clock_s() - arrived_s, 4),
             contact_age_s=round(arrived_s - self._view.leader_contact_s, 2),
+            **(
+                self._confirmations.log_fields()
+                if error.code in DENIALS or error.code == UNCONFIRMED
+                else {}
+            ),
         )
         if responder.started:
             responder.abort()
@@ -150,6 +164,19 @@
 
     # ---- admission ----
 
+    async def _admit_or_deny(
+        self, request: CallerRequest, responder: Responder, arrived_s: float
+    ) -> Exchange:
+        """Admit a request; deny it only by a configuration that may be the newest."""
+        try:
+            return self._admit(request, responder, arrived_s)
+        except RefusedError as error:
+            if error.code not in DENIALS or self._confirmations.is_fresh():
+                raise
+        await self._confirmations.confirm(request.deadline_s)
+        # A newer configuration may have come in force meanwhile.
+        return self._admit(request, responder, arrived_s)
+
     def _admit(
         self, request: CallerRequest, responder: Responder, arrived_s: float
     ) -> Exchange:
@@ -165,9 +192,7 @@
             )
         route = configuration.find_route(request.host, request.path)
         if route is None:
-            raise RefusedError(
-                404, "no_route", "no route matches the host name and path"
-            )
+            raise RefusedError(404, NO_ROUTE, "no route matches the host name and path")
         workspace = self._authenticate(configuration, route, request)
         name = workspace.name if workspace else ""
         fingerprint = request_fingerprint(name, request)
@@ -207,7 +232,7 @@
             return None
         workspace = configuration.workspace_of(request.key) if request.key else None
         if workspace is None:
-            raise RefusedError(401, "unknown_key", "the API key is unknown")
+            raise RefusedError(401, UNKNOWN_KEY, "the API key is unknown")
         return workspace
 
     # ---- deadline ----
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
@@ -229,6 +229,7 @@
             self._overdue_ages(now_s),
             more,
             now_s,
+            self._state_client.committed_version(),
         )
 
     def _composed_after_s(
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_metrics.py
@@ -47,6 +47,10 @@
             {
                 "configuration_version": version,
                 "leader_age_s": lambda: boot_clock_s() - view.leader_contact_s,
+                "configuration_age_s": (
+                    lambda: view.confirmations.age_s(boot_clock_s())
+                ),
+                "leader_known": lambda: float(bool(state_client.leader_address())),
                 "leads": lambda: float(state_client.leads(boot_clock_s())),
                 "applied_index": lambda: state_client.applied_index,
                 "quota_part": lambda: quota.current_share(boot_clock_s()),
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -29,6 +29,7 @@
 from damaskvalve_gateway._backend_attempt import ReplyCallback
 from damaskvalve_gateway._base_versions import BaseVersionController
 from damaskvalve_gateway._cluster_view import ClusterView
+from damaskvalve_gateway._confirmation_controller import ConfirmationController
 from damaskvalve_gateway._control_service import ControlService
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._dialect import Dialect
@@ -170,6 +171,9 @@
     crashes = CrashController(state_client, view, log)
     streams = StreamVersions(state_client, view, log)
     base_versions = BaseVersionController(state_client, view, log)
+    confirmations = ConfirmationController(
+        state_client, view, settings.configuration_apply_s, log
+    )
     leader_service = LeaderService(settings, state_client, view, quota, crashes, log)
     sync = SyncController(
         settings, state_client, view, quota, leader_service, crashes, log
@@ -193,6 +197,7 @@
             ),
             crashes,
             streams,
+            confirmations,
             make_reply_observer(sync, ineffective_fields),
             settings.data_centre,
             log,
@@ -228,6 +233,7 @@
             loop.create_task(crashes.run()),
             loop.create_task(streams.run()),
             loop.create_task(base_versions.run()),
+            loop.create_task(confirmations.run()),
             loop.create_task(_load_metrics(metrics)),
             loop.create_task(_watch_suspension(pool, rpc_client, log)),
         ]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
@@ -6,6 +6,9 @@
 from damaskvalve_core import Identity, split_address
 from damaskvalve_gateway._quota import QuotaSlack
 
+# Time within which an acknowledged configuration has to be in force on every host.
+CONFIGURATION_APPLY_S = 11.0
+
 
 class RetryBudgetSettings:
     """The retry budget of each service, shared by all hosts."""
@@ -39,6 +42,7 @@
         "retries",
         "grace_s",
         "bind_ip",
+        "configuration_apply_s",
     )
 
     def __init__(
@@ -61,6 +65,7 @@
         may_bootstrap: bool,
         identity: Identity | None = None,
         bind_ip: str = "",
+        configuration_apply_s: float = CONFIGURATION_APPLY_S,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -88,6 +93,7 @@
         # Local IP address if others reach this host under a different one; empty if
         # they are the same.
         self.bind_ip = bind_ip
+        self.configuration_apply_s = configuration_apply_s
 
     def bind_address(self, address: str) -> str:
         """Return the local address to listen on for a published address."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
@@ -22,6 +22,7 @@
 )
 from damaskvalve_core.rpc import RpcClient
 from damaskvalve_gateway._cluster_view import ClusterView
+from damaskvalve_gateway._confirmations import NO_VERSION
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._quarantine import drop_cleared_runs, updated_statuses
 from damaskvalve_gateway._settings import GatewaySettings
@@ -57,8 +58,11 @@
         self._dialect = dialect
         self._log = log
         self._loop = asyncio.get_running_loop()
-        # Version of the configuration in force; -1 if there is none.
-        self._configuration_version = -1
+        # Version of the newest configuration that was applied, readable or not.
+        self._configuration_version = NO_VERSION
+        # The log index up to which this host has received the applied state, and the
+        # version of the newest configuration there. Set inside the group actor.
+        self._committed = -1, NO_VERSION
         # Version of the list of hosts; 0 if there is none.
         self._hosts_version = 0
         # Version of the suspects that the group actor passed on last; -1 before the
@@ -75,6 +79,15 @@
         status = self.status()
         return status.is_leader and now_s < status.lease_until_s
 
+    def committed_version(self) -> int | None:
+        """Return the version of the newest committed configuration, readable or not.
+
+        None while this host has not received all that its group member has applied.
+        """
+        applied_index = self.status().applied_index
+        index, version = self._committed
+        return version if index >= applied_index else None
+
     def leader_address(self) -> str:
         """Return the RPC address of the leader; empty if none is known."""
         address = self.status().leader_address
@@ -111,6 +124,8 @@
         document = node.state_machine.documents.get(CONFIGURATION)
         hosts = node.state_machine.documents.get(HOSTS)
         versions = dict(node.state_machine.adapter_versions)
+        version = NO_VERSION if document is None else document.version
+        self._committed = node.applied_index, version
         self._loop.call_soon_threadsafe(
             self._apply_state, document, hosts, versions, node.applied_index
         )
@@ -138,10 +153,11 @@
             names = hosts.body.decode("ascii").split()
             self._view.registered_hosts = frozenset(names)
         if document is not None and document.version > self._configuration_version:
-            self._apply_configuration(document.version, document.body)
+            self._configuration_version = document.version
+            self._apply_configuration(document.version, document.body, index)
         self.applied_index = index
 
-    def _apply_configuration(self, version: int, body: bytes) -> None:
+    def _apply_configuration(self, version: int, body: bytes, index: int) -> None:
         text = zlib.decompress(body)
         try:
             configuration = self._dialect.read_configuration(text)
@@ -150,10 +166,16 @@
             # this one.
             self._log.line("configuration_unreadable", version=version, reason=error)
             return
-        self._configuration_version = version
         self._view.configuration = configuration
         self._view.configuration_body = text
-        self._log.line("configuration_in_force", version=version, bytes=len(text))
+        self._view.confirmations.note_in_force(version)
+        self._log.line(
+            "configuration_in_force",
+            version=version,
+            bytes=len(text),
+            leader=self.status().leader_id,
+            log_index=index,
+        )
 
     # ---- calls and commits ----
 
@@ -196,6 +218,7 @@
         host does not reach it in time.
         """
         now_s = boot_clock_s()
+        leader_id = self.status().leader_id
         if self.leads(now_s):
             index = self.status().applied_index
         else:
@@ -210,3 +233,4 @@
                     "this host has not caught up with the leader in time"
                 )
             await asyncio.sleep(CATCH_UP_POLL_INTERVAL_S)
+        self._view.confirmations.note(self._configuration_version, leader_id, now_s)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -198,6 +198,7 @@
         self._quota.renew(share, now_s + lease_s, now_s)
         self._view.host_count = self._leader_service.host_count(now_s)
         self._view.leader_contact_s = now_s
+        self._note_confirmation(self._state_client.committed_version(), now_s)
 
     async def _sync_as_follower(self, now_s: float) -> None:
         leader_id = self._state_client.status().leader_id
@@ -254,6 +255,12 @@
         self._quota.renew(reply.share, asked_s + reply.share_s, now_s)
         self._view.host_count = reply.hosts
         self._view.leader_contact_s = asked_s
+        self._note_confirmation(reply.configuration_version, asked_s)
+
+    def _note_confirmation(self, version: int | None, asked_s: float) -> None:
+        """Record the version that the leader states, if it does."""
+        if version is not None:
+            self._view.confirmations.note(version, self._leader_id, asked_s)
 
     async def borrow_tokens(
         self, workspace: Workspace, tokens: float, fingerprint: str
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/limit_simulation.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/limit_simulation.py
@@ -87,6 +87,9 @@
     async def ask_host(self, address, request, timeout_s):
         raise ChannelError("hosts lend nothing here")
 
+    def committed_version(self):
+        return None
+
     async def ask_leader(self, request, timeout_s):
         leader = self.simulation.leader
         if leader is None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_later_attempts.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_later_attempts.py
@@ -49,6 +49,7 @@
         crashes,
         make_streams(view),
         mock.Mock(),
+        mock.Mock(),
         "dc",
         log,
         mock.Mock(),
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
@@ -1,10 +1,12 @@
 """Exchange between hosts and a leader, without a network."""
 
 import asyncio
+import math
 import types
 import unittest
 
-from damaskvalve_core import boot_clock_s
+from damaskvalve_core import boot_clock_s, decode_struct, encode_struct
+from damaskvalve_core.messages import SyncReply, SyncRequest
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._leader_service import MAX_NOTICES, LeaderService
@@ -30,6 +32,7 @@
         # None in the leader's own client.
         self.leader = leader
         self.leader_id = "L/1"
+        self.version = None
         self.replies = []
 
     def status(self):
@@ -38,6 +41,9 @@
     def leads(self, now_s):
         return self.leader is None
 
+    def committed_version(self):
+        return self.version
+
     def leader_address(self):
         return "10.0.0.1:2"
 
@@ -149,6 +155,66 @@
         self.assertTrue(host.view.backends.find("i-1").is_resident("m/a1.3", 1))
 
 
+class ConfirmationTests(unittest.TestCase):
+    """What an exchange with the leader says about a host's configuration."""
+
+    def setUp(self):
+        self.leader = Host(1)
+        self.host = Host(2, self.leader)
+        for host in (self.leader, self.host):
+            self.bring_in_force(host, 7)
+
+    def bring_in_force(self, host, version):
+        host.state_client.version = version
+        host.view.confirmations.note_in_force(version)
+
+    def confirmed_s(self):
+        return self.host.view.confirmations.confirmed_s
+
+    def test_an_exchange_confirms_the_configuration_as_of_its_request(self):
+        """On the leader its own lease does."""
+        began_s = boot_clock_s()
+        self.host.sync_until_done()
+        self.assertLessEqual(began_s, self.confirmed_s())
+        self.assertEqual(self.host.view.confirmations.leader_id, "L/1")
+        self.leader.sync_until_done()
+        self.assertLessEqual(began_s, self.leader.view.confirmations.confirmed_s)
+
+    def test_an_exchange_does_not_confirm_a_configuration_that_the_host_lacks(self):
+        """The next one does, once the configuration has arrived."""
+        self.bring_in_force(self.leader, 8)
+        self.host.sync_until_done()
+        self.assertEqual(self.confirmed_s(), -math.inf)
+        self.bring_in_force(self.host, 8)
+        self.assertGreater(self.confirmed_s(), 0.0)
+
+    def test_a_reply_that_was_read_late_confirms_nothing_since_its_request(self):
+        """The host was suspended before it read the reply."""
+        request = SyncRequest("10.0.0.2:2", "L/1", 0, [], [], 0.0, {}, None)
+        reply = self.leader.leader_service._sync(request)
+        asked_s = boot_clock_s() - 60.0
+        self.host.sync._apply_reply(reply, asked_s)
+        self.assertEqual(self.confirmed_s(), asked_s)
+
+    def test_a_leader_of_an_older_release_confirms_nothing(self):
+        """Its replies do not state a version."""
+        request = SyncRequest("10.0.0.2:2", "L/1", 0, [], [], 0.0, {}, None)
+        reply = self.leader.leader_service._sync(request)
+        reply.configuration_version = None
+        self.host.sync._apply_reply(
+            decode_struct(SyncReply(), encode_struct(reply)), boot_clock_s()
+        )
+        self.assertEqual(self.confirmed_s(), -math.inf)
+
+    def test_the_version_that_a_leader_states_survives_encoding(self):
+        """Versions may be larger than 32 bits."""
+        self.bring_in_force(self.leader, 2**40)
+        request = SyncRequest("10.0.0.2:2", "L/1", 0, [], [], 0.0, {}, None)
+        reply = self.leader.leader_service._sync(request)
+        decoded = decode_struct(SyncReply(), encode_struct(reply))
+        self.assertEqual(decoded.configuration_version, 2**40)
+
+
 class LimitNoticeTests(unittest.TestCase):
     """What one host is told about a request limit binds all of them."""
 
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -23,11 +23,14 @@
     _backend_attempt,
     _backends,
     _base_versions,
+    _confirmation_controller,
     _crashes,
     _gateway,
     _overload,
     _part_blame,
 )
+from damaskvalve_gateway._confirmation_controller import ConfirmationController
+from damaskvalve_gateway._confirmations import Confirmations
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._crashes import CrashTracker
 from damaskvalve_gateway._gateway import Gateway
@@ -39,6 +42,7 @@
     TokenBucket,
     TokenReservations,
 )
+from damaskvalve_gateway._state_client import StateClient
 from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_standins._limit_proofs import LIMIT_PROOFS
 from damaskvalve_standins._proof import Proof, replace
@@ -65,6 +69,12 @@
     """Return at once."""
 
 
+def _confirm_any_version(
+    self: Any, version: int, leader_id: str, asked_s: float
+) -> None:
+    self.confirmed_s, self.leader_id = asked_s, leader_id
+
+
 def _keep_member_id_after_lost_disk() -> Any:
     from damaskvalve_core.messages import Member
     from damaskvalve_state.tests.fake_group import Host
@@ -422,6 +432,36 @@
         f"{GATEWAY}.test_stream_versions.BaseVersionTests."
         "test_the_base_changes_once_its_streams_cannot_be_resumed_any_more",
     ),
+    Proof(
+        "an old confirmation denies nothing",
+        replace(Confirmations, "may_deny", lambda *_: True),
+        f"{GATEWAY}.test_confirmation_controller.DenialTests."
+        "test_a_host_without_a_leader_refuses_what_it_cannot_deny",
+    ),
+    Proof(
+        "a configuration that is not in force is not confirmed",
+        replace(Confirmations, "note", _confirm_any_version),
+        f"{GATEWAY}.test_sync.ConfirmationTests."
+        "test_an_exchange_does_not_confirm_a_configuration_that_the_host_lacks",
+    ),
+    Proof(
+        "the leader is asked before a request is denied",
+        replace(ConfirmationController, "_ask", _record_nothing),
+        f"{GATEWAY}.test_confirmation_controller.DenialTests."
+        "test_a_route_acknowledged_while_the_host_was_away_is_served",
+    ),
+    Proof(
+        "unknown routes do not flood the leader",
+        replace(_confirmation_controller, "ASK_INTERVAL_S", 0.0),
+        f"{GATEWAY}.test_confirmation_controller.DenialTests."
+        "test_a_leader_that_cannot_confirm_is_not_asked_for_each_request",
+    ),
+    Proof(
+        "a leader states what it has received",
+        replace(StateClient, "committed_version", lambda self: self._committed[1]),
+        f"{GATEWAY}.test_confirmation_controller.CatchUpTests."
+        "test_a_leader_states_no_version_before_it_has_received_the_state",
+    ),
     Proof(
         "a leader restores the committed parts",
         replace(CrashController, "_restore_parts", lambda *_: None),
