A host that cannot read the newest configuration does not show an older one

Found while looking for other answers by an old configuration. After a release that writes configurations which the one before cannot read, a host of the older release answered reads with the configuration from before, although a leader had confirmed that it had applied everything. Such a read is answered with 503 now, as on a host that has not caught up. The test failed before: the older one was returned. Not seen on the users' platform.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_control_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_control_service.py
@@ -2,7 +2,7 @@
 
 import zlib
 
-from damaskvalve_core import DecisionLog, boot_clock_s
+from damaskvalve_core import DecisionLog, RetryLaterError, boot_clock_s
 from damaskvalve_core.messages import Command, DocumentRecord, VersionRecord
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._dialect import Dialect
@@ -56,6 +56,11 @@
     async def read_configuration(self) -> bytes:
         """Return the newest committed configuration; empty if there is none."""
         await self._state_client.catch_up()
+        if not self._state_client.newest_is_readable():
+            raise RetryLaterError(
+                "another release wrote the newest configuration, and this host cannot "
+                "read it"
+            )
         return self._view.configuration_body
 
     async def set_adapter_version(self, adapter: str, version: int) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
@@ -177,6 +177,10 @@
             log_index=index,
         )
 
+    def newest_is_readable(self) -> bool:
+        """Return whether the newest configuration that was applied is in force."""
+        return self._view.confirmations.version_in_force == self._configuration_version
+
     # ---- calls and commits ----
 
     async def ask_leader(self, request: Any, timeout_s: float) -> Any:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_confirmation_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_confirmation_controller.py
@@ -6,11 +6,18 @@
 import zlib
 from unittest import mock
 
-from damaskvalve_core import ChannelError, RefusedError, SettingsError, boot_clock_s
+from damaskvalve_core import (
+    ChannelError,
+    RefusedError,
+    RetryLaterError,
+    SettingsError,
+    boot_clock_s,
+)
 from damaskvalve_core.messages import ConfirmReply
 from damaskvalve_gateway import _confirmation_controller
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._confirmation_controller import ConfirmationController
+from damaskvalve_gateway._control_service import ControlService
 from damaskvalve_gateway._model import CallerRequest
 from damaskvalve_gateway._state_client import CONFIGURATION, StateClient
 from damaskvalve_gateway.tests.test_later_attempts import make_gateway
@@ -253,6 +260,18 @@
         self.assertFalse(self.view.confirmations.may_deny(boot_clock_s(), APPLY_S))
         self.assertEqual(self.view.confirmations.version_in_force, 7)
 
+    async def test_a_host_that_cannot_read_the_newest_configuration_returns_none(self):
+        """An older one would be taken for the newest."""
+        self.apply(7, 3)
+        control = ControlService(
+            self.dialect, self.client, mock.Mock(), self.view, self.log
+        )
+        self.assertEqual(await control.read_configuration(), b"{}")
+        self.dialect.read_configuration.side_effect = SettingsError([])
+        self.apply(8, 4)
+        with self.assertRaises(RetryLaterError):
+            await control.read_configuration()
+
     async def test_a_leader_states_no_version_before_it_has_received_the_state(self):
         """Its member may have applied a configuration that this host has not seen."""
         self.assertIsNone(self.client.committed_version())
