The leader is asked for confirmations at most as often as by the exchange

At five calls a second and host, unknown routes sent to 410 hosts while their leader is slow would have tripled its calls. One call in each period of the exchange at most doubles them, and the first one after a loss of contact is still made at once.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_confirmation_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_confirmation_controller.py
@@ -16,8 +16,9 @@
 #: The code of the refusal in place of one of these.
 UNCONFIRMED = "configuration_unconfirmed"
 # The leader is asked at most once in this time, however many requests wait: anyone can
-# send requests with unknown routes.
-ASK_INTERVAL_S = 0.2
+# send requests with unknown routes. This is the period of the exchange with the leader,
+# so its calls at most double.
+ASK_INTERVAL_S = 0.4
 # A request waits at most this long for the leader's reply, and at most this part of its
 # time.
 MAX_WAIT_S = 0.4
