--- a/packages/damaskvalve-gateway/damaskvalve_gateway/__init__.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/__init__.py
@@ -20,9 +20,14 @@
 )
 from damaskvalve_gateway._quota import QuotaSlack
 from damaskvalve_gateway._run import run_gateway
-from damaskvalve_gateway._settings import GatewaySettings, RetryBudgetSettings
+from damaskvalve_gateway._settings import (
+    CONFIGURATION_APPLY_S,
+    GatewaySettings,
+    RetryBudgetSettings,
+)
 
 __all__ = [
+    "CONFIGURATION_APPLY_S",
     "GONE",
     "LEAVING",
     "READY",
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_settings.py
@@ -7,6 +7,9 @@
 from damaskvalve_gateway._quota import QuotaSlack
 from damaskvalve_state import LossTolerance
 
+# Time within which an acknowledged configuration has to be in force on every host.
+CONFIGURATION_APPLY_S = 11.0
+
 
 class RetryBudgetSettings:
     """The retry budget of each service, shared by all hosts."""
@@ -41,6 +44,7 @@
         "grace_s",
         "bind_ip",
         "tolerance",
+        "configuration_apply_s",
     )
 
     def __init__(
@@ -64,6 +68,7 @@
         identity: Identity | None = None,
         bind_ip: str = "",
         tolerance: LossTolerance | None = None,
+        configuration_apply_s: float = CONFIGURATION_APPLY_S,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -93,6 +98,7 @@
         self.bind_ip = bind_ip
         # The losses that the group of hosts has to outlive.
         self.tolerance = tolerance or LossTolerance()
+        self.configuration_apply_s = configuration_apply_s
 
     def bind_address(self, address: str) -> str:
         """Return the local address to listen on for a published address."""
