A leader serves only once it has applied its first entry

A new leader's status was published between the commit of its first entry and its application. In that moment, which lasts as long as a disk write, it would have confirmed the state before its term as the newest, to readers of the configuration and to hosts that deny a request.

The test fails without the condition: the status of a lagging leader was 'leads'.

--- a/packages/damaskvalve-state/damaskvalve_state/_consensus.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus.py
@@ -135,6 +135,10 @@
             return False
         return self.lease_left_s(now_s) > 0
 
+    def has_applied_its_term(self, applied_index: int) -> bool:
+        """Return whether a leader has applied the first entry of its term."""
+        return applied_index >= self._term_start_index
+
     def tick(self, now_s: float) -> None:
         """Start elections, send heartbeats or step down when they are due."""
         if self.role == LEADER:
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -272,7 +272,11 @@
 
     def _publish(self, now_s: float) -> None:
         consensus = self.consensus
-        is_leader = consensus.may_serve(now_s)
+        # Until it has applied all entries of earlier terms, a leader would confirm an
+        # older state as the newest.
+        is_leader = consensus.may_serve(now_s) and consensus.has_applied_its_term(
+            self.applied_index
+        )
         self._published.status = NodeStatus(
             f"{consensus.leader_id}/{consensus.term}" if consensus.leader_id else "",
             consensus.leader_address,
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_group.py
@@ -55,6 +55,24 @@
         with running_group(self.settings, NoPeers()) as group:
             self.assertFalse(self.commit(group, "a").accepted)
 
+    def test_a_leader_that_lags_behind_its_commits_does_not_serve(self):
+        """It would confirm a state from before its term as the newest."""
+
+        def lag(node, now_s):
+            node.applied_index -= 1
+            node._publish(now_s)
+            lagging = node._published.status.is_leader
+            node.applied_index += 1
+            node._publish(now_s)
+            return lagging, node._published.status.is_leader
+
+        with running_group(self.settings, NoPeers()) as group:
+            for _ in range(200):
+                if group.status().is_leader:
+                    break
+                time.sleep(0.05)
+            self.assertEqual(group.run(lag), (False, True))
+
     def test_queued_proposals_share_one_sync(self):
         """60 concurrent proposals need fewer than 30 syncs."""
         syncs = []
