An odd announcement is refused; it no longer stops the sync of all hosts

What callers saw: after one announcement of another writer, hosts served nobody new. With slots 2**31, call_seq 2**63 or a lone surrogate in a name, the host stored it, and encoding its next sync raised OverflowError or UnicodeEncodeError. The sync task ended ("task_failed"), and the host followed no backend server any more; the leader's replies to all others failed, too. Bodies nested deeply closed the connection without a reply (RecursionError is no ValueError); a port of 99999, "²" or a label of 70 letters was stored and gave callers 502, because connecting raises OverflowError or ValueError there.

Cause: an announcement was checked for types only, and it is passed on to every host, in fields of 32 and 64 bits.

Now check_announcement() bounds each field before it is stored: what passes can be encoded, connected to, put into a header and logged. All else is refused with 400 and one log line, "announcement_refused", with its id.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/__init__.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/__init__.py
@@ -1,6 +1,10 @@
 """HTTP gateway: routing, rate limits, permits, retries and backend selection."""
 
 from damaskvalve_core.http import Headers, IncomingRequest, Responder
+from damaskvalve_gateway._announcement_check import (
+    check_announcement,
+    check_instance_id,
+)
 from damaskvalve_gateway._backends import GONE, LEAVING, READY
 from damaskvalve_gateway._control_service import ControlService
 from damaskvalve_gateway._dialect import Dialect
@@ -46,5 +50,7 @@
     "Route",
     "Service",
     "Workspace",
+    "check_announcement",
+    "check_instance_id",
     "run_gateway",
 ]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_control_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_control_service.py
@@ -4,6 +4,7 @@
 
 from damaskvalve_core import DecisionLog, boot_clock_s
 from damaskvalve_core.messages import Command, DocumentRecord, VersionRecord
+from damaskvalve_gateway._announcement_check import RefusedAnnouncements
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._model import READY, Announcement
@@ -34,6 +35,7 @@
         self._sync = sync
         self._view = view
         self._log = log
+        self._refused = RefusedAnnouncements(log)
 
     async def put_configuration(self, body: bytes) -> int:
         """Commit a complete configuration and return its version.
@@ -81,6 +83,10 @@
                 sequence=announcement.sequence,
             )
 
+    def note_refused(self, instance_id: str, reason: str, sender: str) -> None:
+        """Log an announcement that was refused, once."""
+        self._refused.note(instance_id, reason, sender)
+
     async def remove_backend(self, instance_id: str) -> None:
         """Mark a backend server as gone, here and through the leader on all hosts."""
         self._sync.end(instance_id, boot_clock_s())
