One odd notice of another host is left out; all others are followed

What callers saw: an odd entry that reached a leader's table another way, from a host of an older release for instance, had the same effect as one that a host had accepted itself. A notice without a state or a sequence made the receiver raise KeyError or TypeError; its sync task ended, and the leader answered with an error for ever. An entry that cannot be encoded made every sync reply fail. An age of NaN or far in the future kept an entry for ever.

Now from_notice() checks each announcement like one that a backend server sends, and the age; a notice that fails is left out and logged once. Encoding raises EncodingError, whatever the value; then the notices are encoded one by one, and only those that fail are left out. This costs nothing while all can be encoded.

--- a/packages/damaskvalve-core/damaskvalve_core/_channel.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_channel.py
@@ -23,6 +23,7 @@
 from damaskvalve_core._codec import decode_message, encode_message
 from damaskvalve_core._exceptions import (
     ChannelError,
+    EncodingError,
     NotSentError,
     OperatorError,
     ProtocolError,
@@ -117,7 +118,7 @@
         """Send one message.
 
         Raise :class:`ChannelError` if the connection fails, and
-        :class:`ProtocolError` if the message is too large.
+        :class:`ProtocolError` if the message is too large or a value does not fit.
         """
         payload = encode_message(message)
         if len(payload) > MAX_FRAME_BYTES:
@@ -353,9 +354,10 @@
         try:
             for reply in self._handler(request, connection):
                 connection.send(reply)
-        except (ChannelError, ProtocolError):
-            raise
         except Exception as error:
+            is_own = isinstance(error, EncodingError)
+            if isinstance(error, (ChannelError, ProtocolError)) and not is_own:
+                raise
             _log.exception(
                 "handling of {} failed; replying with an internal error",
                 type(request).__name__,
--- a/packages/damaskvalve-core/damaskvalve_core/_codec.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_codec.py
@@ -7,7 +7,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from damaskvalve_core import _messages
-from damaskvalve_core._exceptions import ProtocolError
+from damaskvalve_core._exceptions import EncodingError, ProtocolError
 
 _FACTORY = TCompactProtocolAcceleratedFactory(fallback=True)
 
@@ -30,8 +30,20 @@
 
 
 def encode_struct(struct: Any) -> bytes:
-    """Serialize a generated struct."""
-    data: bytes = serialize(struct, _FACTORY)
+    """Serialize a struct; raise :class:`EncodingError` if a value does not fit."""
+    try:
+        data: bytes = serialize(struct, _FACTORY)
+    except (
+        TException,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
+        raise EncodingError(
+            f"cannot encode {type(struct).__name__}: {error}"
+        ) from error
     return data
 
 
--- a/packages/damaskvalve-core/damaskvalve_core/_exceptions.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_exceptions.py
@@ -52,6 +52,10 @@
     """A peer sent an invalid message."""
 
 
+class EncodingError(ProtocolError):
+    """A value does not fit into the message or record that should carry it."""
+
+
 class OperatorError(DamaskvalveError):
     """An operator has to intervene; the message names the next step."""
 
--- a/packages/damaskvalve-core/damaskvalve_core/rpc.py
+++ b/packages/damaskvalve-core/damaskvalve_core/rpc.py
@@ -23,6 +23,7 @@
 from damaskvalve_core._codec import decode_message, encode_message
 from damaskvalve_core._exceptions import (
     ChannelError,
+    EncodingError,
     NotSentError,
     OperatorError,
     ProtocolError,
@@ -48,7 +49,10 @@
         self.peer = peer
 
     def send(self, message: Any) -> None:
-        """Queue one message; the next receive reports a broken connection."""
+        """Queue one message; the next receive reports a broken connection.
+
+        Raise :class:`EncodingError` if a value does not fit into it.
+        """
         payload = encode_message(message)
         self._writer.write(_HEADER.pack(len(payload)) + payload)
 
@@ -206,9 +210,10 @@
 async def _handle_request(request: Any, call: RpcCall, handler: RpcHandler) -> None:
     try:
         await handler(request, call)
-    except (ChannelError, ProtocolError):
-        raise
     except Exception as error:
+        is_own = isinstance(error, EncodingError)
+        if isinstance(error, (ChannelError, ProtocolError)) and not is_own:
+            raise
         _log.exception(
             "handling of {} failed; replying with an internal error",
             type(request).__name__,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_announcement_check.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_announcement_check.py
@@ -9,7 +9,7 @@
 import re
 
 from damaskvalve_core import DecisionLog
-from damaskvalve_gateway._model import GONE, Announcement
+from damaskvalve_gateway._model import GONE, LEAVING, READY, Announcement
 
 MAX_NAME_CHARACTERS = 256
 MAX_SLOTS = 65_536
@@ -42,6 +42,8 @@
 def check_announcement(announcement: Announcement) -> None:
     """Raise :class:`ValueError` if an announcement cannot be used by every host."""
     check_instance_id(announcement.instance_id)
+    if announcement.state not in (READY, LEAVING, GONE):
+        raise ValueError("the state is unknown")
     for name in ("service", "data_centre", "software_version"):
         _check_text(name, getattr(announcement, name), MAX_NAME_CHARACTERS)
     _check_integer("start time", announcement.started_at_ms, MAX_STARTED_AT_MS)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 
-from damaskvalve_core import DecisionLog, RetryLaterError, boot_clock_s
+from damaskvalve_core import DecisionLog, EncodingError, RetryLaterError, boot_clock_s
 from damaskvalve_core.messages import (
     ConfirmReply,
     ConfirmRequest,
@@ -20,6 +20,7 @@
     TokensRequest,
 )
 from damaskvalve_core.rpc import RpcCall
+from damaskvalve_gateway._announcement_check import RefusedAnnouncements
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._grant_ledger import GrantClaim, GrantLedger
@@ -27,7 +28,12 @@
 from damaskvalve_gateway._incarnations import Incarnation
 from damaskvalve_gateway._limits import apply_limit_notice, log_limit_change
 from damaskvalve_gateway._model import Workspace
-from damaskvalve_gateway._notices import from_limit_notice, from_notice, to_notice
+from damaskvalve_gateway._notices import (
+    encodable_notices,
+    from_limit_notice,
+    from_notice,
+    to_notice,
+)
 from damaskvalve_gateway._quota import (
     SHARE_LEASE_S,
     HostCount,
@@ -75,6 +81,7 @@
         self._own_quota = own_quota
         self._crashes = crashes
         self._log = log
+        self._refused = RefusedAnnouncements(log)
         # The id of this host's last leadership; empty if it has not led.
         self._leader_id = ""
         self._quota = LeaderQuota(settings.quota_slack, 0.0)
@@ -178,7 +185,7 @@
     async def answer(self, request: object, call: RpcCall) -> None:
         """Answer one RPC of a host or an agent."""
         if isinstance(request, SyncRequest):
-            call.send(self._sync(request))
+            self._send_sync_reply(self._sync(request), call)
         elif isinstance(request, TokensRequest):
             call.send(self._tokens(request))
         elif isinstance(request, SendGrantsRequest):
@@ -190,6 +197,15 @@
         else:
             call.send(Problem("unknown", f"no answer to {type(request).__name__}"))
 
+    def _send_sync_reply(self, reply: SyncReply, call: RpcCall) -> None:
+        try:
+            call.send(reply)
+        except EncodingError:
+            # One entry must not keep the others from the host.
+            own = self._settings.rpc_address(self._settings.group_address)
+            reply.notices = encodable_notices(reply.notices, self._refused, own)
+            call.send(reply)
+
     def _sync(self, request: SyncRequest) -> SyncReply:
         now_s = boot_clock_s()
         if not self._state_client.leads(now_s):
@@ -202,8 +218,12 @@
             now_s
         )
         for notice in request.notices:
-            announcement = from_notice(notice, backends.find(notice.instance_id))
-            backends.update(announcement, now_s - notice.age_s)
+            try:
+                announcement = from_notice(notice, backends.find(notice.instance_id))
+            except ValueError as error:
+                self._refused.note(notice.instance_id, str(error), request.host_address)
+                continue
+            backends.update(announcement, now_s - max(0.0, notice.age_s))
             apply_limit_notice(
                 backends,
                 notice,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_notices.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_notices.py
@@ -1,8 +1,14 @@
 """Conversion of backend servers to and from the notices that hosts exchange."""
 
 import math
+from collections.abc import Sequence
 
+from damaskvalve_core import EncodingError, encode_struct
 from damaskvalve_core.messages import BackendNotice, LimitNotice
+from damaskvalve_gateway._announcement_check import (
+    RefusedAnnouncements,
+    check_announcement,
+)
 from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._limit_statements import NEVER_S, LimitStatement
 from damaskvalve_gateway._model import Announcement
@@ -49,6 +55,9 @@
     The notice was made at ``composed_after_s`` or later, by this host's clock; None if
     that is unknown. Raise :class:`ValueError` if its values are impossible.
     """
+    _check_age(notice.latest_age_s)
+    if notice.earliest_age_s is not None:
+        _check_age(notice.earliest_age_s)
     latest_s = now_s - max(0.0, notice.latest_age_s)
     earliest_s = NEVER_S
     if composed_after_s is not None and notice.earliest_age_s is not None:
@@ -59,12 +68,13 @@
 def from_notice(notice: BackendNotice, known: Backend | None) -> Announcement:
     """Return the announcement that a notice carries.
 
-    The adapters of a brief notice are taken from ``known``.
+    The adapters of a brief notice are taken from ``known``. Raise :class:`ValueError`
+    if the announcement cannot be used; other releases may accept more.
     """
     resident = notice.resident
     if resident is None:
         resident = known.announcement.resident if known is not None else ()
-    return Announcement(
+    announcement = Announcement(
         notice.instance_id,
         notice.service_name,
         notice.address,
@@ -76,3 +86,25 @@
         resident,
         notice.software_version or "",
     )
+    check_announcement(announcement)
+    _check_age(notice.age_s)
+    return announcement
+
+
+def _check_age(age_s: float | None) -> None:
+    if not isinstance(age_s, float) or not math.isfinite(age_s):
+        raise ValueError(f"the age of a notice is {age_s}, not finite")
+
+
+def encodable_notices(
+    notices: Sequence[BackendNotice], refused: RefusedAnnouncements, told_by: str
+) -> list[BackendNotice]:
+    """Return the notices that a message can carry, and log the others."""
+    encodable = []
+    for notice in notices:
+        try:
+            encode_struct(notice)
+            encodable.append(notice)
+        except EncodingError as error:
+            refused.note(notice.instance_id, str(error), told_by)
+    return encodable
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -10,7 +10,13 @@
 import uuid
 from collections.abc import Sequence
 
-from damaskvalve_core import ChannelError, DecisionLog, RetryLaterError, boot_clock_s
+from damaskvalve_core import (
+    ChannelError,
+    DecisionLog,
+    EncodingError,
+    RetryLaterError,
+    boot_clock_s,
+)
 from damaskvalve_core.messages import (
     SendGrantAsk,
     SendGrantReturn,
@@ -19,6 +25,7 @@
     SyncReply,
     SyncRequest,
 )
+from damaskvalve_gateway._announcement_check import RefusedAnnouncements
 from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._backends import ANNOUNCEMENT_OVERDUE_S
 from damaskvalve_gateway._cluster_view import ClusterView
@@ -29,7 +36,11 @@
 from damaskvalve_gateway._limit_statements import LimitStatement
 from damaskvalve_gateway._limits import apply_limit_notice, log_limit_change
 from damaskvalve_gateway._model import LEAVING, Announcement, Workspace
-from damaskvalve_gateway._notices import from_notice, to_notice
+from damaskvalve_gateway._notices import (
+    encodable_notices,
+    from_notice,
+    to_notice,
+)
 from damaskvalve_gateway._quota import HostQuota
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_client import StateClient
@@ -68,6 +79,7 @@
         self._leader_service = leader_service
         self._crashes = crashes
         self._log = log
+        self._refused = RefusedAnnouncements(log)
         self._address = settings.rpc_address(settings.group_address)
         self._borrower = TokenBorrower(self._address, state_client.ask_host, log)
         self._leader_clock = LeaderClock()
@@ -227,7 +239,14 @@
             served,
             self._leader_clock.at_least_s(leader_id, now_s),
         )
-        reply = await self._state_client.ask_leader(request, SYNC_TIMEOUT_S)
+        try:
+            reply = await self._state_client.ask_leader(request, SYNC_TIMEOUT_S)
+        except EncodingError:
+            # One entry must not keep the others from the leader.
+            request.notices = encodable_notices(
+                request.notices, self._refused, self._address
+            )
+            reply = await self._state_client.ask_leader(request, SYNC_TIMEOUT_S)
         if not reply.leader_id:
             raise ChannelError("the host that was asked does not lead")
         for key, announcement in sent_announcements.items():
@@ -244,8 +263,12 @@
         now_s = boot_clock_s()
         backends = self._view.backends
         for notice in reply.notices:
-            announcement = from_notice(notice, backends.find(notice.instance_id))
-            backends.update(announcement, now_s - notice.age_s)
+            try:
+                announcement = from_notice(notice, backends.find(notice.instance_id))
+            except ValueError as error:
+                self._refused.note(notice.instance_id, str(error), "leader")
+                continue
+            backends.update(announcement, now_s - max(0.0, notice.age_s))
             apply_limit_notice(backends, notice, asked_s, now_s, self._log, "leader")
         self._leader_clock.note(reply.leader_id, reply.clock_s or 0.0, now_s)
         backends.confirm_live(reply.silent or {}, now_s)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
@@ -4,12 +4,15 @@
 import types
 import unittest
 
-from damaskvalve_core import boot_clock_s
+from damaskvalve_core import boot_clock_s, decode_message, encode_message
+from damaskvalve_core.messages import LimitNotice, SyncRequest
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._leader_service import MAX_NOTICES, LeaderService
 from damaskvalve_gateway._limit_statements import LimitStatement
 from damaskvalve_gateway._model import LEAVING, READY, Announcement
+from damaskvalve_gateway._notices import to_notice
 from damaskvalve_gateway._quota import HostQuota, QuotaSlack
 from damaskvalve_gateway._sync import SyncController
 
@@ -17,10 +20,14 @@
 
 
 class FakeLog:
-    """Discards its lines."""
+    """Keeps the kinds of its lines."""
+
+    def __init__(self):
+        self.kinds = []
 
     def line(self, kind, **fields):
-        """Discard a line."""
+        """Record a line."""
+        self.kinds.append(kind)
 
 
 class FakeStateClient:
@@ -66,7 +73,7 @@
         self.state_client = FakeStateClient(leader)
         self.view = ClusterView()
         self.view.registered_hosts = frozenset(f"10.0.0.{n}:2" for n in range(9))
-        log = FakeLog()
+        self.log = log = FakeLog()
         quota = HostQuota(SLACK, boot_clock_s())
         self.crashes = CrashController(self.state_client, self.view, log)
         self.leader_service = LeaderService(
@@ -238,3 +245,139 @@
         host.sync_until_done()
         self.state(host, 1.0)
         self.assertFalse(host.sync._urgent.is_set())
+
+
+class FakeCall:
+    """Encodes the replies of one call, as a connection does."""
+
+    def __init__(self):
+        self.replies = []
+
+    def send(self, message):
+        """Record a reply as its receiver reads it."""
+        self.replies.append(decode_message(encode_message(message)))
+
+
+# What an older release may have stored, or another host may send.
+ODD_FIELDS = {
+    "no id": {"instance_id": None},
+    "id for no header": {"instance_id": "a\r\nb"},
+    "no service": {"service": None},
+    "unknown state": {"state": "paused"},
+    "no state": {"state": None},
+    "no address": {"address": ""},
+    "port": {"address": "10.0.0.1:99999"},
+    "no sequence": {"sequence": None},
+    "slots": {"slots": -1},
+    "version": {"software_version": "\0"},
+}
+UNENCODABLE_FIELDS = {
+    "slots": {"slots": 2**31},
+    "sequence": {"sequence": 2**63},
+    "surrogate": {"service": "\ud800"},
+}
+
+
+def odd_announcement(number, fields):
+    odd = announcement(number)
+    for name, value in fields.items():
+        setattr(odd, name, value)
+    return odd
+
+
+class OddNoticeTests(unittest.TestCase):
+    """One odd entry is left out; all others are exchanged."""
+
+    def exchange(self, sender_table, leader, host):
+        sender_table._store(Backend(announcement(1), boot_clock_s()))
+        leader.leader_service._leader_id = "L/1"
+        host.sync._outbox = dict(host.view.backends._backends)
+
+        async def ask(request, timeout_s):
+            call = FakeCall()
+            read = decode_message(encode_message(request))
+            await leader.leader_service.answer(read, call)
+            return call.replies[0]
+
+        host.state_client.ask_leader = ask
+        asyncio.run(host.sync.sync_now())
+
+    def test_an_odd_entry_of_the_leader_is_left_out_by_each_host(self):
+        """The host follows the sound one and logs the other once."""
+        for name, fields in {**ODD_FIELDS, **UNENCODABLE_FIELDS}.items():
+            with self.subTest(name):
+                leader = Host(1)
+                odd = odd_announcement(2, fields)
+                leader.view.backends._store(Backend(odd, boot_clock_s()))
+                host = Host(2, leader)
+                for _ in range(2):
+                    self.exchange(leader.view.backends, leader, host)
+                self.assertEqual(host.live_count(), 1)
+                self.assertIsNone(host.view.backends.find(odd.instance_id))
+                logged = [*leader.log.kinds, *host.log.kinds]
+                self.assertEqual(logged.count("announcement_refused"), 1)
+
+    def test_an_odd_entry_of_a_host_is_left_out_by_the_leader(self):
+        """The leader learns of the sound one."""
+        # The leader's first notices carry no adapters.
+        adapter = {"adapter": {"resident": ("\ud800",)}}
+        for name, fields in {**ODD_FIELDS, **UNENCODABLE_FIELDS, **adapter}.items():
+            with self.subTest(name):
+                leader = Host(1)
+                host = Host(2, leader)
+                odd = odd_announcement(2, fields)
+                host.view.backends._store(Backend(odd, boot_clock_s()))
+                self.exchange(host.view.backends, leader, host)
+                self.assertEqual(leader.live_count(), 1)
+                self.assertIsNone(leader.view.backends.find(odd.instance_id))
+                logged = [*leader.log.kinds, *host.log.kinds]
+                self.assertEqual(logged.count("announcement_refused"), 1)
+
+    def test_a_notice_without_one_of_its_fields_is_left_out(self):
+        """As of a release that has other fields."""
+        for name in ("instance_id", "service_name", "address", "data_centre"):
+            self.check_left_out(**{name: None})
+        for name in ("state", "started_at_ms", "sequence", "slots"):
+            self.check_left_out(**{name: None})
+
+    def check_left_out(self, **fields):
+        with self.subTest(fields):
+            leader = Host(1)
+            notice = to_notice(Backend(announcement(1), 1.0), 1.0)
+            for name, value in fields.items():
+                setattr(notice, name, value)
+            request = SyncRequest("10.0.0.2:2", "", 0, [notice], [], 0.0)
+            asyncio.run(leader.leader_service.answer(request, FakeCall()))
+            self.assertEqual(leader.view.backends.revision, 0)
+            self.assertEqual(leader.log.kinds.count("announcement_refused"), 1)
+
+    def test_an_age_that_is_no_number_or_negative_keeps_no_entry_for_ever(self):
+        """Nobody has seen the backend server later than now."""
+        for age_s in (float("nan"), float("inf"), None, -1e12):
+            with self.subTest(age_s):
+                leader = Host(1)
+                sound = Backend(announcement(1), boot_clock_s())
+                notice = to_notice(sound, boot_clock_s())
+                notice.age_s = age_s
+                request = SyncRequest("10.0.0.2:2", "", 0, [notice], [], 0.0)
+                asyncio.run(leader.leader_service.answer(request, FakeCall()))
+                leader.view.backends.expire(boot_clock_s() + 120)
+                self.assertIsNone(leader.view.backends.find("i-1"))
+
+    def test_a_limit_that_is_incomplete_is_left_out(self):
+        """The announcement that carries it is used."""
+        for limit in (
+            LimitNotice(None, None, None),
+            LimitNotice(float("nan"), 1.0, 1.0),
+            LimitNotice(1.0, float("nan"), 1.0),
+            LimitNotice(1.0, 1.0, float("nan")),
+        ):
+            with self.subTest(limit):
+                leader = Host(1)
+                sound = Backend(announcement(1), boot_clock_s())
+                notice = to_notice(sound, boot_clock_s())
+                notice.limit = limit
+                request = SyncRequest("10.0.0.2:2", "", 0, [notice], [], 0.0)
+                asyncio.run(leader.leader_service.answer(request, FakeCall()))
+                self.assertIsNone(leader.view.backends.find("i-1").limit_per_s())
+                self.assertEqual(leader.log.kinds.count("limit_notice_invalid"), 1)
