A backend server whose address cannot be connected to is skipped

What callers saw: 502 "internal" instead of an answer by another backend server of the service, for as long as one was known with port 99999, port "²", a label of 70 letters or a NUL in its address. It was not chosen last afterwards, either.

Cause: connecting to such an address raises OverflowError, ValueError or UnicodeError; only OSError counted as a failed connection.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -228,9 +228,9 @@
             if connection.is_usable(now_s):
                 return connection
             connection.close()
-        ip, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
+            ip, port = split_address(address)
             _, new_connection = await asyncio.wait_for(
                 loop.create_connection(
                     lambda: BackendConnection(address),
@@ -240,7 +240,7 @@
                 ),
                 CONNECT_TIMEOUT_S,
             )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
         self.opened_count += 1
         return new_connection
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from damaskvalve_core import ChannelError
+from damaskvalve_core import ChannelError, NotSentError
 from damaskvalve_core.http import (
     BackendFailedError,
     BackendPool,
@@ -244,6 +244,15 @@
         self.scripted_replies = [[b"HTTP/1.1 200 OK\r\n\r\nall"]]
         self.assertEqual(await self.send_request(), (200, b"all"))
 
+    async def test_an_address_that_cannot_be_connected_to_was_not_sent_to(self):
+        """Another backend server is tried, as after a refused connection."""
+        for address in (
+            *("127.0.0.1:99999", "127.0.0.1:²", "127.0.0.1:-1", "127.0.0.1", ""),
+            *("a" * 70 + ":80", "\0:80", "\ud800:80", "127.0.0.1:" + "9" * 5_000),
+        ):
+            with self.subTest(address[:20]), self.assertRaises(NotSentError):
+                await self.pool.acquire("i", address, 0.0, 60.0)
+
     async def test_an_idle_connection_is_not_reused_near_its_timeout(self):
         """A new one is made from one second before the announced timeout on."""
         reply = (
