A background task that fails is started again; invalid replies are lost calls

What callers saw: a host that lost its sync task ("task_failed") went on serving with the backend servers that it knew, and followed no change any more, until it was restarted by hand. The agent's tasks ended without a line.

Cause: tasks handle lost connections (ChannelError). A reply with invalid bytes, as another process sends it, raised ProtocolError in the caller, and an address that cannot be connected to OverflowError or ValueError; each ended the task.

An invalid reply is a ChannelError at the caller now, and so is a connection that cannot be made, whatever the reason. Any other error of a background task is logged with its name, and the task is started again after a second; all of them keep their state in objects. The tasks of the agent are watched, too.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 import uuid
 
@@ -56,6 +57,7 @@
 )
 from damaskvalve_core.metrics import CONTENT_TYPE
 from damaskvalve_core.rpc import RpcCall, serving_rpc
+from damaskvalve_core.tasks import background_tasks
 
 # While a load is in transit, the engine is polled often, because a request waits for
 # the load; otherwise only to detect a restart.
@@ -359,14 +361,13 @@
                     _plain_refusal,
                 ),
             ):
-                tasks = [
-                    loop.create_task(server.fetch_fence(leader)),
-                    loop.create_task(server.poll_reports()),
-                    loop.create_task(server.send_orders()),
-                ]
-                await stopping.wait()
-                for task in tasks:
-                    task.cancel()
+                runs = (
+                    functools.partial(server.fetch_fence, leader),
+                    server.poll_reports,
+                    server.send_orders,
+                )
+                with background_tasks(runs, log):
+                    await stopping.wait()
 
 
 def run_permits(settings: PermitSettings, dialect: EngineDialect) -> None:
--- a/packages/damaskvalve-core/damaskvalve_core/_channel.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_channel.py
@@ -203,7 +203,7 @@
             if self._context is not None:
                 raw = self._context.wrap_socket(raw)
             return Connection(raw, address)
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
 
     def _take_idle(self, address: str) -> Connection | None:
--- a/packages/damaskvalve-core/damaskvalve_core/rpc.py
+++ b/packages/damaskvalve-core/damaskvalve_core/rpc.py
@@ -82,6 +82,17 @@
         self._writer.close()
 
 
+class _ClientCall(RpcCall):
+    """A call to a peer, whose invalid replies count as a failure of the channel."""
+
+    async def receive(self) -> Any:
+        """Return the next reply; raise :class:`ChannelError` if there is none."""
+        try:
+            return await super().receive()
+        except ProtocolError as error:
+            raise ChannelError(f"{self.peer} sent an invalid reply: {error}") from error
+
+
 #: Handles one request and sends its replies over the call.
 RpcHandler = Callable[[Any, RpcCall], Awaitable[None]]
 
@@ -95,21 +106,21 @@
         self._idle: dict[str, list[RpcCall]] = {}
 
     async def _connect(self, address: str) -> RpcCall:
-        ip, port = split_address(address)
         timeout_s = CONNECT_TIMEOUT_S
         if self._context is not None:
             timeout_s += HANDSHAKE_TIMEOUT_S
         try:
+            ip, port = split_address(address)
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(
                     ip, port, ssl=self._context, local_addr=self._source_address
                 ),
                 timeout_s,
             )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
         enable_keepalive(writer.get_extra_info("socket"))
-        return RpcCall(reader, writer, address)
+        return _ClientCall(reader, writer, address)
 
     @contextlib.asynccontextmanager
     async def open(self, address: str, request: Any) -> AsyncIterator[RpcCall]:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 import time
 from collections.abc import Awaitable, Callable, Iterator
@@ -25,6 +26,7 @@
 )
 from damaskvalve_core.metrics import CONTENT_TYPE
 from damaskvalve_core.rpc import RpcClient, serving_rpc
+from damaskvalve_core.tasks import background_tasks
 from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._backend_attempt import ReplyCallback
 from damaskvalve_gateway._base_versions import BaseVersionController
@@ -222,30 +224,19 @@
         caller_server = await open_server(
             settings.front_address, gateway.handle, lambda: _caller_limits(view)
         )
-        tasks = [
-            loop.create_task(state_client.watch()),
-            loop.create_task(sync.run()),
-            loop.create_task(crashes.run()),
-            loop.create_task(streams.run()),
-            loop.create_task(base_versions.run()),
-            loop.create_task(_load_metrics(metrics)),
-            loop.create_task(_watch_suspension(pool, rpc_client, log)),
-        ]
-        for task in tasks:
-            task.add_done_callback(lambda ended: _log_failure(ended, log))
-        try:
+        runs = (
+            state_client.watch,
+            sync.run,
+            crashes.run,
+            streams.run,
+            base_versions.run,
+            functools.partial(_load_metrics, metrics),
+            functools.partial(_watch_suspension, pool, rpc_client, log),
+        )
+        with background_tasks(runs, log):
             await stopping.wait()
             await _transfer_leadership(group, log)
             await _drain(settings, caller_server, log)
-        finally:
-            for task in tasks:
-                task.cancel()
-
-
-def _log_failure(task: asyncio.Task[None], log: DecisionLog) -> None:
-    """Log the failure of a background task, which is not started again."""
-    if not task.cancelled() and task.exception() is not None:
-        log.line("task_failed", reason=repr(task.exception()))
 
 
 def make_reply_observer(
