--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable
 
 from damaskvalve_agent._permits._types import EngineReport, Order
-from damaskvalve_core import boot_clock_s
+from damaskvalve_core import ChannelError, boot_clock_s
 from damaskvalve_core.http import BackendPool, Headers
 
 # A connection that has been idle for longer is not reused.
 MAX_IDLE_S = 2.0
+# Reports have some kilobytes.
+MAX_REPLY_BYTES = 2 * 1024 * 1024
 
 
 class EngineCall:
@@ -83,8 +85,14 @@
                 connection.send(call.method, call.target, call.headers, call.body)
                 head = await connection.read_head()
                 parts = []
+                left_bytes = MAX_REPLY_BYTES
                 while (piece := await connection.read_chunk()) is not None:
                     parts.append(piece)
+                    left_bytes -= len(piece)
+                    if left_bytes < 0:
+                        raise ChannelError(
+                            f"the reply of {address} exceeds {MAX_REPLY_BYTES} bytes"
+                        )
             except BaseException:
                 connection.close()
                 raise
