Numbers with too many digits in a reply do not spoil it

What callers saw: 502 for a complete reply whose Keep-Alive header had a timeout of 400 digits, and a stream that was cut at an event whose id had 5,000.

Cause: int() accepts at most 4,300 digits, and floats end at 308; both raise errors (ValueError, OverflowError) that count as faults of this host.

Now nine digits of the timeout are read, and an event id with more than 100 counts as none. Evidence: both new tests failed before with these errors (2 of 3 replies; the stream) and pass now.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -22,7 +22,7 @@
 # Maximum number of informational replies before the final one; one or two are usual.
 MAX_INFORMATIONAL = 8
 MAX_HEAD_BYTES = 64 * 1024
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,9})")
 
 
 class BackendFailedError(ChannelError):
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -244,6 +244,15 @@
         self.scripted_replies = [[b"HTTP/1.1 200 OK\r\n\r\nall"]]
         self.assertEqual(await self.send_request(), (200, b"all"))
 
+    async def test_a_timeout_with_too_many_digits_does_not_spoil_a_reply(self):
+        """The reply is complete; the connection closes in time or is reused."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout="
+        for digits in (10, 400, 5_000):
+            self.scripted_replies = [[head + b"9" * digits + b"\r\n\r\nok"]]
+            with self.subTest(digits):
+                self.assertEqual(await self.send_request(), (200, b"ok"))
+            self.pool.close_all_idle()
+
     async def test_an_address_that_cannot_be_connected_to_was_not_sent_to(self):
         """Another backend server is tried, as after a refused connection."""
         for address in (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
@@ -6,6 +6,8 @@
 STANDARD_FIELDS = frozenset((b"id", b"event", b"data", b"retry"))
 # Incomplete data beyond this size is not accepted as an event.
 MAX_EVENT_BYTES = 1024 * 1024
+# An id with more digits counts as none.
+MAX_ID_DIGITS = 100
 
 
 class EventSplitter:
@@ -67,7 +69,8 @@
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            is_number = value.isdigit() and len(value) <= MAX_ID_DIGITS
+            return int(value) if is_number else None
     return None
 
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
@@ -72,6 +72,13 @@
 class EventTests(unittest.TestCase):
     STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 9))
 
+    def test_an_id_with_thousands_of_digits_counts_as_none(self):
+        """The stream goes on, and the id before it stands."""
+        splitter = EventSplitter(None)
+        for line in (b"id: 4", b"id: " + b"9" * 5_000, "id: ²".encode()):
+            splitter.feed(line + b"\ndata: x\n\n")
+        self.assertEqual(splitter.last_event_id, 4)
+
     @given(cuts=st.lists(st.integers(0, len(STREAM)), max_size=12))
     def test_only_complete_events_are_returned_for_any_chunking(self, cuts):
         """The parts add up to the stream, and each ends with a complete event."""
