--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_announcement_check.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_announcement_check.py
@@ -112,4 +112,9 @@
         )
 
 
-__all__ = ["RefusedAnnouncements", "check_announcement", "check_instance_id"]
+__all__ = [
+    "MAX_LOGGED_CHARACTERS",
+    "RefusedAnnouncements",
+    "check_announcement",
+    "check_instance_id",
+]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_control_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_control_service.py
@@ -1,16 +1,23 @@
 """Operations that operators and backend servers request from any host."""
 
+import traceback
 import zlib
 
 from damaskvalve_core import DecisionLog, boot_clock_s
 from damaskvalve_core.messages import Command, DocumentRecord, VersionRecord
-from damaskvalve_gateway._announcement_check import RefusedAnnouncements
+from damaskvalve_gateway._announcement_check import (
+    MAX_LOGGED_CHARACTERS,
+    RefusedAnnouncements,
+)
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._model import READY, Announcement
 from damaskvalve_gateway._state_client import CONFIGURATION, StateClient
 from damaskvalve_gateway._sync import SyncController
 
+# The end of a trace names the error and where it was raised.
+MAX_TRACE_CHARACTERS = 2_000
+
 
 class ControlService:
     """Accepts configurations, adapter versions and announcements.
@@ -87,6 +94,15 @@
         """Log an announcement that was refused, once."""
         self._refused.note(instance_id, reason, sender)
 
+    def note_failure(self, target: str, error: Exception) -> None:
+        """Log a call that failed because of an unexpected error."""
+        trace = "".join(traceback.format_exception(error))
+        self._log.line(
+            "control_failed",
+            target=target[:MAX_LOGGED_CHARACTERS],
+            trace=trace[-MAX_TRACE_CHARACTERS:],
+        )
+
     async def remove_backend(self, instance_id: str) -> None:
         """Mark a backend server as gone, here and through the leader on all hosts."""
         self._sync.end(instance_id, boot_clock_s())
