A message that no member sends no longer ends a host

A stored command without a field would have ended every member, and again at each start.

Cause: a frame that decodes is not complete: fields that are missing are None. Comparing them raises TypeError in the group's actor, which terminates the process on purpose after any unexpected error. Where no certificates are in use, any process can connect.

The sender is told the problem. Commands that other hosts propose need exactly one complete body.

Ruled out: going on after an error within the consensus, whose state may be half changed by then; and checks against a forger, who needs certificates to be kept out.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_leader_service.py
@@ -3,7 +3,13 @@
 import asyncio
 from collections.abc import Mapping
 
-from damaskvalve_core import DecisionLog, EncodingError, RetryLaterError, boot_clock_s
+from damaskvalve_core import (
+    DecisionLog,
+    EncodingError,
+    ProtocolError,
+    RetryLaterError,
+    boot_clock_s,
+)
 from damaskvalve_core.messages import (
     ConfirmReply,
     ConfirmRequest,
@@ -42,6 +48,7 @@
 )
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_client import StateClient
+from damaskvalve_state import check_command
 
 # If only the resident adapters of an engine change, the change is sent to hosts at most
 # once in this interval times the number of hosts. The leader's traffic then grows with
@@ -368,7 +375,8 @@
         if not self._state_client.leads(boot_clock_s()):
             return ProposeReply(False, address, None, "this host does not lead")
         try:
+            check_command(request.command)
             result = await self._state_client.commit(request.command)
-        except RetryLaterError as error:
+        except (RetryLaterError, ProtocolError) as error:
             return ProposeReply(False, address, None, str(error))
         return ProposeReply(True, address, result, "")
--- a/packages/damaskvalve-state/damaskvalve_state/__init__.py
+++ b/packages/damaskvalve-state/damaskvalve_state/__init__.py
@@ -9,6 +9,7 @@
     CreditLedger,
     Limit,
 )
+from damaskvalve_state._foreign_messages import check_command
 from damaskvalve_state._group import Group, running_group
 from damaskvalve_state._journal import (
     Journal,
@@ -62,6 +63,7 @@
     "Output",
     "StateMachine",
     "Timing",
+    "check_command",
     "empty_snapshot",
     "next_members",
     "open_journal",
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -8,6 +8,7 @@
 import logbook
 
 from damaskvalve_core import (
+    ProtocolError,
     boot_clock_s,
     encode_struct,
 )
@@ -22,10 +23,15 @@
     HelloRequest,
     LogEntry,
     Member,
+    Problem,
     VoteReply,
     VoteRequest,
 )
 from damaskvalve_state._consensus_state import LEADER
+from damaskvalve_state._foreign_messages import (
+    check_peer_reply,
+    check_peer_request,
+)
 from damaskvalve_state._log import Log, empty_snapshot
 from damaskvalve_state._membership import (
     can_bootstrap,
@@ -112,6 +118,12 @@
     def _on_request(self, message: PeerRequest, now_s: float) -> None:
         request = message.message
         reply: Any
+        try:
+            check_peer_request(request, self.consensus.term)
+        except ProtocolError as error:
+            _log.warning("refused a message that no member sends: {}", error)
+            self._replies.append((message.future, Problem("invalid", str(error))))
+            return
         if isinstance(request, HelloRequest):
             reply = self._on_hello(request, now_s)
         elif isinstance(request, FoundRequest):
@@ -126,6 +138,12 @@
 
     def _on_peer_reply(self, message: PeerReply, now_s: float) -> None:
         reply = message.reply
+        if reply is not None:
+            try:
+                check_peer_reply(reply, self.consensus.term)
+            except ProtocolError as error:
+                _log.warning("dropped a reply that no member sends: {}", error)
+                reply = None
         if reply is None:
             self.consensus.record_request_failure(message.member)
         elif isinstance(reply, HelloReply):
--- a/packages/damaskvalve/damaskvalve/_control_service.py
+++ b/packages/damaskvalve/damaskvalve/_control_service.py
@@ -16,6 +16,7 @@
     ChannelError,
     Connection,
     Dialer,
+    ProtocolError,
     RetryLaterError,
     boot_clock_s,
 )
@@ -47,7 +48,7 @@
     SubscriberRecord,
     VoteRequest,
 )
-from damaskvalve_state import Group, GroupNode, LoadLimit
+from damaskvalve_state import Group, GroupNode, LoadLimit, check_command
 
 PEER_TIMEOUT_S = 1.0
 PROPOSE_TIMEOUT_S = 2.0
@@ -138,8 +139,9 @@
 
     def _propose(self, request: ProposeRequest, connection: Connection) -> ProposeReply:
         try:
+            check_command(request.command)
             result = self._group.propose(request.command, PROPOSE_TIMEOUT_S)
-        except RetryLaterError as error:
+        except (RetryLaterError, ProtocolError) as error:
             return ProposeReply(False, self._leader_address(), None, str(error))
         if result is None:
             return ProposeReply(False, self._leader_address(), None, "not the leader")
