A value that cannot be written costs its own log line only

What operators saw: nothing. A row with a value that json cannot write (nested deeply, or a key that is no string) ended the thread that writes the log, and the process logged no line more; a number of 5,000 digits cost all lines of its batch.

Cause: the writer handles OSError and ValueError of a whole batch. Now each row is encoded by itself and counted as unwritable if that fails.

Evidence: the new test read no line at all before (RecursionError in the thread) and passes now. No way was found to log such a value from outside any more.

--- a/packages/damaskvalve-core/damaskvalve_core/_decision_log.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_decision_log.py
@@ -97,13 +97,21 @@
             if dropped:
                 rows[-1]["dropped_lines"] = dropped
             try:
-                text = "".join(json.dumps(row, default=str) + "\n" for row in rows)
-                self._stream.write(text)
+                self._stream.write("".join(self._encode(row) for row in rows))
                 self._stream.flush()
             except (OSError, ValueError):
                 with self._queue_changed:
                     self.dropped["unwritable"] += len(rows)
 
+    def _encode(self, row: dict[str, Any]) -> str:
+        """Return a line, or count it if a value cannot be written."""
+        try:
+            return json.dumps(row, default=str) + "\n"
+        except (ValueError, TypeError, RecursionError):
+            with self._queue_changed:
+                self.dropped["unwritable"] += 1
+            return ""
+
     def stop(self) -> None:
         """Make the writer thread end once the queue is written."""
         with self._queue_changed:
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_decision_log.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_decision_log.py
@@ -43,6 +43,28 @@
         )
         self.assertNotIn("reason", row)
 
+    def test_a_value_that_cannot_be_written_costs_its_own_line_only(self):
+        """The lines before and after it are written, and it is counted."""
+        nested = []
+        for _ in range(100_000):
+            nested = [nested]
+        stream = io.StringIO()
+        with decision_log("p", lambda: 5.0, stream) as log:
+            for value in (nested, {(1,): 2}, 10**5_000, "\ud800"):
+                log.line("odd", value=value)
+                log.line("sound")
+            deadline_s = time.monotonic() + 5.0
+            while len(parse_rows(stream)) < 5 and time.monotonic() < deadline_s:
+                time.sleep(0.01)
+            log.line("last")
+        rows = parse_rows(stream)
+        kinds = [row["kind"] for row in rows]
+        self.assertEqual(kinds, ["sound"] * 3 + ["odd", "sound", "last"])
+        dropped = [row["dropped_lines"] for row in rows if "dropped_lines" in row]
+        self.assertEqual(sum(item["unwritable"] for item in dropped), 3)
+        while nested:
+            nested = nested.pop()
+
     def test_a_frequent_kind_of_line_does_not_displace_others(self):
         """Lines over the rate limit of their kind are dropped; the log counts them."""
         stream = io.StringIO()
