An incomplete request for a permit is refused before it is queued

What callers saw: after one request for a permit without its priority, deadline or wait, which another process sends, it stayed in the agent's queue and each later comparison with the others failed.

Cause: fields that are missing are None, and the request was queued before they were used. Now a request without a field that the agent uses is answered with a problem.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -77,6 +77,20 @@
 QUEUED = "queued"
 STARTED = "started"
 
+# Fields that a host may leave out, or that the agent does not use.
+_UNUSED_FIELDS = frozenset(("workspace", "pause_s", "aim_s"))
+
+
+def _missing_fields(message: AdmitRequest) -> list[str]:
+    """Return the names of the fields that a request of another process lacks."""
+    structs = [message] if message.limits is None else [message, message.limits]
+    return [
+        name
+        for struct in structs
+        for name in struct.__slots__
+        if getattr(struct, name) is None and name not in _UNUSED_FIELDS
+    ]
+
 
 class PermitServer:
     """Answers hosts, polls the engine's reports and sends it orders."""
@@ -114,6 +128,10 @@
                 Problem("unknown", f"unexpected message {type(message).__name__}")
             )
             return
+        missing = _missing_fields(message)
+        if missing:
+            call.send(Problem("invalid", f"a request without {', '.join(missing)}"))
+            return
         now_s = boot_clock_s()
         limits = message.limits
         self._admission.set_engine_capacity(
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permit_calls.py
@@ -0,0 +1,43 @@
+"""Calls for permits that no host sends."""
+
+import types
+import unittest
+
+from damaskvalve_agent._permits._run import PermitServer
+from damaskvalve_agent.permits import PermitSettings
+from damaskvalve_core.messages import AdmitRequest, EngineLimits, Problem
+
+SOUND = {
+    "request_id": "r",
+    "workspace": "w",
+    "model": "m",
+    "adapter": "a",
+    "version": 0,
+    "prompt_tokens": 10,
+    "output_tokens": 10,
+    "priority": 1,
+    "deadline_s": 5.0,
+    "wait_s": 1.0,
+    "instance_id": "i",
+    "limits": EngineLimits(4, 4, 1_000),
+}
+
+
+class PermitCallTests(unittest.IsolatedAsyncioTestCase):
+    async def test_an_incomplete_request_is_refused_and_not_queued(self):
+        """In the queue, it would fail each later comparison with the others."""
+        log = types.SimpleNamespace(line=lambda kind, **fields: None, dropped_total=0)
+        settings = PermitSettings("a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", [])
+        server = PermitServer(settings, None, None, log)
+        odd = [{name: None} for name in SOUND if name != "workspace"]
+        for changes in [*odd, {"limits": EngineLimits()}, dict.fromkeys(SOUND)]:
+            replies = []
+            call = types.SimpleNamespace(send=replies.append, peer="p")
+            with self.subTest(changes):
+                await server.handle_call(AdmitRequest(**{**SOUND, **changes}), call)
+                self.assertEqual([type(reply) for reply in replies], [Problem])
+                self.assertEqual(len(server._admission.waiting()), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
