--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 import uuid
 
@@ -57,6 +58,7 @@
 )
 from damaskvalve_core.metrics import CONTENT_TYPE
 from damaskvalve_core.rpc import RpcCall, serving_rpc
+from damaskvalve_core.tasks import background_tasks
 
 # While a load is in transit, the engine is polled often, because a request waits for
 # the load; otherwise only to detect a restart.
@@ -76,6 +78,20 @@
 QUEUED = "queued"
 STARTED = "started"
 
+# Fields that a host may leave out, or that the agent does not use.
+_UNUSED_FIELDS = frozenset(("workspace", "pause_s", "aim_s"))
+
+
+def _missing_fields(message: AdmitRequest) -> list[str]:
+    """Return the names of the fields that a request of another process lacks."""
+    structs = [message] if message.limits is None else [message, message.limits]
+    return [
+        name
+        for struct in structs
+        for name in struct.__slots__
+        if getattr(struct, name) is None and name not in _UNUSED_FIELDS
+    ]
+
 
 class PermitServer:
     """Answers hosts, polls the engine's reports and sends it orders."""
@@ -115,6 +131,10 @@
                 Problem("unknown", f"unexpected message {type(message).__name__}")
             )
             return
+        missing = _missing_fields(message)
+        if missing:
+            call.send(Problem("invalid", f"a request without {', '.join(missing)}"))
+            return
         self._note_host(call.peer)
         now_s = boot_clock_s()
         limits = message.limits
@@ -375,14 +395,13 @@
                     _plain_refusal,
                 ),
             ):
-                tasks = [
-                    loop.create_task(server.fetch_fence(leader)),
-                    loop.create_task(server.poll_reports()),
-                    loop.create_task(server.send_orders()),
-                ]
-                await stopping.wait()
-                for task in tasks:
-                    task.cancel()
+                runs = (
+                    functools.partial(server.fetch_fence, leader),
+                    server.poll_reports,
+                    server.send_orders,
+                )
+                with background_tasks(runs, log):
+                    await stopping.wait()
 
 
 def run_permits(settings: PermitSettings, dialect: EngineDialect) -> None:
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -22,7 +22,7 @@
 # Maximum number of informational replies before the final one; one or two are usual.
 MAX_INFORMATIONAL = 8
 MAX_HEAD_BYTES = 64 * 1024
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,9})")
 
 
 class BackendFailedError(ChannelError):
@@ -228,9 +228,9 @@
             if connection.is_usable(now_s):
                 return connection
             connection.close()
-        ip, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
+            ip, port = split_address(address)
             _, new_connection = await asyncio.wait_for(
                 loop.create_connection(
                     lambda: BackendConnection(address),
@@ -240,7 +240,7 @@
                 ),
                 CONNECT_TIMEOUT_S,
             )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
         self.opened_count += 1
         return new_connection
--- a/packages/damaskvalve-core/damaskvalve_core/rpc.py
+++ b/packages/damaskvalve-core/damaskvalve_core/rpc.py
@@ -23,6 +23,7 @@
 from damaskvalve_core._codec import decode_message, encode_message
 from damaskvalve_core._exceptions import (
     ChannelError,
+    EncodingError,
     NotSentError,
     OperatorError,
     ProtocolError,
@@ -48,7 +49,10 @@
         self.peer = peer
 
     def send(self, message: Any) -> None:
-        """Queue one message; the next receive reports a broken connection."""
+        """Queue one message; the next receive reports a broken connection.
+
+        Raise :class:`EncodingError` if a value does not fit into it.
+        """
         payload = encode_message(message)
         self._writer.write(_HEADER.pack(len(payload)) + payload)
 
@@ -78,6 +82,17 @@
         self._writer.close()
 
 
+class _ClientCall(RpcCall):
+    """A call to a peer, whose invalid replies count as a failure of the channel."""
+
+    async def receive(self) -> Any:
+        """Return the next reply; raise :class:`ChannelError` if there is none."""
+        try:
+            return await super().receive()
+        except ProtocolError as error:
+            raise ChannelError(f"{self.peer} sent an invalid reply: {error}") from error
+
+
 #: Handles one request and sends its replies over the call.
 RpcHandler = Callable[[Any, RpcCall], Awaitable[None]]
 
@@ -91,21 +106,21 @@
         self._idle: dict[str, list[RpcCall]] = {}
 
     async def _connect(self, address: str) -> RpcCall:
-        ip, port = split_address(address)
         timeout_s = CONNECT_TIMEOUT_S
         if self._context is not None:
             timeout_s += HANDSHAKE_TIMEOUT_S
         try:
+            ip, port = split_address(address)
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(
                     ip, port, ssl=self._context, local_addr=self._source_address
                 ),
                 timeout_s,
             )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
         enable_keepalive(writer.get_extra_info("socket"))
-        return RpcCall(reader, writer, address)
+        return _ClientCall(reader, writer, address)
 
     @contextlib.asynccontextmanager
     async def open(self, address: str, request: Any) -> AsyncIterator[RpcCall]:
@@ -206,9 +221,10 @@
 async def _handle_request(request: Any, call: RpcCall, handler: RpcHandler) -> None:
     try:
         await handler(request, call)
-    except (ChannelError, ProtocolError):
-        raise
     except Exception as error:
+        is_own = isinstance(error, EncodingError)
+        if isinstance(error, (ChannelError, ProtocolError)) and not is_own:
+            raise
         _log.exception(
             "handling of {} failed; replying with an internal error",
             type(request).__name__,
--- a/packages/damaskvalve-state/damaskvalve_state/__init__.py
+++ b/packages/damaskvalve-state/damaskvalve_state/__init__.py
@@ -9,6 +9,7 @@
     CreditLedger,
     Limit,
 )
+from damaskvalve_state._foreign_messages import check_command
 from damaskvalve_state._group import Group, running_group
 from damaskvalve_state._group_reporter import GroupObserver
 from damaskvalve_state._journal import (
@@ -73,6 +74,7 @@
     "Output",
     "StateMachine",
     "Timing",
+    "check_command",
     "empty_snapshot",
     "next_fixed_members",
     "next_members",
