Greetings of leaders and of older releases are accepted

The check of messages from other members, merged with the announcement of stops, took a greeting without the new field for an invalid one: a leader's greeting would have been refused. The test fails without the entry.

--- a/packages/damaskvalve-state/damaskvalve_state/_foreign_messages.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_foreign_messages.py
@@ -42,6 +42,7 @@
         "memory_only",
         "refused",
         "starts",
+        "stopping",
         "trials",
         "value",
     )
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_foreign_messages.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_foreign_messages.py
@@ -42,6 +42,7 @@
     VoteRequest,
 )
 from damaskvalve_state import NodeSettings, Timing, check_command, running_group
+from damaskvalve_state._foreign_messages import check_peer_request
 
 ADDRESS = "127.0.61.60:21694"
 MEMBER = Member("m", "127.0.61.61:21694", "dc")
@@ -119,6 +120,10 @@
             time.sleep(0.05)
         raise AssertionError("the member does not lead")
 
+    def test_a_greeting_of_an_older_release_is_accepted(self):
+        """It lacks the fields that were added later."""
+        check_peer_request(HelloRequest(MEMBER, False), 0)
+
     def test_a_message_that_no_member_sends_ends_no_member(self):
         """The member commits after each of them, and is not terminated."""
         self.commit(1)
