Requests that would be cut off by a planned stop are refused

What callers saw: while a host stops it takes every request for 2.6 s after SIGTERM, then closes connections, and at 7.6 s of the grace of 8 s it cuts what still runs. A request taken late that needs longer than the rest got no answer, among them requests that may not be repeated; one that still waited for its turn at an engine was cut too, though it had not run and another host could have served it.

The unit tests use the new interface; prove runs one with the mechanism disabled, where it fails.

While it stops, a host sends a request that has not run only if its answer can be expected before the end: its deadline is not later, or the latest requests of its route and size took no longer than what is left. This is checked on admission, while it waits and right before it is sent. All others are refused at once as not run, with Connection: close, so that their callers retry at another host.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_responder.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_responder.py
@@ -61,6 +61,10 @@
         self.finished = True
         await self._connection.drain()
 
+    def close_connection(self) -> None:
+        """Have the connection closed after the response, which says so."""
+        self._connection.closing = True
+
     def abort(self) -> None:
         """Have the connection closed without the end of the response.
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
@@ -79,7 +79,7 @@
         self.backend_id = ""
         # Software version of that instance.
         self.backend_version = ""
-        # Empty unless the deadline has passed.
+        # Empty unless the deadline has passed or this host stops.
         self.outcome = ""
 
     def left_s(self, now_s: float) -> float:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -48,6 +48,7 @@
 from damaskvalve_gateway._retries import RetryBudget
 from damaskvalve_gateway._send_gate import SendGate
 from damaskvalve_gateway._starting import startup_retry_after_s
+from damaskvalve_gateway._stopping import STOPPING, StopAdmission, stopping_refusal
 from damaskvalve_gateway._stream_versions import StreamVersions
 
 NO_BACKEND_RETRY_AFTER_S = 0.5
@@ -99,6 +100,9 @@
         self._streams = streams
         self._on_reply = on_reply
         self._retry_after_scheduler = RetryAfterScheduler()
+        self._stop = StopAdmission()
+        # The requests being served, each with its deadline.
+        self._open: dict[Exchange, asyncio.Timeout] = {}
         self._started_at_s = boot_clock_s()
         self._data_centre = data_centre
         self._log = log
@@ -145,6 +149,9 @@
         if responder.started:
             responder.abort()
             return
+        if self._stop.is_stopping():
+            # The caller's retry has to reach another host.
+            responder.close_connection()
         headers, body = self._dialect.refusal(error)
         await responder.send(error.status, headers, body)
 
@@ -174,9 +181,12 @@
         self._check_quarantine(fingerprint, request.prompt_parts)
         point = xxhash.xxh32_intdigest(request.request_id.encode()) / 2**32
         service = configuration.services[route.choose_service(point)]
-        return Exchange(
+        exchange = Exchange(
             request, route, workspace, service, responder, arrived_s, fingerprint
         )
+        if not self._stop.admits(exchange, arrived_s):
+            raise stopping_refusal()
+        return exchange
 
     def _check_quarantine(
         self, fingerprint: str, parts: Sequence[str], *, before_send: bool = False
@@ -215,10 +225,13 @@
     async def _serve_within_deadline(self, exchange: Exchange) -> None:
         left_s = exchange.left_s(boot_clock_s())
         try:
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(left_s) as timeout:
+                self._open[exchange] = timeout
                 async with self._rate.spending(exchange):
                     await self._dispatch(exchange)
         except TimeoutError as error:
+            if exchange.outcome == STOPPING and not exchange.runs:
+                raise stopping_refusal() from error
             exchange.outcome = "timeout"
             if exchange.runs:
                 raise RefusedError(
@@ -231,8 +244,28 @@
                 retry_after_s=NO_BACKEND_RETRY_AFTER_S,
             ) from error
         finally:
+            self._open.pop(exchange, None)
             self._log_request(exchange)
 
+    # ---- planned stop ----
+
+    def begin_stop(self, end_s: float) -> None:
+        """Serve only requests that can be expected to end before the given time."""
+        self._stop.begin(end_s)
+
+    def refuse_waiting(self, now_s: float) -> None:
+        """Refuse the requests that have not run and would now be sent too late."""
+        for exchange in list(self._open):
+            if not exchange.runs and not self._stop.admits(exchange, now_s):
+                self._end(exchange)
+
+    def _end(self, exchange: Exchange) -> None:
+        timeout = self._open[exchange]
+        if exchange.outcome or exchange.responder.finished or timeout.expired():
+            return
+        exchange.outcome = STOPPING
+        timeout.reschedule(asyncio.get_running_loop().time())
+
     # ---- attempts ----
 
     async def _dispatch(self, exchange: Exchange) -> None:
@@ -443,12 +476,15 @@
             permit.note_started,
             self._on_reply,
             lambda now_s: self._is_current(backend, exchange)
+            and self._may_begin(exchange, now_s)
             and permit.grant.spend(now_s),
             self._record_stream(exchange),
         )
         self._check_quarantine(
             exchange.fingerprint, exchange.request.prompt_parts, before_send=True
         )
+        if not self._may_begin(exchange, boot_clock_s()):
+            raise stopping_refusal()
         incarnation = exchange.backend_id, backend.announcement.started_at_ms
         try:
             await attempt.run()
@@ -458,6 +494,13 @@
             self._record_run(attempt, exchange, incarnation)
         return attempt
 
+    def _may_begin(self, exchange: Exchange, now_s: float) -> bool:
+        """Return whether a request may be sent although this host may be stopping.
+
+        One that has run goes on for as long as the host does.
+        """
+        return bool(exchange.runs) or self._stop.admits(exchange, now_s)
+
     def _is_current(self, backend: Backend, exchange: Exchange) -> bool:
         """Return whether a stream that goes on may be sent to a backend server.
 
@@ -513,6 +556,8 @@
             answered_outcome if is_complete else "not-answered"
         )
         self._metrics.note_request(exchange, outcome, now_s)
+        if is_complete and request.last_event_id is None:
+            self._stop.times.note(exchange, now_s)
         is_unusual = (
             not is_complete
             or late
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -236,7 +236,7 @@
         try:
             await stopping.wait()
             await _transfer_leadership(group, log)
-            await _drain(settings, caller_server, log)
+            await _drain(settings.grace_s, caller_server, gateway, log)
         finally:
             for task in tasks:
                 task.cancel()
@@ -308,18 +308,24 @@
 
 
 async def _drain(
-    settings: GatewaySettings, caller_server: HttpServer, log: DecisionLog
+    grace_s: float, caller_server: HttpServer, gateway: Gateway, log: DecisionLog
 ) -> None:
-    """Wait for the removal from the load balancer, finish requests, then close."""
+    """Wait for the removal from the load balancer, finish requests, then close.
+
+    Requests that would not end in time are refused at once.
+    """
     started_at_s = boot_clock_s()
+    end_s = started_at_s + grace_s - CLOSE_MARGIN_S
+    gateway.begin_stop(end_s)
     log.line("stopping", active=caller_server.active)
     while boot_clock_s() - started_at_s < BALANCER_REMOVAL_S:
+        gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     caller_server.stop_accepting()
     caller_server.close_after_response()
-    deadline_s = started_at_s + settings.grace_s - CLOSE_MARGIN_S
-    while caller_server.is_busy() and boot_clock_s() < deadline_s:
+    while caller_server.is_busy() and boot_clock_s() < end_s:
         caller_server.close_idle()
+        gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     caller_server.close_idle()
     log.line(
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -39,6 +39,7 @@
     TokenBucket,
     TokenReservations,
 )
+from damaskvalve_gateway._stopping import StopAdmission
 from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_standins._limit_proofs import LIMIT_PROOFS
 from damaskvalve_standins._proof import Proof, replace
@@ -398,6 +399,12 @@
         f"{GATEWAY}.test_part_blame.BlamedPartTests."
         "test_a_part_that_proved_sound_is_never_blamed",
     ),
+    Proof(
+        "a request that would be cut off by a planned stop is refused",
+        replace(StopAdmission, "admits", lambda self, exchange, now_s: True),
+        f"{GATEWAY}.test_stopping.GatewayStopTests."
+        "test_requests_that_came_late_in_a_stop_were_taken_and_cut_off",
+    ),
     Proof(
         "a stream goes on at its software version",
         replace(_gateway, "_of_version", lambda backends, software_version: backends),
