Requests that still run at the end of a planned stop are answered

What callers saw: a request that still ran at the end of the grace period ended with its connection and no answer. A caller cannot tell such an end from a broken network.

The extended test sends a request that outlasts the grace period. Requests that have not run get 503 instead, and streams that have begun are cut without their end mark, as before. The answers have 0.2 s of the 0.4 s that were reserved for closing connections; the requests themselves are ended at the same time as before.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -230,8 +230,8 @@
                 async with self._rate.spending(exchange):
                     await self._dispatch(exchange)
         except TimeoutError as error:
-            if exchange.outcome == STOPPING and not exchange.runs:
-                raise stopping_refusal() from error
+            if exchange.outcome == STOPPING:
+                raise self._stopped(exchange) from error
             exchange.outcome = "timeout"
             if exchange.runs:
                 raise RefusedError(
@@ -259,6 +259,11 @@
             if not exchange.runs and not self._stop.admits(exchange, now_s):
                 self._end(exchange)
 
+    def end_unfinished(self) -> None:
+        """End all requests: each is answered, or its stream is aborted."""
+        for exchange in list(self._open):
+            self._end(exchange)
+
     def _end(self, exchange: Exchange) -> None:
         timeout = self._open[exchange]
         if exchange.outcome or exchange.responder.finished or timeout.expired():
@@ -266,6 +271,14 @@
         exchange.outcome = STOPPING
         timeout.reschedule(asyncio.get_running_loop().time())
 
+    @staticmethod
+    def _stopped(exchange: Exchange) -> RefusedError:
+        """Return the refusal for a request that ends because the host stops."""
+        if not exchange.runs:
+            return stopping_refusal()
+        message = "this host stopped before the backend server's answer was complete"
+        return RefusedError(502, STOPPING, message, ran=UNKNOWN)
+
     # ---- attempts ----
 
     async def _dispatch(self, exchange: Exchange) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -66,6 +66,9 @@
 BALANCER_REMOVAL_S = 2.6
 # Part of the grace period that is reserved for closing open connections.
 CLOSE_MARGIN_S = 0.4
+# Part of that in which the requests that were ended get their answers.
+LAST_ANSWERS_S = 0.2
+LAST_ANSWERS_POLL_INTERVAL_S = 0.01
 STOP_POLL_INTERVAL_S = 0.05
 # The metrics library is imported this long after the start, because the host joins its
 # group in the first seconds.
@@ -312,7 +315,8 @@
 ) -> None:
     """Wait for the removal from the load balancer, finish requests, then close.
 
-    Requests that would not end in time are refused at once.
+    Requests that would not end in time are refused at once. Those that still run near
+    the end of the grace period are ended, each with an answer unless it has begun.
     """
     started_at_s = boot_clock_s()
     end_s = started_at_s + grace_s - CLOSE_MARGIN_S
@@ -327,10 +331,14 @@
         caller_server.close_idle()
         gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
+    unfinished = caller_server.active
+    gateway.end_unfinished()
+    while caller_server.active and boot_clock_s() < end_s + LAST_ANSWERS_S:
+        await asyncio.sleep(LAST_ANSWERS_POLL_INTERVAL_S)
     caller_server.close_idle()
     log.line(
         "stopped",
-        active=caller_server.active,
+        active=unfinished,
         took_s=round(boot_clock_s() - started_at_s, 2),
     )
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stopping.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stopping.py
@@ -14,6 +14,7 @@
 from damaskvalve_gateway._model import (
     READY,
     SAFE,
+    STREAMING,
     UNSAFE,
     Announcement,
     CallerRequest,
@@ -30,10 +31,12 @@
 )
 from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_gateway.tests.attempt_fixtures import (
+    CHUNKED,
     DIALECT,
     OK,
     RecordingResponder,
     ScriptedServer,
+    event,
     make_exchange,
     make_gate,
     write_once,
@@ -131,6 +134,10 @@
         self.aborted = True
 
 
+async def never_reply(writer):
+    await asyncio.sleep(30.0)
+
+
 class GatewayStopTests(unittest.IsolatedAsyncioTestCase):
     def make_gateway(self, kind, resumable=False):
         self.view = view = ClusterView()
@@ -234,3 +241,43 @@
             (responder.status, responder.body, responder.closes),
             (503, b"stopping not-run", True),
         )
+
+    async def test_a_request_that_ran_got_no_answer_at_the_end_of_a_stop(self):
+        """It is answered with an unknown outcome, never as not run."""
+        server = ScriptedServer(never_reply)
+        async with server.listening() as address:
+            gateway = self.make_gateway(UNSAFE)
+            self.announce(address)
+            responder = StopResponder()
+            handling = asyncio.create_task(self.handle(gateway, responder))
+            await asyncio.sleep(0.1)
+            gateway.begin_stop(boot_clock_s() + 0.1)
+            gateway.refuse_waiting(boot_clock_s())
+            await asyncio.sleep(0.05)
+            self.assertFalse(handling.done())
+            gateway.end_unfinished()
+            await asyncio.wait_for(handling, 1.0)
+            self.assertEqual(
+                (responder.status, responder.body, server.requests),
+                (502, b"stopping unknown", 1),
+            )
+
+    async def test_a_stream_that_runs_at_the_end_of_a_stop_does_not_look_complete(self):
+        """Its connection is cut without the end mark."""
+
+        async def write_some(writer):
+            writer.write(CHUNKED + event(1))
+            await asyncio.sleep(30.0)
+
+        async with ScriptedServer(write_some).listening() as address:
+            gateway = self.make_gateway(STREAMING, resumable=True)
+            self.announce(address)
+            responder = StopResponder()
+            handling = asyncio.create_task(self.handle(gateway, responder))
+            await asyncio.sleep(0.1)
+            self.assertTrue(responder.started)
+            gateway.begin_stop(boot_clock_s())
+            gateway.end_unfinished()
+            await asyncio.wait_for(handling, 1.0)
+            self.assertEqual((responder.finished, responder.aborted), (False, True))
+            self.assertIn(b"data: t1", responder.body)
