A slow transfer of leadership no longer shortens the rest of a planned stop

The grace period begins with SIGTERM, but was counted from the end of the leader's transfer to another host, which takes up to 2 s if its member waits for its disk. All later steps came as much later: the listener closed later than the load balancer allows for, and the requests that still ran were to be ended after SIGKILL.

The transfer now runs beside the rest. Found by reading; no such stop has been seen.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -238,8 +238,7 @@
             task.add_done_callback(lambda ended: _log_failure(ended, log))
         try:
             await stopping.wait()
-            await _transfer_leadership(group, log)
-            await _drain(settings.grace_s, caller_server, gateway, log)
+            await _stop(settings.grace_s, group, caller_server, gateway, log)
         finally:
             for task in tasks:
                 task.cancel()
@@ -310,6 +309,24 @@
     await asyncio.to_thread(metrics.load)
 
 
+async def _stop(
+    grace_s: float,
+    group: Group,
+    caller_server: HttpServer,
+    gateway: Gateway,
+    log: DecisionLog,
+) -> None:
+    """Transfer leadership and finish the requests within the grace period.
+
+    The transfer takes up to its timeout if the group member waits for its disk, so it
+    is not waited for first.
+    """
+    await asyncio.gather(
+        _transfer_leadership(group, log),
+        _drain(grace_s, caller_server, gateway, log),
+    )
+
+
 async def _drain(
     grace_s: float, caller_server: HttpServer, gateway: Gateway, log: DecisionLog
 ) -> None:
