Connections accepted as a host stops listening are closed as well

A connection that the kernel had accepted before the listening socket was closed, and that the event loop noticed after the open connections were marked, was not marked: its caller could go on sending requests on it until the end of the grace period, against the purpose of closing the listener. The server now keeps the mark itself, and a marked connection is served once. The test got a response without Connection: close, and a connection that stayed open. Found by reading.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -60,7 +60,8 @@
         self._task: asyncio.Task[None] | None = None
         self._handling = False
         self._discarding = False
-        self.closing = False
+        # Whether the connection closes after the next response.
+        self.closing = server.closing
         self.idle = True
         self.peer = ""
 
@@ -126,7 +127,7 @@
 
     async def _run(self) -> None:
         try:
-            while not self.closing and await self._serve_request():
+            while await self._serve_request() and not self.closing:
                 pass
         except asyncio.CancelledError:
             pass
@@ -333,6 +334,8 @@
         self.limits = limits
         self.format_refusal = format_refusal
         self.connections: set[_ServerConnection] = set()
+        # Whether each connection closes after its next response.
+        self.closing = False
         # Number of requests that are being handled.
         self.active = 0
         # The shared memory limit of the bodies of all unanswered requests.
@@ -354,7 +357,12 @@
             raise OperatorError(f"cannot listen on {address}: {error}") from error
 
     def close_after_response(self) -> None:
-        """Close each open connection after its next response."""
+        """Close each connection after its next response.
+
+        This includes connections that were accepted before the listening socket was
+        closed and are noticed afterwards.
+        """
+        self.closing = True
         for connection in self.connections:
             connection.closing = True
 
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -160,6 +160,14 @@
         for open_writer in (writer, idle_writer):
             open_writer.close()
 
+    async def test_a_connection_that_crossed_a_planned_stop_was_kept_open(self):
+        """It is served once, and the response says that the connection closes."""
+        self.server.close_after_response()
+        data = HEAD + b"Content-Length: 3\r\n\r\nabc"
+        response = await asyncio.wait_for(self.exchange(data), 0.5)
+        self.assertIn(b" 200 ", response)
+        self.assertIn(b"connection: close", response.lower())
+
     async def test_a_disconnect_of_the_caller_cancels_its_request(self):
         """The handler is cancelled at once, not when its response is ready."""
         _, writer = await asyncio.open_connection("127.0.0.1", PORT)
