Requests that are being read at the end of a planned stop are refused

What callers saw: a request whose head or body was still arriving at the end of the grace period ended with its connection and no answer. It has not run, and is now refused as such, so that its caller may send it again.

Idle connections are closed and handled requests are left alone, as the server's test shows.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -60,6 +60,8 @@
         self._task: asyncio.Task[None] | None = None
         self._handling = False
         self._discarding = False
+        # Refuses the request that is being read; None if it is not refused.
+        self._refusal: RefusedError | None = None
         # Whether the connection closes after the next response.
         self.closing = server.closing
         self.idle = True
@@ -113,6 +115,12 @@
         """Return whether no byte of a request has arrived."""
         return self.idle and not self._buffer
 
+    def refuse_unread(self, refusal: RefusedError) -> None:
+        """Refuse the request that is being read, if there is one."""
+        if not self.is_idle() and not self._handling and not self._discarding:
+            self._refusal = refusal
+            self._received.set()
+
     # ---- writing ----
 
     def write(self, data: bytes) -> None:
@@ -210,6 +218,8 @@
             await asyncio.wait_for(self._received.wait(), timeout_s)
         except TimeoutError:
             return False
+        if self._refusal is not None:
+            raise self._refusal
         return not self._caller_gone
 
     async def _read_request(
@@ -372,6 +382,11 @@
             if connection.is_idle():
                 connection._transport.close()
 
+    def refuse_unread(self, refusal: RefusedError) -> None:
+        """Refuse the requests of which some, but not all bytes have been read."""
+        for connection in list(self.connections):
+            connection.refuse_unread(refusal)
+
     def is_busy(self) -> bool:
         """Return whether a request is being read or handled."""
         return any(not connection.is_idle() for connection in self.connections)
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from damaskvalve_core import ChannelError
+from damaskvalve_core import ChannelError, RefusedError
 from damaskvalve_core.http import (
     BackendFailedError,
     BackendPool,
@@ -168,6 +168,28 @@
         self.assertIn(b" 200 ", response)
         self.assertIn(b"connection: close", response.lower())
 
+    async def test_a_partly_read_request_got_no_answer_at_the_end_of_a_stop(self):
+        """It is refused; idle connections and handled requests are left alone."""
+        slow = b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
+        partial = HEAD + b"Content-Length: 4\r\n\r\nbo"
+        readers = []
+        for data in (slow, b"", HEAD, partial):
+            reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+            self.addCleanup(writer.close)
+            writer.write(data)
+            readers.append(reader)
+        _, idle_reader, *partial_readers = readers
+        await asyncio.sleep(0.1)
+        self.server.refuse_unread(RefusedError(503, "stopping", "stopping"))
+        for reader in partial_readers:
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 0.3)
+            self.assertIn(b" 503 ", head)
+            self.assertIn(b"x-code: stopping", head.lower())
+            self.assertIn(b"connection: close", head.lower())
+        self.assertFalse(await self.has_response(idle_reader))
+        self.assertEqual(self.server.active, 1)
+        self.assertFalse(self.cancelled.is_set())
+
     async def test_a_disconnect_of_the_caller_cancels_its_request(self):
         """The handler is cancelled at once, not when its response is ready."""
         _, writer = await asyncio.open_connection("127.0.0.1", PORT)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -45,6 +45,7 @@
 from damaskvalve_gateway._send_gate import SendGate
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_client import StateClient
+from damaskvalve_gateway._stopping import stopping_refusal
 from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_gateway._sync import SyncController
 from damaskvalve_state import (
@@ -333,7 +334,8 @@
     """Wait for the removal from the load balancer, finish requests, then close.
 
     Requests that would not end in time are refused at once. Those that still run near
-    the end of the grace period are ended, each with an answer unless it has begun.
+    the end of the grace period are ended, each with an answer unless it has begun, and
+    those that are not read completely are refused.
     """
     started_at_s = boot_clock_s()
     end_s = started_at_s + grace_s - CLOSE_MARGIN_S
@@ -350,7 +352,9 @@
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     unfinished = caller_server.active
     gateway.end_unfinished()
-    while caller_server.active and boot_clock_s() < end_s + LAST_ANSWERS_S:
+    caller_server.refuse_unread(stopping_refusal())
+    while caller_server.is_busy() and boot_clock_s() < end_s + LAST_ANSWERS_S:
+        caller_server.close_idle()
         await asyncio.sleep(LAST_ANSWERS_POLL_INTERVAL_S)
     caller_server.close_idle()
     log.line(
