A change of settings no longer ends a process that is stopping

A closed event loop restores the default action of the signals that it handled, and the interpreter restores that of all others as it exits. Hosts and agents now handle SIGHUP outside the event loop, which only writes the log line, and ignore it at the end.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -36,6 +36,7 @@
     boot_clock_s,
     decision_log,
     dialing,
+    log_reloads,
 )
 from damaskvalve_core.http import (
     BackendPool,
@@ -345,7 +346,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.line("reload"))
+    log_reloads(log)
     async with open_backend_pool() as pool:
         server = PermitServer(settings, dialect, pool, log)
         with dialing(settings.identity) as dialer:
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -39,6 +39,7 @@
 from damaskvalve_core._leader_client import LeaderClient
 from damaskvalve_core._logs import logging_to
 from damaskvalve_core._process import run_from_settings
+from damaskvalve_core._reload_signal import log_reloads
 from damaskvalve_core._time_line import (
     TIME_LINE_FILE,
     Recorder,
@@ -81,6 +82,7 @@
     "encode_struct",
     "is_sampled",
     "listening",
+    "log_reloads",
     "logging_to",
     "open_time_line",
     "run_from_settings",
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -13,6 +13,7 @@
     decision_log,
     dialing,
     listening,
+    log_reloads,
 )
 from damaskvalve_core.http import (
     BackendPool,
@@ -166,7 +167,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.line("reload"))
+    log_reloads(log)
     view = ClusterView()
     rpc_client = RpcClient(settings.identity, settings.bind_ip)
     state_client = StateClient(settings, group, rpc_client, view, dialect, log)
