Callers learn that their connections close before a stop closes them

What callers saw: idle connections were closed 2.6 s after SIGTERM without a word, so each caller that kept a connection had its next request end without an answer. The host had not read it, but a caller cannot know that, and may not send it again elsewhere if it may not be repeated.

Responses now say from 2.0 s on that the connection closes; by then the load balancer sends new connections to other hosts. A caller that is silent between 2.0 s and 2.6 s still finds its connection closed.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -66,6 +66,9 @@
 # The load balancer checks the ready address every second and removes a host after two
 # failed checks.
 BALANCER_REMOVAL_S = 2.6
+# Callers are told with their responses that their connections close, for this long
+# before idle connections are closed. By then, new connections go to other hosts.
+CLOSE_NOTICE_S = 0.6
 # Part of the grace period that is reserved for closing open connections.
 CLOSE_MARGIN_S = 0.4
 # Part of that in which the requests that were ended get their answers.
@@ -342,7 +345,10 @@
     end_s = started_at_s + grace_s - CLOSE_MARGIN_S
     gateway.begin_stop(end_s)
     log.line("stopping", active=caller_server.active)
-    while boot_clock_s() - started_at_s < BALANCER_REMOVAL_S:
+    removed_s = started_at_s + BALANCER_REMOVAL_S
+    while boot_clock_s() < removed_s:
+        if boot_clock_s() >= removed_s - CLOSE_NOTICE_S:
+            caller_server.close_after_response()
         gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     caller_server.stop_accepting()
