--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -40,6 +40,7 @@
 from damaskvalve_core._leader_client import MAX_LEARNED_ADDRESSES, LeaderClient
 from damaskvalve_core._logs import logging_to
 from damaskvalve_core._process import run_from_settings
+from damaskvalve_core._reload_signal import log_reloads
 from damaskvalve_core._time_line import (
     TIME_LINE_FILE,
     Recorder,
@@ -84,6 +85,7 @@
     "encode_struct",
     "is_sampled",
     "listening",
+    "log_reloads",
     "logging_to",
     "open_time_line",
     "run_from_settings",
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -14,6 +14,7 @@
     decision_log,
     dialing,
     listening,
+    log_reloads,
 )
 from damaskvalve_core.http import (
     BackendPool,
@@ -48,6 +49,7 @@
 from damaskvalve_gateway._send_gate import SendGate
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_client import StateClient
+from damaskvalve_gateway._stopping import stopping_refusal
 from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_gateway._sync import SyncController
 from damaskvalve_state import (
@@ -70,8 +72,14 @@
 # The load balancer checks the ready address every second and removes a host after two
 # failed checks.
 BALANCER_REMOVAL_S = 2.6
+# Callers are told with their responses that their connections close, for this long
+# before idle connections are closed. By then, new connections go to other hosts.
+CLOSE_NOTICE_S = 0.6
 # Part of the grace period that is reserved for closing open connections.
 CLOSE_MARGIN_S = 0.4
+# Part of that in which the requests that were ended get their answers.
+LAST_ANSWERS_S = 0.2
+LAST_ANSWERS_POLL_INTERVAL_S = 0.01
 STOP_POLL_INTERVAL_S = 0.05
 # The metrics library is imported this long after the start, because the host joins its
 # group in the first seconds.
@@ -174,7 +182,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.line("reload"))
+    log_reloads(log)
     view = ClusterView()
     rpc_client = RpcClient(settings.identity, settings.bind_ip)
     state_client = StateClient(settings, group, rpc_client, view, dialect, log)
@@ -250,10 +258,7 @@
         )
         with background_tasks(runs, log):
             await stopping.wait()
-            await _announce_stop(group, log)
-            stopping_s = boot_clock_s()
-            await _drain(settings, caller_server, log)
-            await _give_up_vote(settings, group, stopping_s, log)
+            await _stop(settings.grace_s, group, caller_server, gateway, log)
 
 
 def make_reply_observer(
@@ -315,24 +320,61 @@
     await asyncio.to_thread(metrics.load)
 
 
+async def _stop(
+    grace_s: float,
+    group: Group,
+    caller_server: HttpServer,
+    gateway: Gateway,
+    log: DecisionLog,
+) -> None:
+    """Give up leadership and vote, and finish the requests within the grace period.
+
+    The announcement takes up to its timeout if the group member waits for its disk, so
+    it is not waited for first.
+    """
+    end_s = boot_clock_s() + grace_s - CLOSE_MARGIN_S
+    await asyncio.gather(
+        _announce_stop(group, log),
+        _drain(grace_s, caller_server, gateway, log),
+    )
+    await _give_up_vote(group, end_s, log)
+
+
 async def _drain(
-    settings: GatewaySettings, caller_server: HttpServer, log: DecisionLog
+    grace_s: float, caller_server: HttpServer, gateway: Gateway, log: DecisionLog
 ) -> None:
-    """Wait for the removal from the load balancer, finish requests, then close."""
+    """Wait for the removal from the load balancer, finish requests, then close.
+
+    Requests that would not end in time are refused at once. Those that still run near
+    the end of the grace period are ended, each with an answer unless it has begun, and
+    those that are not read completely are refused.
+    """
     started_at_s = boot_clock_s()
+    end_s = started_at_s + grace_s - CLOSE_MARGIN_S
+    gateway.begin_stop(end_s)
     log.line("stopping", active=caller_server.active)
-    while boot_clock_s() - started_at_s < BALANCER_REMOVAL_S:
+    removed_s = started_at_s + BALANCER_REMOVAL_S
+    while boot_clock_s() < removed_s:
+        if boot_clock_s() >= removed_s - CLOSE_NOTICE_S:
+            caller_server.close_after_response()
+        gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     caller_server.stop_accepting()
     caller_server.close_after_response()
-    deadline_s = started_at_s + settings.grace_s - CLOSE_MARGIN_S
-    while caller_server.is_busy() and boot_clock_s() < deadline_s:
+    while caller_server.is_busy() and boot_clock_s() < end_s:
         caller_server.close_idle()
+        gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
+    unfinished = caller_server.active
+    gateway.end_unfinished()
+    caller_server.refuse_unread(stopping_refusal())
+    while caller_server.is_busy() and boot_clock_s() < end_s + LAST_ANSWERS_S:
+        caller_server.close_idle()
+        await asyncio.sleep(LAST_ANSWERS_POLL_INTERVAL_S)
     caller_server.close_idle()
     log.line(
         "stopped",
-        active=caller_server.active,
+        active=unfinished,
         took_s=round(boot_clock_s() - started_at_s, 2),
     )
 
@@ -345,16 +387,13 @@
         log.line("stop_not_announced", reason=str(error))
 
 
-async def _give_up_vote(
-    settings: GatewaySettings, group: Group, stopping_s: float, log: DecisionLog
-) -> None:
+async def _give_up_vote(group: Group, end_s: float, log: DecisionLog) -> None:
     """Wait until the group has removed a vote that it can spare, or the grace ends.
 
     This host may never start again; the others would go on counting its vote.
     """
-    deadline_s = stopping_s + settings.grace_s - CLOSE_MARGIN_S
     while group.status().has_spare_vote:
-        if boot_clock_s() >= deadline_s:
+        if boot_clock_s() >= end_s:
             log.line("vote_kept", reason="the group did not remove it in time")
             return
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
