An answer whose head is cut is no answer of a plain service or an engine

Reported for a similar system, and reproduced here on the product's own path: a plain service that stopped within the head of its answer and closed its connection gave the caller 200 with an empty body under a Content-Length of 0. A cut refusal (404 or 409) counted as not run, a cut answer to a load as carried out.

Cause: the agent's client reads heads with http.client, which takes the end of the connection for the empty line that ends a head. The framing headers that were cut off are then absent, and an answer without them ends with its connection, which is at once. It takes a cut size of a chunk, such as 0 of 005, for the last chunk in the same way.

The reader of the connection now refuses a line that the connection ends.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_backend_client.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_backend_client.py
@@ -10,6 +10,7 @@
 
 import urllib3
 
+from damaskvalve_agent._strict_http import StrictConnectionPool
 from damaskvalve_core import DamaskvalveError
 from damaskvalve_core.messages import WorkRequest
 
@@ -94,7 +95,7 @@
     def __init__(self, address: str, max_connections: int, timeout_s: float) -> None:
         host, _, port = address.rpartition(":")
         self._timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = StrictConnectionPool(
             host, int(port), maxsize=max_connections, block=False, retries=False
         )
 
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
@@ -0,0 +1,48 @@
+"""A connection pool whose answers are complete in every line of their framing.
+
+The standard library takes the end of a connection for the end of a head, of a chunk's
+size and of the trailers.
+"""
+
+import http.client
+import io
+import socket
+
+import urllib3
+import urllib3.connection
+
+
+class _WholeLineReader(io.BufferedReader):
+    """Raises :class:`http.client.RemoteDisconnected` for a line without its end."""
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        line = super().readline(size)
+        is_limited = size is not None and 0 <= size <= len(line)
+        if not line.endswith(b"\n") and not is_limited:
+            raise http.client.RemoteDisconnected(
+                f"the connection ended within a line of the framing: {line[:80]!r}"
+            )
+        return line
+
+
+class _StrictResponse(http.client.HTTPResponse):
+    def __init__(
+        self,
+        sock: socket.socket,
+        debuglevel: int = 0,
+        method: str | None = None,
+        url: str | None = None,
+    ) -> None:
+        super().__init__(sock, debuglevel, method, url)
+        # Nothing has been read from the reader that is replaced.
+        self.fp = _WholeLineReader(self.fp.detach())
+
+
+class _StrictConnection(urllib3.connection.HTTPConnection):
+    response_class = _StrictResponse
+
+
+class StrictConnectionPool(urllib3.HTTPConnectionPool):
+    """Connections to one server; an answer that stops anywhere raises an error."""
+
+    ConnectionCls = _StrictConnection
