A response with a body to a HEAD request ends without an error

Found with the tests of cut replies: a refusal of a HEAD request raised "Too much data for declared Content-Length" out of the connection's task, after its head had been sent. The caller had its answer, but the connection was closed without notice, so the next request on it was lost, and the error was only printed.

Cause: the response's body was sent although h11 frames a response to HEAD without one. It is left out now; its length stays in the head. The new test got one response of two before.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_responder.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_responder.py
@@ -26,6 +26,8 @@
     def __init__(self, connection: ResponseConnection, framing: h11.Connection) -> None:
         self._connection = connection
         self._framing = framing
+        # Whether the request is one whose response has no body, whatever its head says.
+        self.omits_body = False
         self.started = False
         self.finished = False
 
@@ -36,7 +38,8 @@
         ]
         response_headers.append((b"content-length", str(len(body)).encode()))
         self._send_head(status, response_headers)
-        self._write(self._framing.send(h11.Data(data=body)))
+        if not self.omits_body:
+            self._write(self._framing.send(h11.Data(data=body)))
         await self.finish()
 
     async def start(self, status: int, headers: Headers) -> None:
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -163,6 +163,7 @@
             return False
         if incoming is None:
             return False
+        responder.omits_body = incoming.method == "HEAD"
         await self._handle_request(incoming, responder)
         if not responder.finished or framing.our_state is not h11.DONE:
             return False
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -143,6 +143,13 @@
         self.assertIn(b"part", response)
         self.assertFalse(response.endswith(b"0\r\n\r\n"))
 
+    async def test_a_reply_to_head_leaves_its_connection_usable(self):
+        """It has the length of the body and no body; the next request is answered."""
+        head = HEAD.replace(b"POST", b"HEAD") + b"Content-Length: 2\r\n\r\nok"
+        response = await self.exchange(head + head)
+        self.assertEqual(response.lower().count(b"content-length: 2\r\n\r\n"), 2)
+        self.assertFalse(response.endswith(b"ok"))
+
     async def test_a_partly_read_request_is_not_closed_as_idle(self):
         """The request is answered before a shutdown; idle connections are closed."""
         reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
