A success without its backend server's signature is not relayed

Callers could get a 200 whose head lacks the signature that every success of a backend server carries: the gateway checked the request's id only, so a head that something on the way had written in part, or had written itself, was relayed with its body. Callers take such a success for none, and the request was not tried again.

The dialect now says whether a reply is signed, and a 2xx that is not breaks its attempt: the request may have run, so one that may run once gets 502, one that may be repeated is sent to another server, and a stream does not go on with such a reply. Failures are relayed as before. Two new tests failed before: 200 in place of 502, and the events of an unsigned reply joined to a caller's stream as complete.

Suspected, not seen: no server was found that leaves the signature out of a head that is otherwise whole. Entries for `make prove` for this and for whole heads.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -213,6 +213,7 @@
             raise BackendFailedError(
                 "the reply has a content encoding added in transit"
             )
+        self._check_signature(head, metadata)
         if exchange.route.kind == STREAMING and 200 <= head.status < 300:
             return await self._relay_stream(connection, head, started_at_s)
         body = await self._read_body(connection, head)
@@ -238,6 +239,12 @@
         if not metadata.not_run or connection.request_count > 1:
             raise BackendFailedError("the reply carries no request id")
 
+    @staticmethod
+    def _check_signature(head: ReplyHead, metadata: ReplyMetadata) -> None:
+        """Raise :class:`BackendFailedError` for a success without a signature."""
+        if 200 <= head.status < 300 and not metadata.signed:
+            raise BackendFailedError("the reply is a success without a signature")
+
     def _note_event(self, now_s: float) -> None:
         if not self.event_groups:
             self._first_event_s = now_s
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -285,6 +285,7 @@
         "request_id",
         "not_run",
         "encoded",
+        "signed",
         "leaving",
         "backoff_s",
         "limit_per_s",
@@ -299,6 +300,7 @@
         *,
         not_run: bool,
         encoded: bool,
+        signed: bool = True,
         leaving: bool = False,
         backoff_s: float = 0.0,
         limit_per_s: float | None = None,
@@ -311,6 +313,8 @@
         self.not_run = not_run
         # The body was encoded in transit and differs from the backend server's.
         self.encoded = encoded
+        # Whether it carries the backend server's signature, if the dialect has one.
+        self.signed = signed
         # The backend server is leaving and accepts no further requests.
         self.leaving = leaving
         # How long an overloaded backend server asks this host to send nothing; 0 if it
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/cut_reply_fixtures.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/cut_reply_fixtures.py
@@ -64,6 +64,7 @@
         values.get(b"request-id", b"").decode(),
         not_run=b"not-run" in values,
         encoded=False,
+        signed=bool(values.get(b"signature")),
     )
 
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_cut_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_cut_replies.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from damaskvalve_gateway.tests.attempt_fixtures import LAST_CHUNK, OK, chunk
+from damaskvalve_gateway.tests.attempt_fixtures import LAST_CHUNK, chunk
 from damaskvalve_gateway.tests.cut_reply_fixtures import (
     CLOSE,
     KEEP,
@@ -10,17 +10,20 @@
     CuttingFleet,
 )
 
+UNSIGNED_OK = b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n"
+OK = UNSIGNED_OK + b"signature: s-1\r\n"
 BODY = b"twelve bytes"
 LENGTH = OK + b"content-length: 12\r\n\r\n" + BODY
 LENGTH_FIRST = (
-    b"HTTP/1.1 200 OK\r\ncontent-length: 12\r\nx-note: 0\r\nrequest-id: r-1\r\n\r\n"
-) + BODY
+    b"HTTP/1.1 200 OK\r\ncontent-length: 12\r\nrequest-id: r-1\r\nsignature: s-1\r\n"
+    b"\r\n" + BODY
+)
 CHUNKED_HEAD = OK + b"transfer-encoding: chunked\r\n\r\n"
 CHUNKED = CHUNKED_HEAD + b"006\r\ntwelve\r\n" + chunk(b" bytes") + LAST_CHUNK
 UNFRAMED = OK + b"connection: close\r\n\r\n" + BODY
 OLD = LENGTH.replace(b"HTTP/1.1", b"HTTP/1.0")
 INFORMATIONAL = b"HTTP/1.1 100 Continue\r\nx-note: 1\r\n\r\n"
-NO_CONTENT = b"HTTP/1.1 204 No Content\r\nrequest-id: r-1\r\n\r\n"
+NO_CONTENT = OK.replace(b"200 OK", b"204 No Content") + b"\r\n"
 FAILURE = LENGTH.replace(b"200 OK", b"500 No")
 REFUSAL = LENGTH.replace(b"200 OK", b"503 Busy").replace(
     b"content", b"not-run: 1\r\ncontent"
@@ -97,7 +100,7 @@
         self.assertEqual(wrong, [])
 
     async def test_a_reply_that_is_cut_anywhere_is_no_success(self):
-        """Its request may have run, so it is neither repeated nor refused as not run."""
+        """Its request may have run: it is neither repeated nor refused as not run."""
         fleet = await self.start_fleet()
         for reply in (LENGTH, LENGTH_FIRST, CHUNKED, OLD, INFORMATIONAL + LENGTH):
             got = await fleet.ask("unsafe", (reply, CLOSE))
@@ -132,6 +135,19 @@
         await self.assert_no_cut_is_a_success(fleet, LENGTH_FIRST, before=LENGTH)
         self.assertEqual(fleet.accepted, len(list(cuts(LENGTH_FIRST))))
 
+    async def test_a_success_without_a_signature_is_not_relayed(self):
+        """Whatever wrote it left a part of the head out; the request may have run."""
+        fleet = await self.start_fleet(backends=2)
+        for head in (UNSIGNED_OK, UNSIGNED_OK + b"signature:\r\n"):
+            for framing in (b"content-length: 2\r\n\r\nok", b"\r\nok"):
+                unsigned = head + framing, CLOSE
+                got = await fleet.ask("unsafe", unsigned)
+                self.assertEqual((got.status, len(fleet.arrived)), (502, 1))
+                got = await fleet.ask("safe", unsigned, (LENGTH, KEEP))
+                self.assertEqual((got.body, got.is_success()), (BODY, True))
+        got = await fleet.ask("unsafe", (FAILURE.replace(b"signature", b"x"), CLOSE))
+        self.assertEqual((got.status, got.body), (500, BODY))
+
     async def test_a_failure_that_is_cut_is_not_relayed(self):
         """The gateway answers with a failure of its own."""
         fleet = await self.start_fleet()
@@ -216,6 +232,17 @@
                 result = got.body, got.complete, len(fleet.arrived)
                 self.assertEqual(result, (WHOLE_STREAM, True, 2), cut)
 
+    async def test_a_stream_does_not_go_on_with_a_reply_without_a_signature(self):
+        """The caller's stream is cut; before the first event, it gets a failure."""
+        fleet = await self.start_fleet(backends=2)
+        whole = chunked_stream()
+        first = whole[: whole.index(event(2)) + len(event(2))], CLOSE
+        unsigned = chunked_stream(3).replace(b"signature: s-1\r\n", b""), CLOSE
+        got = await fleet.ask("resumable", first, unsigned)
+        self.assertEqual((got.body, got.complete), (b"".join(events(1, 2)), False))
+        got = await fleet.ask("stream", unsigned)
+        self.assertEqual(got.status, 502)
+
     async def test_the_rest_of_a_stream_that_is_cut_as_well_does_not_complete_it(self):
         """The second server stops at any byte of the rest."""
         fleet = await self.start_fleet(backends=2)
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -9,12 +9,13 @@
 import sys
 import unittest
 from collections.abc import Iterator, Sequence
+from http.client import HTTPResponse
 from typing import Any
 from unittest import mock
 
 from damaskvalve import ConfigurationView, _view
 from damaskvalve._filters import _claim
-from damaskvalve_agent import Fence, Slots
+from damaskvalve_agent import Fence, Slots, _strict_http
 from damaskvalve_agent._permits._loads import LoadTracker
 from damaskvalve_agent._permits._pace import PrefillPacer
 from damaskvalve_agent.permits import AdmissionController
@@ -28,6 +29,7 @@
     _overload,
     _part_blame,
 )
+from damaskvalve_gateway._backend_attempt import BackendAttempt
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._crashes import CrashTracker
 from damaskvalve_gateway._gateway import Gateway
@@ -488,6 +490,18 @@
         f"{HOST}.test_view.ViewTests."
         "test_older_answer_never_reverts_the_configuration",
     ),
+    Proof(
+        "a head ends at its empty line",
+        replace(_strict_http._StrictConnection, "response_class", HTTPResponse),
+        f"{AGENT}.test_cut_answers.CutAnswerTests."
+        "test_an_answer_whose_head_is_cut_is_no_answer",
+    ),
+    Proof(
+        "a success has a signature",
+        replace(BackendAttempt, "_check_signature", lambda self, head, metadata: None),
+        f"{GATEWAY}.test_cut_replies.CutReplyTests."
+        "test_a_success_without_a_signature_is_not_relayed",
+    ),
     *LIMIT_PROOFS,
 )
 
