An aborted response to a caller with HTTP/1.0 is reset

A caller that speaks HTTP/1.0 got a stream that broke off as a complete one: its response has no chunks, so it ends with its connection, and the connection was closed in an orderly way, also when the host stopped.

A connection on which such a response is unfinished is now reset. With HTTP/1.1 nothing changes: the missing last chunk shows the cut, and an orderly close loses no event. A stream cut after its first event was complete for such a caller before, and the new tests cut it at every byte, and stop the server within a response.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_responder.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_responder.py
@@ -71,6 +71,11 @@
         """
         self._connection.closing = True
 
+    def ends_with_connection(self) -> bool:
+        """Return whether an orderly close would complete the unfinished response."""
+        is_open = self.started and not self.finished
+        return is_open and self._framing.their_http_version == b"1.0"
+
     def _write(self, data: bytes | None) -> None:
         if data:
             self._connection.write(data)
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
@@ -40,6 +42,8 @@
 # Retry-After of requests that are refused because bodies use up the budget. By then,
 # some of the bodies are complete or discarded.
 BODIES_RETRY_AFTER_S = 1.0
+# The value of SO_LINGER, on and 0 s, with which closing a connection resets it.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 #: Handles one request and sends its response.
@@ -58,6 +62,8 @@
         self._reading_paused = False
         self._caller_gone = False
         self._task: asyncio.Task[None] | None = None
+        # Sends the response to the newest request; None before the first.
+        self._responder: Responder | None = None
         self._handling = False
         self._discarding = False
         self.closing = False
@@ -131,7 +137,16 @@
         except asyncio.CancelledError:
             pass
         finally:
-            self._transport.close()
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection; reset it if its end would complete a response."""
+        if self._responder is not None and self._responder.ends_with_connection():
+            with contextlib.suppress(OSError):
+                self._transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+        self._transport.close()
 
     async def _serve_request(self) -> bool:
         """Read and handle one request; return False if the connection has to close."""
@@ -139,7 +154,7 @@
         framing = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes + 1024
         )
-        responder = Responder(self, framing)
+        responder = self._responder = Responder(self, framing)
         # The body stays reserved until the response is sent.
         with self._server.body_budget.reserve() as reservation:
             return await self._read_and_handle(framing, limits, responder, reservation)
@@ -363,7 +378,12 @@
         """Close the connections on which no request has begun."""
         for connection in list(self.connections):
             if connection.is_idle():
-                connection._transport.close()
+                connection.close()
+
+    def close_all(self) -> None:
+        """Close all connections, which aborts the requests in progress."""
+        for connection in list(self.connections):
+            connection.close()
 
     def is_busy(self) -> bool:
         """Return whether a request is being read or handled."""
@@ -389,5 +409,4 @@
         yield server
     finally:
         server.stop_accepting()
-        for connection in list(server.connections):
-            connection._transport.close()
+        server.close_all()
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -36,6 +36,9 @@
             await responder.start(200, [])
             await responder.write(b"part")
             responder.abort()
+        elif incoming.target == "/slow-stream":
+            await responder.start(200, [])
+            await asyncio.sleep(5)
         elif incoming.target == "/slow":
             try:
                 await asyncio.sleep(5)
@@ -143,6 +146,21 @@
         self.assertIn(b"part", response)
         self.assertFalse(response.endswith(b"0\r\n\r\n"))
 
+    async def test_an_aborted_response_to_http_1_0_is_visibly_incomplete(self):
+        """It has no chunks, so an orderly close would complete it."""
+        for stops in (False, True):
+            target = b"/slow-stream" if stops else b"/cut"
+            reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+            writer.write(b"GET %s HTTP/1.0\r\n\r\n" % target)
+            self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+            if stops:
+                self.server.close_all()
+            with self.assertRaises(ConnectionResetError):
+                await asyncio.wait_for(reader.read(), 1.0)
+            writer.close()
+        response = await self.exchange(b"GET /whole HTTP/1.0\r\n\r\n")
+        self.assertIn(b" 200 ", response)
+
     async def test_a_reply_to_head_leaves_its_connection_usable(self):
         """It has the length of the body and no body; the next request is answered."""
         head = HEAD.replace(b"POST", b"HEAD") + b"Content-Length: 2\r\n\r\nok"
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_cut_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_cut_replies.py
@@ -206,6 +206,16 @@
                 if got.status == 200:
                     self.assert_whole_events(got)
 
+    async def test_a_cut_stream_does_not_end_as_complete_for_an_old_caller(self):
+        """Its answer over HTTP/1.0 has neither a length nor chunks."""
+        fleet = await self.start_fleet()
+        stream = chunked_stream()
+        got = await fleet.ask("stream", (stream, CLOSE), version="1.0")
+        self.assertEqual((got.body, got.complete), (WHOLE_STREAM, True))
+        for cut in cuts(stream):
+            got = await fleet.ask("stream", cut, version="1.0")
+            self.assertFalse(got.is_success(), cut)
+
     async def test_a_stream_that_ends_with_its_connection_ends_after_an_event(self):
         """Anywhere else, and before the first event, its end is a cut."""
         fleet = await self.start_fleet()
