The length of a cut stream does not end the stream that goes on

A caller's stream kept the Content-Length of its first reply. When that reply was cut and another server wrote the rest, the rest ended as complete at that length: with one event more than the first had announced, the caller got a whole stream without its last event. With one event less, a sound rest was cut, with an internal error in the log.

The gateway frames a caller's stream by itself now, in chunks; the length of one reply is not passed on. The new test lets the second run write an event less, as many, and an event more, whole and cut; it failed before (trial with one more: complete after event 4 of 5; in order: "Too little data for declared Content-Length" with one less).

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -380,7 +380,7 @@
                     await self._await_recorded()
                 exchange.software_version = self._backend.announcement.software_version
             if not responder.started:
-                await responder.start(head.status, reply_headers(head))
+                await responder.start(head.status, _stream_headers(head, exchange))
             now_s = boot_clock_s()
             if exchange.first_event_s is None:
                 self._backend.note_success(now_s - started_at_s)
@@ -400,7 +400,7 @@
         instance_id = self._backend.announcement.instance_id
         self._pool.release(instance_id, connection, now_s)
         if not responder.started:
-            await responder.start(head.status, reply_headers(head))
+            await responder.start(head.status, _stream_headers(head, exchange))
         await responder.finish()
         return ANSWERED
 
@@ -445,6 +445,16 @@
     return [(name, value) for name, value in head.headers if name not in _HOP_HEADERS]
 
 
+def _stream_headers(head: ReplyHead, exchange: Exchange) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a stream, without the length of this one reply.
+
+    Another backend server may write the rest, and its length may differ.
+    """
+    if exchange.request.method == "HEAD":
+        return reply_headers(head)
+    return [item for item in reply_headers(head) if item[0] != b"content-length"]
+
+
 async def relay(exchange: Exchange, head: ReplyHead, body: bytes) -> None:
     """Send a backend server's complete reply to the caller."""
     headers = reply_headers(head)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_cut_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_cut_replies.py
@@ -242,6 +242,21 @@
                 result = got.body, got.complete, len(fleet.arrived)
                 self.assertEqual(result, (WHOLE_STREAM, True, 2), cut)
 
+    async def test_the_length_of_a_cut_stream_does_not_end_the_one_that_goes_on(self):
+        """The second run writes more, or less, than the first had announced."""
+        fleet = await self.start_fleet(backends=2)
+        first = stream_with_length()
+        cut = first[: first.index(event(2)) + len(event(2))], CLOSE
+        for last in (LAST_EVENT - 1, LAST_EVENT, LAST_EVENT + 1):
+            body = b"".join(map(chunk, events(3, last)))
+            rest = CHUNKED_HEAD + body + LAST_CHUNK, CLOSE
+            got = await fleet.ask("resumable", cut, rest)
+            whole = b"".join(events(1, last))
+            self.assertEqual((got.body, got.complete), (whole, True), last)
+            rest = CHUNKED_HEAD + body, CLOSE
+            got = await fleet.ask("resumable", cut, rest)
+            self.assertEqual((got.body, got.complete), (whole, False), last)
+
     async def test_a_stream_does_not_go_on_with_a_reply_without_a_signature(self):
         """The caller's stream is cut; before the first event, it gets a failure."""
         fleet = await self.start_fleet(backends=2)
