--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_messages.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_messages.py
@@ -19,7 +19,7 @@
     listening,
     split_address,
 )
-from damaskvalve_core.messages import Ack, Header, WorkChunk, WorkRequest
+from damaskvalve_core.messages import Ack, AdmitReply, Header, WorkChunk, WorkRequest
 from damaskvalve_core.tests.certificates import make_identities
 
 TEXT = st.text(max_size=20)
@@ -35,6 +35,32 @@
         )
         self.assertEqual(decode_message(encode_message(work)), work)
 
+    @settings(max_examples=200)
+    @given(
+        name=TEXT,
+        body=st.binary(max_size=60),
+        cost=st.floats(allow_nan=False),
+        headers=st.lists(TEXT, max_size=3),
+        data=st.data(),
+    )
+    def test_a_cut_message_is_no_shorter_message(self, name, body, cost, headers, data):
+        """Every first part of a frame is refused, whatever its fields hold."""
+        messages = (
+            WorkRequest(
+                request_id=name,
+                headers=[Header(item, item) for item in headers],
+                body=body,
+                cost_units=cost,
+            ),
+            AdmitReply(True, len(body), cost, name, 0.5),
+            Ack(len(body)),
+        )
+        for message in messages:
+            frame = encode_message(message)
+            length = data.draw(st.integers(0, len(frame) - 1))
+            with self.assertRaises(ProtocolError):
+                decode_message(frame[:length])
+
     @settings(max_examples=1000)
     @given(frame=st.binary(max_size=120))
     def test_invalid_frames_raise_only_protocol_errors(self, frame):
