Tests: requests of callers that are cut at any byte

With a length, in chunks, without a body, over HTTP/1.0; the caller ends its stream, closes or resets. None is handled; the tests passed at once.

--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -1,6 +1,8 @@
 """HTTP server and client: strict parsing, complete or visibly aborted responses."""
 
 import asyncio
+import socket
+import struct
 import unittest
 
 from damaskvalve_core import ChannelError
@@ -132,6 +134,39 @@
         self.assertEqual([body for _, body in self.handled_requests], [b"abc", b"de"])
         self.assertEqual(response.count(b"HTTP/1.1 200"), 2)
 
+    async def test_a_request_that_is_cut_anywhere_is_not_handled(self):
+        """Its length, last chunk or head is incomplete; the caller closes or resets."""
+        asyncio.get_running_loop().set_debug(False)
+        requests = (
+            HEAD + b"Content-Length: 12\r\n\r\ntwelve bytes",
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n005\r\nhello\r\n0\r\n\r\n",
+            b"GET /p HTTP/1.1\r\nHost: h\r\nX-Last: 1\r\n\r\n",
+            b"POST /p HTTP/1.0\r\nContent-Length: 12\r\n\r\ntwelve bytes",
+        )
+        for request in requests:
+            for length in range(len(request)):
+                for ending in ("end", "close", "reset"):
+                    await self.send_cut(request[:length], ending)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.handled_requests, [])
+        for request in requests:
+            await self.exchange(request)
+        self.assertEqual(len(self.handled_requests), len(requests))
+
+    async def send_cut(self, data, ending):
+        """Send the first part of a request; end the stream, close it or reset it."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+        writer.write(data)
+        if ending == "end":
+            writer.write_eof()
+            answer = await asyncio.wait_for(reader.read(), 1.0)
+            self.assertNotIn(b" 200 ", answer)
+        elif ending == "reset":
+            linger = struct.pack("ii", 1, 0)
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
     async def test_oversized_and_slow_requests_are_refused(self):
         """Headers and bodies have a maximum size, and headers a time limit."""
         long_head = HEAD + b"X: " + b"y" * 2_000 + b"\r\n\r\n"
