A line that is no header does not end the head of an answer

On the product's own path the standard library's parser takes a line without a colon for the start of the body; urllib3 only logs it. The headers after it are lost, also the length, so a short body counted as whole. Such an answer is an error now.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
@@ -1,7 +1,7 @@
 """A connection pool whose answers are complete in every line of their framing.
 
 The standard library takes the end of a connection for the end of a head, of a chunk's
-size and of the trailers.
+size and of the trailers, and a line that is no header for the end of the head.
 """
 
 import http.client
@@ -10,6 +10,7 @@
 
 import urllib3
 import urllib3.connection
+from urllib3.util.response import assert_header_parsing
 
 
 class _WholeLineReader(io.BufferedReader):
@@ -37,6 +38,14 @@
         # Nothing has been read from the reader that is replaced.
         self.fp = _WholeLineReader(self.fp.detach())
 
+    def begin(self) -> None:
+        super().begin()
+        try:
+            assert_header_parsing(self.msg)
+        except urllib3.exceptions.HeaderParsingError as error:
+            # The headers after the unreadable line would be lost.
+            raise http.client.HTTPException(str(error)) from error
+
 
 class _StrictConnection(urllib3.connection.HTTPConnection):
     response_class = _StrictResponse
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_cut_answers.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_cut_answers.py
@@ -130,6 +130,12 @@
         head_bytes = LENGTH.index(b"\r\n\r\n") + 4
         self.assert_cuts_fail(LENGTH, run_service, last=head_bytes)
 
+    def test_an_answer_with_a_line_that_is_no_header_is_no_answer(self):
+        """A tolerant parser takes the line for the end of the head."""
+        for line in (b"Content-Le\r\n", b": no name\r\n"):
+            answer = OK + line + b"Content-Length: 80\r\n\r\n" + b"x" * 80
+            self.assert_cuts_fail(answer, run_service, last=len(answer) + 1)
+
     def test_an_answer_whose_body_is_cut_is_no_answer(self):
         """It has a length, or chunks whose sizes may begin with zeros."""
         chunks = CHUNKED + b"005\r\nhello\r\n" + chunk(b"y" * 20) + b"0\r\n\r\n"
