A stream is relayed with the comments before its first event

A complete stream lost what came before its first event, and empty lines after its last: the caller got a 200 with a shorter body, framed as whole; a stream of comments only arrived empty. Cause: no response has started at that time, and only events start one.

Such bytes, up to the size limit of an event, are kept until the response starts; bytes after the last event are relayed once the reply is whole. The new test failed before. A run that breaks before its first event leaves nothing behind, as before.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -16,6 +16,7 @@
 from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._events import (
+    MAX_EVENT_BYTES,
     EventSplitter,
     first_event_id,
     foreign_line,
@@ -354,6 +355,8 @@
         exchange = self._exchange
         responder = exchange.responder
         splitter = EventSplitter(exchange.last_event_id)
+        # What came before the first event, while no response has started.
+        early_comments = b""
         self._check_content_type(head)
         # Only complete events reset the stall timer. Neither comments nor the bytes of
         # an event that never ends keep a stream alive.
@@ -371,8 +374,12 @@
             if not has_event(events):
                 if watch.is_stalled(boot_clock_s()):
                     raise BackendTimeoutError(f"no event for {watch.limit_s:.2f} s")
-                if events and responder.started:
+                if responder.started and events:
                     await responder.write(events)
+                elif events:
+                    early_comments += events
+                    if len(early_comments) > MAX_EVENT_BYTES:
+                        raise BackendFailedError("the comments exceed the size limit")
                 continue
             self._check_order(events)
             if exchange.software_version is None:
@@ -387,7 +394,8 @@
             exchange.note_events(now_s)
             self._note_event(now_s)
             self._on_started()
-            await responder.write(events)
+            await responder.write(early_comments + events)
+            early_comments = b""
             exchange.last_event_id = splitter.last_event_id
             watch = StallWatch(pause_limit_s(exchange), boot_clock_s())
         if splitter.has_partial_event():
@@ -401,6 +409,8 @@
         self._pool.release(instance_id, connection, now_s)
         if not responder.started:
             await responder.start(head.status, _stream_headers(head, exchange))
+        if rest := early_comments + splitter.partial_event():
+            await responder.write(rest)
         await responder.finish()
         return ANSWERED
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
@@ -36,6 +36,10 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._partial.strip())
 
+    def partial_event(self) -> bytes:
+        """Return the bytes after the last complete event."""
+        return self._partial
+
     def is_too_large(self) -> bool:
         """Return whether the buffered part exceeds the size of an event."""
         return len(self._partial) > MAX_EVENT_BYTES
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_cut_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_cut_replies.py
@@ -242,6 +242,21 @@
                 result = got.body, got.complete, len(fleet.arrived)
                 self.assertEqual(result, (WHOLE_STREAM, True, 2), cut)
 
+    async def test_a_stream_is_relayed_whole_with_what_is_no_event(self):
+        """Comments and empty lines, before the first event and after the last."""
+        fleet = await self.start_fleet()
+        note = b": note\n\n"
+        for parts in (
+            (note, *events(1), note),
+            (note, note, *events(1), b"\n"),
+            (b"\n", *events(1), b"\r\n"),
+            (note,),
+        ):
+            body = b"".join(map(chunk, parts))
+            head = STREAM + b"transfer-encoding: chunked\r\n\r\n"
+            got = await fleet.ask("stream", (head + body + LAST_CHUNK, CLOSE))
+            self.assertEqual((got.body, got.complete), (b"".join(parts), True))
+
     async def test_the_length_of_a_cut_stream_does_not_end_the_one_that_goes_on(self):
         """The second run writes more, or less, than the first had announced."""
         fleet = await self.start_fleet(backends=2)
