--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -20,6 +20,7 @@
 from damaskvalve_agent._permits._pace import PrefillPacer
 from damaskvalve_agent.permits import AdmissionController
 from damaskvalve_core import RefusedError
+from damaskvalve_core.http import Responder
 from damaskvalve_gateway import (
     _backend_attempt,
     _backends,
@@ -502,6 +503,22 @@
         f"{GATEWAY}.test_cut_replies.CutReplyTests."
         "test_a_success_without_a_signature_is_not_relayed",
     ),
+    Proof(
+        "an aborted response to HTTP/1.0 is reset",
+        replace(Responder, "ends_with_connection", lambda self: False),
+        f"{GATEWAY}.test_cut_replies.CutStreamTests."
+        "test_a_cut_stream_does_not_end_as_complete_for_an_old_caller",
+    ),
+    Proof(
+        "a stream is framed by the host",
+        replace(
+            _backend_attempt,
+            "_stream_headers",
+            lambda head, exchange: _backend_attempt.reply_headers(head),
+        ),
+        f"{GATEWAY}.test_cut_replies.CutStreamTests."
+        "test_the_length_of_a_cut_stream_does_not_end_the_one_that_goes_on",
+    ),
     *LIMIT_PROOFS,
 )
 
