Merge: an answer that stops at any byte does not look complete

A plain service's or an engine's answer whose head is cut was taken for a whole one in the product's own path, and a cut stream to a caller with HTTP/1.0 looked complete.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -16,6 +16,7 @@
 from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._dialect import Dialect
 from damaskvalve_gateway._events import (
+    MAX_EVENT_BYTES,
     EventSplitter,
     first_event_id,
     foreign_line,
@@ -213,6 +214,7 @@
             raise BackendFailedError(
                 "the reply has a content encoding added in transit"
             )
+        self._check_signature(head, metadata)
         if exchange.route.kind == STREAMING and 200 <= head.status < 300:
             return await self._relay_stream(connection, head, started_at_s)
         body = await self._read_body(connection, head)
@@ -238,6 +240,12 @@
         if not metadata.not_run or connection.request_count > 1:
             raise BackendFailedError("the reply carries no request id")
 
+    @staticmethod
+    def _check_signature(head: ReplyHead, metadata: ReplyMetadata) -> None:
+        """Raise :class:`BackendFailedError` for a success without a signature."""
+        if 200 <= head.status < 300 and not metadata.signed:
+            raise BackendFailedError("the reply is a success without a signature")
+
     def _note_event(self, now_s: float) -> None:
         if not self.event_groups:
             self._first_event_s = now_s
@@ -347,6 +355,8 @@
         exchange = self._exchange
         responder = exchange.responder
         splitter = EventSplitter(exchange.last_event_id)
+        # What came before the first event, while no response has started.
+        early_comments = b""
         self._check_content_type(head)
         # Only complete events reset the stall timer. Neither comments nor the bytes of
         # an event that never ends keep a stream alive.
@@ -364,8 +374,12 @@
             if not has_event(events):
                 if watch.is_stalled(boot_clock_s()):
                     raise BackendTimeoutError(f"no event for {watch.limit_s:.2f} s")
-                if events and responder.started:
+                if responder.started and events:
                     await responder.write(events)
+                elif events:
+                    early_comments += events
+                    if len(early_comments) > MAX_EVENT_BYTES:
+                        raise BackendFailedError("the comments exceed the size limit")
                 continue
             self._check_order(events)
             if exchange.software_version is None:
@@ -373,14 +387,15 @@
                     await self._await_recorded()
                 exchange.software_version = self._backend.announcement.software_version
             if not responder.started:
-                await responder.start(head.status, reply_headers(head))
+                await responder.start(head.status, _stream_headers(head, exchange))
             now_s = boot_clock_s()
             if exchange.first_event_s is None:
                 self._backend.note_success(now_s - started_at_s)
             exchange.note_events(now_s)
             self._note_event(now_s)
             self._on_started()
-            await responder.write(events)
+            await responder.write(early_comments + events)
+            early_comments = b""
             exchange.last_event_id = splitter.last_event_id
             watch = StallWatch(pause_limit_s(exchange), boot_clock_s())
         if splitter.has_partial_event():
@@ -393,7 +408,9 @@
         instance_id = self._backend.announcement.instance_id
         self._pool.release(instance_id, connection, now_s)
         if not responder.started:
-            await responder.start(head.status, reply_headers(head))
+            await responder.start(head.status, _stream_headers(head, exchange))
+        if rest := early_comments + splitter.partial_event():
+            await responder.write(rest)
         await responder.finish()
         return ANSWERED
 
@@ -438,6 +455,16 @@
     return [(name, value) for name, value in head.headers if name not in _HOP_HEADERS]
 
 
+def _stream_headers(head: ReplyHead, exchange: Exchange) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a stream, without the length of this one reply.
+
+    Another backend server may write the rest, and its length may differ.
+    """
+    if exchange.request.method == "HEAD":
+        return reply_headers(head)
+    return [item for item in reply_headers(head) if item[0] != b"content-length"]
+
+
 async def relay(exchange: Exchange, head: ReplyHead, body: bytes) -> None:
     """Send a backend server's complete reply to the caller."""
     headers = reply_headers(head)
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -9,16 +9,18 @@
 import sys
 import unittest
 from collections.abc import Iterator, Sequence
+from http.client import HTTPResponse
 from typing import Any
 from unittest import mock
 
 from damaskvalve import ConfigurationView, _view
 from damaskvalve._filters import _claim
-from damaskvalve_agent import Fence, Slots
+from damaskvalve_agent import Fence, Slots, _strict_http
 from damaskvalve_agent._permits._loads import LoadTracker
 from damaskvalve_agent._permits._pace import PrefillPacer
 from damaskvalve_agent.permits import AdmissionController
 from damaskvalve_core import RefusedError
+from damaskvalve_core.http import Responder
 from damaskvalve_gateway import (
     _backend_attempt,
     _backends,
@@ -29,6 +31,7 @@
     _overload,
     _part_blame,
 )
+from damaskvalve_gateway._backend_attempt import BackendAttempt
 from damaskvalve_gateway._confirmation_controller import ConfirmationController
 from damaskvalve_gateway._confirmations import Confirmations
 from damaskvalve_gateway._crash_controller import CrashController
@@ -536,6 +539,34 @@
         f"{HOST}.test_view.ViewTests."
         "test_older_answer_never_reverts_the_configuration",
     ),
+    Proof(
+        "a head ends at its empty line",
+        replace(_strict_http._StrictConnection, "response_class", HTTPResponse),
+        f"{AGENT}.test_cut_answers.CutAnswerTests."
+        "test_an_answer_whose_head_is_cut_is_no_answer",
+    ),
+    Proof(
+        "a success has a signature",
+        replace(BackendAttempt, "_check_signature", lambda self, head, metadata: None),
+        f"{GATEWAY}.test_cut_replies.CutReplyTests."
+        "test_a_success_without_a_signature_is_not_relayed",
+    ),
+    Proof(
+        "an aborted response to HTTP/1.0 is reset",
+        replace(Responder, "ends_with_connection", lambda self: False),
+        f"{GATEWAY}.test_cut_replies.CutStreamTests."
+        "test_a_cut_stream_does_not_end_as_complete_for_an_old_caller",
+    ),
+    Proof(
+        "a stream is framed by the host",
+        replace(
+            _backend_attempt,
+            "_stream_headers",
+            lambda head, exchange: _backend_attempt.reply_headers(head),
+        ),
+        f"{GATEWAY}.test_cut_replies.CutStreamTests."
+        "test_the_length_of_a_cut_stream_does_not_end_the_one_that_goes_on",
+    ),
     *LIMIT_PROOFS,
     *MEMBERSHIP_PROOFS,
 )
