A learner that does not answer gets no vote

A host that gave up its vote at a planned stop follows on as a learner until it ends. It held all entries for as long as nothing was committed, so once its announcement had lapsed it got its vote back, two seconds after it was gone: four voters, one of them gone, until it was removed as silent.

The simulated series did not show it, because they commit all the while; the test commits nothing and failed before (voters h2, h3, h4 and the gone h1). A learner is ready only if it has answered the last heartbeats.

--- a/packages/damaskvalve-state/damaskvalve_state/_consensus.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus.py
@@ -38,7 +38,7 @@
 # Entries that a snapshot covers stay in memory, up to this number, for followers that
 # lag behind.
 RETAINED_ENTRIES = 1_000
-# A voter that has not answered the heartbeats of this many intervals may be lost.
+# A member that has not answered the heartbeats of this many intervals may be lost.
 DOUBTFUL_HEARTBEATS = 2
 # A member counts as stopping for this long after its last announcement. Should it start
 # again, it is treated like any other member afterwards.
@@ -96,12 +96,12 @@
         return self.unresponsive_members(now_s, self.timing.election_timeout_s)
 
     def _doubtful_ids(self, now_s: float) -> Collection[str]:
-        """Return the ids of voters that have not answered the last heartbeats."""
+        """Return the ids of members that have not answered the last heartbeats."""
         since_s = now_s - DOUBTFUL_HEARTBEATS * self.timing.heartbeat_s
         return {
             member_id
             for member_id, item in self.progress.items()
-            if self._is_other_voter(item.member) and item.acked_sent_at_s < since_s
+            if item.acked_sent_at_s < since_s
         }
 
     def granted_votes(self) -> Collection[str]:
@@ -172,11 +172,18 @@
         """
         if not self.may_change_members():
             return None
+        doubtful_ids = self._doubtful_ids(now_s)
+        voters = self.voters()
         view = MembershipView(
-            self.voters(),
-            self.caught_up_learners(),
+            voters,
+            # A learner that is gone holds all entries until the next commit.
+            [
+                item
+                for item in self.caught_up_learners()
+                if item.member_id not in doubtful_ids
+            ],
             self._silent_ids(now_s),
-            self._doubtful_ids(now_s),
+            [item.member_id for item in voters if item.member_id in doubtful_ids],
             {
                 member_id
                 for member_id, item in self.progress.items()
--- a/packages/damaskvalve-state/damaskvalve_state/_membership.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_membership.py
@@ -53,7 +53,7 @@
         stopping_ids: Collection[str] = (),
     ) -> None:
         self.voters = tuple(voters)
-        # Learners that hold all committed entries.
+        # Learners that hold all committed entries and answer.
         self.ready = tuple(ready)
         # Voters that have not answered for an election timeout.
         self.silent_ids = frozenset(silent_ids)
--- a/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
@@ -173,6 +173,8 @@
         self.pending = {}
         self.acked_index = 0
         self.on_ack = None
+        # Whether entries are proposed all the while.
+        self.proposes = True
         # Proposed again and again once it is set.
         self.last_proposal = ""
         self.history = []
@@ -218,7 +220,7 @@
         self.now_s = end_s
         for host in self.running_hosts():
             self.tick_host(host)
-        if self.now_s >= self._next_proposal_s:
+        if self.proposes and self.now_s >= self._next_proposal_s:
             self._next_proposal_s = self.now_s + PROPOSAL_INTERVAL_S
             self.propose(f"change-{next(self._proposal_numbers)}")
             if self.last_proposal:
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_losses.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_losses.py
@@ -133,6 +133,26 @@
         group.run(2.0)
         self.assertGreater(len(group.accepted), before)
 
+    def test_a_gone_host_does_not_vote_again_while_nothing_is_committed(self):
+        """It holds all entries for as long as there are no new ones."""
+        group = LossGroup(1, 3, 1)
+        group.run(3.0)
+        stopped = next(
+            host for host in group.hosts.values() if host is not group.leader()
+        )
+        group.add_successor(stopped.slot)
+        group.run(3.0)
+        group.proposes = False
+        group.begin_stop(stopped)
+        group.run(1.0)
+        group.remove(stopped)
+        end_s = group.now_s + 6.0
+        while group.now_s < end_s:
+            group.step()
+            voters = group.leader().consensus.voters()
+            addresses = [voter.address for voter in voters]
+            self.assertNotIn(stopped.address, addresses)
+
     def test_hosts_replaced_one_after_another_leave_a_quorum(self):
         """Each successor starts before the old host stops."""
         self.check_series("replace")
