--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,213 +1,166 @@
-"""Endless bytes from one replica keep a host from answering anybody."""
+"""A replaced machine keeps its vote, and one lost disk takes the configuration away."""
 
 import asyncio
-import os
-import random
+import contextlib
+import json
+import shutil
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "support"))
 
-from engine import MODEL, Engine, engine_service, stream_route  # noqa: E402
 from fleet import (  # noqa: E402
     API_KEY,
+    CONTROL,
     HOST_NAME,
     CannotRunError,
     Fleet,
     PlainServer,
+    call,
     run_case,
 )
 
-CALM_S = 4.0
-GARBLE_S = 5.0
-AFTER_S = 2.0
-# One answer in so many of the replica in trouble is none.
-GARBLED_ONE_IN = 20
-# A body that never ends, in small chunks.
-CHUNK_BYTES = int(os.environ.get("CHUNK_BYTES", "16"))
-STREAMS_PER_S = 18.0
-# Requests a second to each host that the replica in trouble has no part in.
-RECORDS_PER_S = 8.0
-TIMEOUT_S = 0.8
-DEADLINE_S = 1.5
-LATE_S = 0.5
-MIN_UNANSWERED = 8
-
-CONFIGURATION = {
-    "version": 7,
-    "routes": [
-        stream_route("summary", "/summary/", "llm", resumable=False, attempts=1),
-        {
-            "name": "records",
-            "host": HOST_NAME,
-            "path_prefix": "/records/",
-            "kind": "unsafe",
-            "timeout_ms": int(TIMEOUT_S * 1000),
-            "aim_ms": 200,
-            "priority": 2,
-            "service": "desk",
-            "max_attempts": 1,
-            "public": False,
-        },
-    ],
-    "services": [
-        engine_service("llm"),
-        {
-            "name": "desk",
-            "health_path": "/health",
-            "max_conns": 130,
-            "protocol": "h1",
-            "tls": False,
+CATCH_UP_S = 4.0
+# How long the successor has run when the old machine is removed.
+SUCCESSOR_RUNS_S = 2 * CATCH_UP_S
+# From the removal of the old machine to the loss of the disk.
+BETWEEN_S = 0.3
+# The machine that lost its disk is back within a second.
+RESTART_S = 0.7
+RECOVERY_S = 12.0
+CONTACT_S = 3.0
+READ_FOR_S = 30.0
+
+
+def configuration(version):
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "records",
+                "host": HOST_NAME,
+                "path_prefix": "/records/",
+                "kind": "unsafe",
+                "timeout_ms": 1500,
+                "aim_ms": 200,
+                "priority": 2,
+                "service": "desk",
+                "max_attempts": 1,
+                "public": False,
+            }
+        ],
+        "services": [
+            {
+                "name": "desk",
+                "health_path": "/health",
+                "max_conns": 130,
+                "protocol": "h1",
+                "tls": False,
+            }
+        ],
+        "limits": {
+            "header_bytes": 16384,
+            "body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
         },
-    ],
-    "limits": {
-        "header_bytes": 16384,
-        "body_bytes": 4194304,
-        "header_timeout_ms": 3000,
-        "idle_timeout_ms": 15000,
-    },
-    "tenants": [
-        {
-            "name": "w1",
-            "api_keys": [API_KEY],
-            "priority": 1,
-            "unit": "token_stream",
-            "plain_tokens": 200,
-            "rate_per_s": 400000,
-            "burst": 400000,
-        }
-    ],
-}
-
-
-class EndlessEngine(Engine):
-    """In trouble, sends bytes that are no answer until the caller closes."""
-
-    in_trouble = False
-    answers = 0
-
-    async def stream(self, line, headers, writer):
-        self.answers += self.in_trouble
-        if not self.in_trouble or self.answers % GARBLED_ONE_IN != 1:
-            await super().stream(line, headers, writer)
-            return
-        request_id = headers.get("request-id", "")
-        self.fleet.record.line(f"{self.instance_id} answers {request_id} without end")
-        lines = [
-            "HTTP/1.1 200 OK",
-            f"Request-Id: {request_id}",
-            f"Response-Seal: {self.instance_id}.x",
-            "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
-        ]
-        writer.write("\r\n".join([*lines, "", ""]).encode("latin-1"))
-        chunk = b"%x\r\n%s\r\n" % (CHUNK_BYTES, b"#" * CHUNK_BYTES)
-        began_s = self.fleet.record.now_s()
-        try:
-            while True:
-                writer.write(chunk * 500)
-                await writer.drain()
-        finally:
-            took_s = self.fleet.record.now_s() - began_s
-            self.fleet.record.line(
-                f"the caller of {request_id} closed after {took_s:.2f} s"
-            )
+        "tenants": [
+            {
+                "name": "w1",
+                "api_keys": [API_KEY],
+                "priority": 1,
+                "unit": "token_stream",
+                "plain_tokens": 200,
+                "rate_per_s": 40000,
+                "burst": 40000,
+            }
+        ],
+    }
 
 
 async def case(record, trouble):
-    fleet = Fleet(record, other_hosts=0)
+    fleet = Fleet(record)
     try:
         return await play(fleet, record, trouble)
     finally:
         await fleet.close()
 
 
+async def read_version(ip):
+    """Return the version that a host shows to the operator; None if it shows none."""
+    with contextlib.suppress(OSError, TimeoutError, ValueError):
+        reply = await call(ip, CONTROL, "GET", "/api/config", timeout_s=1.0)
+        if reply.status == 200 and reply.complete:
+            return json.loads(reply.body)["version"]
+    return None
+
+
 async def play(fleet, record, trouble):
-    fleet.engines = [
-        EndlessEngine(fleet, f"{fleet.network}.{101 + n}", "llm", zone, f"i-llm-{n}")
-        for n, zone in enumerate(fleet.ZONES[:2])
-    ]
-    desks = [
-        PlainServer(fleet, f"{fleet.network}.{201 + n}", "desk", zone, f"i-desk-{n}")
+    for ip in fleet.host_ips:
+        fleet.start(ip, bootstrap=True)
+    servers = [
+        PlainServer(fleet, f"{fleet.network}.{101 + n}", "desk", zone, f"i-desk-{n}")
         for n, zone in enumerate(fleet.ZONES)
     ]
-    for server in (*fleet.engines, *desks):
+    for server in servers:
         fleet.servers.append(await server.serve())
-    for engine in fleet.engines:
-        fleet.start(engine.ip, "agent")
-    for ip in fleet.host_ips:
-        fleet.start(ip, bootstrap=True)
-    await fleet.put_configuration(CONFIGURATION)
+    await fleet.put_configuration(configuration(7))
     await fleet.await_ready()
+    first_ips = list(fleet.disk_ips)
     await asyncio.sleep(2.0)
-    until_s = record.now_s() + CALM_S + GARBLE_S + AFTER_S
-    tasks = []
-    # When each request of the desk was sent, and how long its answer took.
-    took_s = {}
-
-    async def stream(ip, adapter):
-        await fleet.send(
-            ip,
-            "/summary/x",
-            {
-                "Model": f"{MODEL}/{adapter}",
-                "Token-Usage": "600,60",
-                "Prefix-Hash": f"{random.randrange(1 << 30):x}:600",
-                "Deadline-Ms": "15000",
-            },
-            timeout_s=16.0,
-        )
-
-    async def record_entry(ip):
-        sent_s = record.now_s()
-        request_id, reply = await fleet.send(ip, "/records/a", timeout_s=DEADLINE_S)
-        took = record.now_s() - sent_s if reply else None
-        took_s[request_id] = sent_s, took, ip
-
-    async def at_rate(per_s, make):
-        while record.now_s() < until_s:
-            tasks.append(asyncio.create_task(make()))
-            await asyncio.sleep(1 / per_s)
 
-    def any_stream():
-        return stream(random.choice(fleet.host_ips), f"a{random.randrange(12)}")
-
-    loads = [asyncio.create_task(at_rate(STREAMS_PER_S, any_stream))]
+    # A machine of the core is replaced: first comes the new one, with an empty disk.
+    old = next(ip for ip in first_ips if ip != fleet.leader())
+    new = f"{fleet.network}.4"
+    fleet.disk_ips.append(new)
+    fleet.host_ips.append(new)
+    fleet.start(new)
+    await fleet.await_ready([new])
+    record.line(f"{new}, the successor of {old}, is ready")
+    await asyncio.sleep(SUCCESSOR_RUNS_S)
+    await fleet.put_configuration(configuration(8))
+    await asyncio.sleep(1.0)
     for ip in fleet.host_ips:
-        loads.append(
-            asyncio.create_task(at_rate(RECORDS_PER_S, lambda ip=ip: record_entry(ip)))
-        )
-    await asyncio.sleep(CALM_S)
-    slow = [item for item in took_s.values() if item[1] is None or item[1] > TIMEOUT_S]
-    if slow or not took_s:
-        raise CannotRunError(f"{len(slow)} of {len(took_s)} late while all was calm")
-    began_s = record.now_s()
+        if await read_version(ip) != 8:
+            raise CannotRunError(f"{ip} does not show version 8 while all is calm")
+
+    # Then the old one is removed for good.
+    loses_disk = fleet.leader()
+    if loses_disk == old:
+        raise CannotRunError("the old machine leads")
+    fleet.host_ips.remove(old)
+    fleet.kill(old)
+    shutil.rmtree(fleet.folder / old)
+    record.line(f"{old} is removed for good")
     if trouble:
-        fleet.engines[0].in_trouble = True
-        record.line(f"{fleet.engines[0].instance_id} is in trouble from now on")
-    await asyncio.sleep(GARBLE_S)
-    fleet.engines[0].in_trouble = False
-    record.line(f"{fleet.engines[0].instance_id} is sound again")
-    await asyncio.gather(*loads)
-    await asyncio.gather(*tasks)
-
-    entries = [item for item in took_s.values() if item[0] >= began_s]
-    open_at_timeout = [
-        item for item in entries if item[1] is None or item[1] > TIMEOUT_S
-    ]
-    unanswered = [
-        item
-        for item in open_at_timeout
-        if item[1] is None or item[1] > TIMEOUT_S + LATE_S
-    ]
-    record.line(
-        f"of {len(entries)} record entries {len(open_at_timeout)} were unanswered "
-        f"after {TIMEOUT_S} s, and {len(unanswered)} half a second later"
-    )
-    return not (
-        len(open_at_timeout) >= MIN_UNANSWERED
-        and len(unanswered) > len(open_at_timeout) / 2
-    )
+        await asyncio.sleep(BETWEEN_S)
+        fleet.kill(loses_disk)
+        shutil.rmtree(fleet.folder / loses_disk)
+        record.line(f"{loses_disk} loses its disk")
+        await asyncio.sleep(RESTART_S)
+        fleet.start(loses_disk)
+    calm_s = record.now_s()
+
+    shown = {}
+    while record.now_s() - calm_s < READ_FOR_S and len(shown) < len(fleet.host_ips):
+        for ip in fleet.host_ips:
+            version = await read_version(ip)
+            if version is not None and ip not in shown:
+                shown[ip] = version
+                record.line(f"{ip} shows version {version}")
+        await asyncio.sleep(0.5)
+    if not shown:
+        record.line(
+            f"BROKEN: no host has shown a configuration for {READ_FOR_S} s of calm; "
+            "version 8 was acknowledged"
+        )
+    for ip in fleet.disk_ips:
+        if ip == old:
+            continue
+        rows = fleet.log_rows(ip, "no_leader")
+        if rows:
+            record.line(f"log of {ip}: {json.dumps(rows[-1])}")
+    return bool(shown) and all(version >= 8 for version in shown.values())
 
 
 if __name__ == "__main__":
