--- a/review/2/case.py
+++ b/review/2/case.py
@@ -88,7 +88,7 @@
 
     async def stream(self, line, headers, writer):
         self.answers += self.in_trouble
-        if not self.in_trouble or self.answers % GARBLED_ONE_IN != 1:
+        if not self.in_trouble or self.answers % GARBLED_ONE_IN != 0:
             await super().stream(line, headers, writer)
             return
         request_id = headers.get("request-id", "")
