--- a/review/1/case.py
+++ b/review/1/case.py
@@ -131,6 +131,7 @@
     fleet.host_ips.remove(old)
     fleet.kill(old)
     shutil.rmtree(fleet.folder / old)
+    fleet.seed_ips = [ip for ip in fleet.disk_ips if ip != old]
     record.line(f"{old} is removed for good")
     if trouble:
         await asyncio.sleep(BETWEEN_S)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,10 +17,7 @@
     run_case,
 )
 
-DRAIN_S = 2.0
 CONTACT_S = 3.0
-# The removed replica goes on serving after the acknowledgement for this long.
-SERVES_ON_S = 7.0
 # Requests are sent from this long after the acknowledgement.
 PROBE_AFTER_S = CONTACT_S + 0.3
 PROBE_FOR_S = 1.2
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,8 +18,6 @@
     run_case,
 )
 
-DRAIN_S = 2.0
-CONTACT_S = 3.0
 # The machines of the core are back within a second.
 DARK_S = 0.7
 # Requests are sent from this long after the acknowledgement: the core has been calm for
--- a/review/support/engine.py
+++ b/review/support/engine.py
@@ -34,6 +34,8 @@
         self.pending = {}
         self.order_count = 0
         self.running = {}
+        # Adapters whose unload waits for their runs.
+        self.unloading = set()
 
     async def heartbeat(self):
         if self.up:
@@ -116,6 +118,8 @@
         name = document.get("adapter")
         if not name:
             return "200 OK"
+        if name in self.unloading:
+            return "409 Conflict"
         if document["operation"] == "load":
             if name in self.adapters or name in self.pending:
                 return "200 OK"
@@ -128,6 +132,7 @@
             return "200 OK"
         self.order_count += 1
         if self.running.get(name):
+            self.unloading.add(name)
             return "202 Accepted"
         del self.adapters[name]
         return "200 OK"
@@ -176,6 +181,10 @@
             fields.append("Not-Executed: 1")
             writer.write(self._message("421 Misdirected", fields, b""))
             return
+        if name in self.unloading:
+            fields.append("Not-Executed: 1")
+            writer.write(self._message("503 Service Unavailable", fields, b""))
+            return
         self.runs.append((request_id, self.fleet.record.now_s()))
         self.running[name] = self.running.get(name, 0) + 1
         born_ms = self.born_ms
@@ -199,6 +208,9 @@
         finally:
             if self.born_ms == born_ms and self.running.get(name):
                 self.running[name] -= 1
+                if not self.running[name] and name in self.unloading:
+                    self.unloading.remove(name)
+                    self.adapters.pop(name, None)
 
 
 def engine_service(name, adapter_slots=20):
--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -219,6 +219,8 @@
         self.disk_ips = [f"{self.network}.{n + 1}" for n in range(disk_hosts)]
         self.other_ips = [f"{self.network}.{n + 11}" for n in range(other_hosts)]
         self.host_ips = [*self.disk_ips, *self.other_ips]
+        # The platform names three machines at most in each settings file.
+        self.seed_ips = list(self.disk_ips)
         self.processes = {}
         self.tasks = []
         self.servers = []
@@ -234,7 +236,7 @@
     def settings(self, ip, role, bootstrap):
         """Return the text of a settings file, as the platform writes it."""
         has_disk = ip in self.disk_ips
-        seeds = json.dumps([f"{seed}:{CONTROL}" for seed in self.disk_ips])
+        seeds = json.dumps([f"{seed}:{CONTROL}" for seed in self.seed_ips])
         serves = ["front", "control"] if role == "host" else ["side"]
         lines = [
             f'node_name = "{role}-{ip}"',
@@ -432,13 +434,23 @@
     )
 
 
+async def _until_stopped(case):
+    """Run a case; a SIGTERM cancels it, so that it ends what it has started."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await case
+
+
 def run_case(folder, case):
     """Run ``case(fleet_record, trouble)``, which returns whether the rule held."""
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"disruption: {'yes' if trouble else 'no'}")
     try:
-        held = asyncio.run(case(record, trouble))
+        held = asyncio.run(_until_stopped(case(record, trouble)))
+    except asyncio.CancelledError:
+        record.line("stopped by a signal; what was started has been ended")
+        return 2
     except CannotRunError as error:
         record.line(f"could not run: {error}")
         return 2
