Voters whose disk is known to be lost do not block an election

Cause: with old host and successor four voters need three votes. Silence ends a vote only after 0.7 s and only at a leader. The wiped host answers vote requests under its new id, which proves the loss, but elections did not use that.

Fix: a candidate may win with a majority of the voters without one whose disk is known to be lost, and first commits the list without it.

--- a/packages/damaskvalve-state/damaskvalve_state/_consensus_state.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus_state.py
@@ -50,6 +50,8 @@
         self._rng = rng
         self._applied_index: int = log.snapshot.last_index
         self._votes: set[str] = set()
+        # Members whose data folders are known to be lost.
+        self._lost_disk_ids: set[str] = set()
         self._pre_vote = False
         # The index of the first entry that this member appended as leader.
         self._term_start_index = 0
--- a/packages/damaskvalve-state/damaskvalve_state/_elections.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_elections.py
@@ -1,6 +1,9 @@
 """Leader elections with pre-vote, and leadership transfer."""
 
+from collections.abc import Sequence
+
 from damaskvalve_core.messages import (
+    Member,
     TakeOverRequest,
     VoteReply,
     VoteRequest,
@@ -75,17 +78,51 @@
                 self._output.messages.append((voter, request))
         self._count_votes(now_s)
 
+    def note_answering_member(
+        self, voter: Member, member_id: str, now_s: float
+    ) -> bool:
+        """Record which member answered a vote request that was sent to a voter.
+
+        A member id is created with its data folder and not used again. Another id at
+        the voter's address shows that the voter's disk is lost, so that the voter can
+        neither vote nor acknowledge an entry any more. Return whether this is new.
+        """
+        if member_id == voter.member_id or voter.member_id in self._lost_disk_ids:
+            return False
+        self._lost_disk_ids.add(voter.member_id)
+        if self.role == CANDIDATE:
+            self._count_votes(now_s)
+        return True
+
+    def _count_granted(self, voters: Sequence[Member]) -> int:
+        return sum(voter.member_id in self._votes for voter in voters)
+
     def _count_votes(self, now_s: float) -> None:
+        """Win the election if a majority has granted its vote.
+
+        The majority may be one of the voters without one that lost its disk. Such a
+        majority overlaps each majority of all voters, as at any change of one voter.
+        """
         voters = self.voters()
-        granted = sum(voter.member_id in self._votes for voter in voters)
         needs_all_voters = self._pre_vote and self._fresh_election
-        if granted < (len(voters) if needs_all_voters else quorum_size(len(voters))):
-            return
+        needed = len(voters) if needs_all_voters else quorum_size(len(voters))
+        lost_voter = None
+        if self._count_granted(voters) < needed:
+            lost_voter = self._voter_without_disk()
+            if needs_all_voters or lost_voter is None:
+                return
+            remaining = [voter for voter in voters if voter is not lost_voter]
+            if self._count_granted(remaining) < quorum_size(len(remaining)):
+                return
         if self._pre_vote:
             fresh = self._fresh_election
             self._start_election(now_s, pre_vote=False, fresh=fresh)
         else:
-            self._become_leader(now_s)
+            self._become_leader(now_s, lost_voter)
+
+    def _voter_without_disk(self) -> Member | None:
+        lost = (item for item in self.voters() if item.member_id in self._lost_disk_ids)
+        return next(lost, None)
 
     def _has_leader_contact(self, now_s: float) -> bool:
         """Return whether a leader's own lease or a follower's leader contact holds."""
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -153,8 +153,22 @@
         elif isinstance(reply, HelloReply):
             self._on_hello_reply(reply, now_s)
         elif not isinstance(reply, FoundReply):
+            if isinstance(reply, VoteReply):
+                self._note_answering_member(message.member, reply.voter_id, now_s)
             self.consensus.receive(reply, now_s)
 
+    def _note_answering_member(
+        self, voter: Member, member_id: str, now_s: float
+    ) -> None:
+        if self.consensus.note_answering_member(voter, member_id, now_s):
+            self.reporter.report(
+                "voter_lost_disk",
+                voter=voter.address,
+                member=voter.member_id,
+                answered_as=member_id,
+                term=self.consensus.term,
+            )
+
     # ---- bootstrap and membership ----
 
     def _send_hello(self, now_s: float) -> None:
--- a/packages/damaskvalve-state/damaskvalve_state/_replication.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_replication.py
@@ -29,7 +29,12 @@
 class Replication(ConsensusState):
     """Replicates the leader's log and commits entries that a majority has synced."""
 
-    def _become_leader(self, now_s: float) -> None:
+    def _become_leader(self, now_s: float, lost_voter: Member | None = None) -> None:
+        """Begin to lead.
+
+        ``lost_voter`` lost its disk and was left out of the majority that elected this
+        member, so it is removed before anything is committed.
+        """
         self.role = LEADER
         self.leader_id = self.member.member_id
         self.leader_address = self.member.address
@@ -38,6 +43,10 @@
         self._refresh_progress(now_s)
         self._became_leader_s = now_s
         self._term_start_index = self._append_as_leader(EntryKind.NOOP, b"", ())
+        if lost_voter is not None:
+            remaining = [voter for voter in self.voters() if voter is not lost_voter]
+            self._append_as_leader(EntryKind.MEMBERS, b"", remaining)
+            self.progress.pop(lost_voter.member_id, None)
         self._broadcast(now_s)
 
     def _refresh_progress(self, now_s: float) -> None:
--- a/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
@@ -253,8 +253,16 @@
             thaw_s = host.frozen_until_s - self.now_s
             self.at(thaw_s, self.deliver_message, source, address, message)
             return
+        if isinstance(message, VoteReply):
+            self.note_answering_member(host, source, message.voter_id)
         self.flush(host, self.answer(host, message), source)
 
+    def note_answering_member(self, host, address, member_id):
+        now_s = self.local_time_s(host)
+        for voter in host.consensus.voters():
+            if voter.address == address:
+                host.consensus.note_answering_member(voter, member_id, now_s)
+
     def answer(self, host, message):
         """Handle a message like the node; return the reply if it is a request."""
         now_s = self.local_time_s(host)
@@ -720,6 +728,29 @@
     return group
 
 
+def run_wipes_after_removal(seed, tolerance, size, between_s):
+    """Remove a host whose successor has caught up, then lose the tolerated disks.
+
+    The removed host does not count as lost. Return the group.
+    """
+    group = LossGroup(seed, size, tolerance)
+    with _explained_failures(group, seed):
+        group.run(3.0)
+        replaced = group.rng.choice(list(group.hosts.values()))
+        group.add_successor(replaced.slot)
+        group.run(2 * group.rule.catch_up_s)
+        group.remove(replaced)
+        group.run(between_s)
+        wiped = group.rng.sample(list(group.hosts.values()), tolerance)
+        for host in wiped:
+            group.note(f"{host.address} loses its disk")
+            group.kill(host)
+            host.reset_disk()
+            group.start_later(host, group.rng.uniform(0.1, 1.0))
+        _check_recovery(group)
+    return group
+
+
 @contextlib.contextmanager
 def _explained_failures(group, seed):
     """Add the losses and the hosts' states to the message of a failed check."""
--- a/packages/damaskvalve-state/damaskvalve_state/tests/open_fleet.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/open_fleet.py
@@ -76,6 +76,12 @@
             time.sleep(0.05)
         raise AssertionError("no member committed the document")
 
+    def leader(self):
+        """Return the number of the member that leads."""
+        return next(
+            number for number, group in self.groups.items() if group.status().is_leader
+        )
+
     def version(self, number):
         def read(node, now_s):
             document = node.state_machine.documents.get("d")
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_losses.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_losses.py
@@ -9,6 +9,7 @@
     LossRule,
     run_losses,
     run_series,
+    run_wipes_after_removal,
 )
 
 SEEDS = st.integers(min_value=0, max_value=2**32)
@@ -133,6 +134,19 @@
         group.run(2.0)
         self.assertGreater(len(group.accepted), before)
 
+    @settings(FIXED, max_examples=60)
+    @given(
+        seed=SEEDS,
+        between_s=st.floats(min_value=0.0, max_value=1.0),
+        sizes=st.sampled_from([(1, 3), (2, 5)]),
+    )
+    def test_disks_lost_right_after_a_replaced_host_is_removed_leave_a_quorum(
+        self, seed, between_s, sizes
+    ):
+        """The removed host still votes: half of an even number of voters are left."""
+        tolerance, size = sizes
+        run_wipes_after_removal(seed, tolerance, size, between_s)
+
     def test_a_gone_host_does_not_vote_again_while_nothing_is_committed(self):
         """It holds all entries for as long as there are no new ones."""
         group = LossGroup(1, 3, 1)
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_replaced_hosts.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_replaced_hosts.py
@@ -41,6 +41,21 @@
         for number in (0, 1, 3):
             fleet.await_version(number, 3)
 
+    def test_change_survives_a_disk_lost_as_a_replaced_host_is_removed(self):
+        """Two of four voters are left: the disk of the third is known to be lost."""
+        fleet = self.fleet
+        fleet.start(3, [0, 1, 2], may_bootstrap=False)
+        fleet.await_voter(3)
+        fleet.commit_document(2)
+        leader = fleet.leader()
+        removed = next(number for number in (0, 1, 2) if number != leader)
+        fleet.stop(removed)
+        fleet.lose_disk(leader)
+        fleet.start(leader, [0, 1, 2], may_bootstrap=False)
+        fleet.commit_document(3)
+        for number in {0, 1, 2, 3} - {removed}:
+            fleet.await_version(number, 3)
+
     def test_change_survives_a_disk_lost_after_a_planned_replacement(self):
         """A host that stops hands over its vote before it ends."""
         fleet = self.fleet
--- a/testing/damaskvalve-standins/damaskvalve_standins/_membership_proofs.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/_membership_proofs.py
@@ -5,6 +5,7 @@
 
 from damaskvalve_standins._proof import Proof, replace
 from damaskvalve_state import Consensus, GroupNode, LossTolerance, _membership
+from damaskvalve_state._elections import Elections
 
 _LOSSES = "damaskvalve_state.tests.test_losses.LossTests."
 _MEMBERSHIP = "damaskvalve_state.tests.test_open_group.MembershipTests."
@@ -63,6 +64,12 @@
         replace(Consensus, "caught_up_learners", _promote_all_learners),
         f"{_LOSSES}test_group_survives_all_losses_within_a_tolerance_of_one",
     ),
+    Proof(
+        "a voter that lost its disk does not keep the others from electing",
+        replace(Elections, "_voter_without_disk", lambda self: None),
+        f"{_LOSSES}"
+        "test_disks_lost_right_after_a_replaced_host_is_removed_leave_a_quorum",
+    ),
     Proof(
         "a leader greets the hosts that the replicated state names",
         replace(GroupNode, "_send_leader_hello", _send_no_hello),
