A peer that fills the buffers no longer stops a process

Cause: awaiting buffered data does not suspend a task, so the relay never let other tasks or timers run, and EventSplitter copied and searched the whole unfinished event for each chunk. The same loop stood in the reading of reports, request bodies, pipelined requests and frames; early comments were copied in the same way.

Fix: a TurnLimit in each of these loops, before an event is taken, and a search of new bytes only.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -9,6 +9,7 @@
 
 from damaskvalve_core import ChannelError, NotSentError, enable_keepalive, split_address
 from damaskvalve_core._channel import CONNECT_TIMEOUT_S
+from damaskvalve_core._turn_limit import TurnLimit
 from damaskvalve_core.http._buffer_budget import BufferBudget
 from damaskvalve_core.http._request import Headers
 
@@ -63,6 +64,7 @@
         self._framing = h11.Connection(h11.CLIENT)
         self._received = asyncio.Event()
         self._pending = bytearray()
+        self._turn = TurnLimit()
         self._connection_error: Exception | None = None
         self._eof_received = False
         self._busy = False
@@ -129,6 +131,8 @@
         self._transport.write(data)
 
     async def _next_event(self) -> h11.Event:
+        # Before the event is taken: a task that is cancelled here loses none.
+        await self._turn.step()
         while True:
             if self._pending:
                 self._framing.receive_data(bytes(self._pending))
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -19,6 +19,7 @@
     enable_keepalive,
     split_address,
 )
+from damaskvalve_core._turn_limit import TurnLimit
 from damaskvalve_core.http._buffer_budget import (
     BufferBudget,
     BufferBudgetExceededError,
@@ -62,6 +63,7 @@
         self._reading_paused = False
         self._caller_gone = False
         self._task: asyncio.Task[None] | None = None
+        self._turn = TurnLimit()
         # Sends the response to the newest request; None before the first.
         self._responder: Responder | None = None
         self._handling = False
@@ -142,7 +144,8 @@
     async def _run(self) -> None:
         try:
             while await self._serve_request() and not self.closing:
-                pass
+                # The next request may have been read already.
+                await self._turn.step()
         except asyncio.CancelledError:
             pass
         finally:
@@ -312,6 +315,7 @@
     ) -> bytes:
         parts: list[bytes] = []
         while True:
+            await self._turn.step()
             try:
                 event = framing.next_event()
             except h11.RemoteProtocolError as error:
--- a/packages/damaskvalve-core/damaskvalve_core/rpc.py
+++ b/packages/damaskvalve-core/damaskvalve_core/rpc.py
@@ -29,6 +29,7 @@
     ProtocolError,
 )
 from damaskvalve_core._messages import Problem
+from damaskvalve_core._turn_limit import TurnLimit
 
 # Maximum number of idle connections that are kept per address.
 MAX_IDLE_CONNECTIONS = 64
@@ -46,6 +47,7 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._turn = TurnLimit()
         self.peer = peer
 
     def send(self, message: Any) -> None:
@@ -62,6 +64,7 @@
         Raise :class:`ChannelError` if the connection fails or is closed, and
         :class:`ProtocolError` for an invalid message.
         """
+        await self._turn.step()
         try:
             header = await self._reader.readexactly(_HEADER.size)
             (length,) = _HEADER.unpack(header)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -356,7 +356,7 @@
         responder = exchange.responder
         splitter = EventSplitter(exchange.last_event_id)
         # What came before the first event, while no response has started.
-        early_comments = b""
+        early_comments = bytearray()
         self._check_content_type(head)
         # Only complete events reset the stall timer. Neither comments nor the bytes of
         # an event that never ends keep a stream alive.
@@ -394,8 +394,8 @@
             exchange.note_events(now_s)
             self._note_event(now_s)
             self._on_started()
-            await responder.write(early_comments + events)
-            early_comments = b""
+            await responder.write(bytes(early_comments) + events)
+            early_comments.clear()
             exchange.last_event_id = splitter.last_event_id
             watch = StallWatch(pause_limit_s(exchange), boot_clock_s())
         if splitter.has_partial_event():
@@ -409,7 +409,7 @@
         self._pool.release(instance_id, connection, now_s)
         if not responder.started:
             await responder.start(head.status, _stream_headers(head, exchange))
-        if rest := early_comments + splitter.partial_event():
+        if rest := bytes(early_comments) + splitter.partial_event():
             await responder.write(rest)
         await responder.finish()
         return ANSWERED
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
@@ -14,17 +14,19 @@
     """Buffers incomplete events and tracks the newest event id."""
 
     def __init__(self, last_event_id: int | None) -> None:
-        self._partial = b""
+        self._partial = bytearray()
         self.last_event_id = last_event_id
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return all events that are complete."""
-        data = self._partial + data
-        end = data.rfind(b"\n\n")
+        # The separator may begin with the last byte that was buffered before.
+        searched_bytes = max(0, len(self._partial) - 1)
+        self._partial += data
+        end = self._partial.rfind(b"\n\n", searched_bytes)
         if end < 0:
-            self._partial = data
             return b""
-        complete, self._partial = data[: end + 2], data[end + 2 :]
+        complete = bytes(self._partial[: end + 2])
+        del self._partial[: end + 2]
         newest = event_id(complete[complete.rfind(b"\n\n", 0, end) + 2 :])
         if newest is None:
             for event in complete.split(b"\n\n"):
@@ -40,7 +42,7 @@
 
     def partial_event(self) -> bytes:
         """Return the bytes after the last complete event."""
-        return self._partial
+        return bytes(self._partial)
 
     def is_too_large(self) -> bool:
         """Return whether the buffered part exceeds the size of an event."""
