Departures of backend servers are committed before they are acknowledged

Cause: the leader acknowledged from its table in memory; no other host knew of the removal, and the replica never repeats it. An announced departure had the same gap.

Fix: a departure, with its start time, is a command of the replicated state. Hosts apply it to that incarnation and to its late announcements, also after a restart. Repeated announcements commit nothing.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -152,6 +152,7 @@
   15: list<VersionRecord> adapter_versions
   16: list<StreamRecord> streams
   17: list<BaseVersion> base_versions
+  18: list<DepartureRecord> departures
 }
 
 // A whole configuration under one version number; the highest version is in force.
@@ -164,6 +165,8 @@
 struct StreamRecord { 1: binary stream  2: string software_version  3: i64 index }
 // The software version of all streams of a service that have no record.
 struct BaseVersion { 1: string service_name  2: string software_version }
+// A backend server that has stated that it is leaving, or gone, and its start time.
+struct DepartureRecord { 1: string instance_id  2: i64 started_at_ms  3: bool gone  4: i64 index }
 
 struct SnapshotFile {
   1: i64 last_index
@@ -219,6 +222,7 @@
   17: optional RecordStreams record_streams
   18: optional ExpireStreams expire_streams
   19: optional BaseVersion base_version
+  20: optional DepartureRecord departure
 }
 
 struct CommandResult {
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -648,6 +648,7 @@
      - adapter_versions
      - streams
      - base_versions
+     - departures
 
     """
 
@@ -669,10 +670,11 @@
         'adapter_versions',
         'streams',
         'base_versions',
+        'departures',
     )
 
 
-    def __init__(self, revision=None, rows=None, operations=None, claims=None, jobs=None, credits=None, fences=None, suspects=None, audit=None, recent=None, crash_reports=None, suspects_version=None, recent_floor=None, documents=None, adapter_versions=None, streams=None, base_versions=None,):
+    def __init__(self, revision=None, rows=None, operations=None, claims=None, jobs=None, credits=None, fences=None, suspects=None, audit=None, recent=None, crash_reports=None, suspects_version=None, recent_floor=None, documents=None, adapter_versions=None, streams=None, base_versions=None, departures=None,):
         self.revision = revision
         self.rows = rows
         self.operations = operations
@@ -690,6 +692,7 @@
         self.adapter_versions = adapter_versions
         self.streams = streams
         self.base_versions = base_versions
+        self.departures = departures
 
 
 class DocumentRecord(TBase):
@@ -774,6 +777,31 @@
         self.software_version = software_version
 
 
+class DepartureRecord(TBase):
+    """
+    Attributes:
+     - instance_id
+     - started_at_ms
+     - gone
+     - index
+
+    """
+
+    __slots__ = (
+        'instance_id',
+        'started_at_ms',
+        'gone',
+        'index',
+    )
+
+
+    def __init__(self, instance_id=None, started_at_ms=None, gone=None, index=None,):
+        self.instance_id = instance_id
+        self.started_at_ms = started_at_ms
+        self.gone = gone
+        self.index = index
+
+
 class SnapshotFile(TBase):
     """
     Attributes:
@@ -1134,6 +1162,7 @@
      - record_streams
      - expire_streams
      - base_version
+     - departure
 
     """
 
@@ -1157,10 +1186,11 @@
         'record_streams',
         'expire_streams',
         'base_version',
+        'departure',
     )
 
 
-    def __init__(self, change=None, claim=None, answer=None, release=None, resolve=None, submit=None, finish=None, drop=None, reserve=None, fence=None, crash=None, clear=None, expire=None, document=None, name_version=None, record_suspects=None, record_streams=None, expire_streams=None, base_version=None,):
+    def __init__(self, change=None, claim=None, answer=None, release=None, resolve=None, submit=None, finish=None, drop=None, reserve=None, fence=None, crash=None, clear=None, expire=None, document=None, name_version=None, record_suspects=None, record_streams=None, expire_streams=None, base_version=None, departure=None,):
         self.change = change
         self.claim = claim
         self.answer = answer
@@ -1180,6 +1210,7 @@
         self.record_streams = record_streams
         self.expire_streams = expire_streams
         self.base_version = base_version
+        self.departure = departure
 
 
 class CommandResult(TBase):
@@ -2810,6 +2841,7 @@
     (15, TType.LIST, 'adapter_versions', (TType.STRUCT, [VersionRecord, None], False), None, ),  # 15
     (16, TType.LIST, 'streams', (TType.STRUCT, [StreamRecord, None], False), None, ),  # 16
     (17, TType.LIST, 'base_versions', (TType.STRUCT, [BaseVersion, None], False), None, ),  # 17
+    (18, TType.LIST, 'departures', (TType.STRUCT, [DepartureRecord, None], False), None, ),  # 18
 )
 all_structs.append(DocumentRecord)
 DocumentRecord.thrift_spec = (
@@ -2837,6 +2869,14 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'software_version', 'UTF8', None, ),  # 2
 )
+all_structs.append(DepartureRecord)
+DepartureRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'gone', None, None, ),  # 3
+    (4, TType.I64, 'index', None, None, ),  # 4
+)
 all_structs.append(SnapshotFile)
 SnapshotFile.thrift_spec = (
     None,  # 0
@@ -2966,6 +3006,7 @@
     (17, TType.STRUCT, 'record_streams', [RecordStreams, None], None, ),  # 17
     (18, TType.STRUCT, 'expire_streams', [ExpireStreams, None], None, ),  # 18
     (19, TType.STRUCT, 'base_version', [BaseVersion, None], None, ),  # 19
+    (20, TType.STRUCT, 'departure', [DepartureRecord, None], None, ),  # 20
 )
 all_structs.append(CommandResult)
 CommandResult.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Collection, Mapping, Sequence
 
+from damaskvalve_core.messages import DepartureRecord
 from damaskvalve_gateway._backend import ANNOUNCEMENT_TIMEOUT_S, NEVER_S, Backend
 from damaskvalve_gateway._crashes import ENDED, OUTLIVED, UNKNOWN, Incarnation
 from damaskvalve_gateway._limit_statements import LimitStatement, newest_statement
@@ -32,6 +33,8 @@
         # Start time of the newest incarnation announced at each address, in
         # milliseconds.
         self._newest_started_at_ms: dict[str, int] = {}
+        # The committed departures, by instance id.
+        self.departures: Mapping[str, DepartureRecord] = {}
         self.revision = 0
         # The shortest time between two published changes of one backend server if only
         # its resident adapters differ. Resident adapters change all the time.
@@ -39,6 +42,7 @@
 
     def update(self, announcement: Announcement, announced_s: float) -> bool:
         """Apply an announcement; return False if it is not newer than the known one."""
+        announcement = self._with_departure(announcement)
         known = self._backends.get(announcement.instance_id)
         if known is None:
             self._store(Backend(announcement, announced_s))
@@ -67,6 +71,37 @@
             self._store(known)
         return True
 
+    def _with_departure(self, announcement: Announcement) -> Announcement:
+        """Return an announcement with the state that is committed for its sender.
+
+        A late announcement, or one that another host knows, may be from before.
+        """
+        record = self.departures.get(announcement.instance_id)
+        if record is None or announcement.started_at_ms > record.started_at_ms:
+            return announcement
+        state = GONE if record.gone else LEAVING
+        if _STATE_ORDER[announcement.state] >= _STATE_ORDER[state]:
+            return announcement
+        return announcement.with_state(state, announcement.resident)
+
+    def is_departed(self, announcement: Announcement) -> bool:
+        """Return whether the state of an announcement, not READY, is committed."""
+        record = self.departures.get(announcement.instance_id)
+        if record is None or record.started_at_ms != announcement.started_at_ms:
+            return False
+        return bool(record.gone) or announcement.state == LEAVING
+
+    def apply_departure(self, record: DepartureRecord) -> None:
+        """Apply a committed departure to the incarnation that it names."""
+        known = self._backends.get(record.instance_id)
+        if known is None:
+            return
+        current = known.announcement
+        updated = self._with_departure(current)
+        if updated is not current:
+            known.announcement = updated
+            self._store(known)
+
     def note_leaving(self, backend: Backend, now_s: float) -> bool:
         """Record that a backend server stated in a reply that it is leaving.
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_control_service.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_control_service.py
@@ -4,14 +4,19 @@
 import zlib
 
 from damaskvalve_core import DecisionLog, RetryLaterError, boot_clock_s
-from damaskvalve_core.messages import Command, DocumentRecord, VersionRecord
+from damaskvalve_core.messages import (
+    Command,
+    DepartureRecord,
+    DocumentRecord,
+    VersionRecord,
+)
 from damaskvalve_gateway._announcement_check import (
     MAX_LOGGED_CHARACTERS,
     RefusedAnnouncements,
 )
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._dialect import Dialect
-from damaskvalve_gateway._model import READY, Announcement
+from damaskvalve_gateway._model import GONE, READY, Announcement
 from damaskvalve_gateway._state_client import CONFIGURATION, StateClient
 from damaskvalve_gateway._sync import SyncController
 
@@ -22,9 +27,9 @@
 class ControlService:
     """Accepts configurations, adapter versions and announcements.
 
-    When a call returns, a configuration or version has been committed, and a backend
-    server that is not ready has been reported to the leader. A ready one is reported
-    with the next sync.
+    When a call returns, a configuration or version has been committed, and so has the
+    state of a backend server that is not ready. A ready one is reported with the next
+    sync.
 
     A call that raises :class:`RetryLaterError` should be repeated on another host.
     """
@@ -82,12 +87,12 @@
     async def announce(self, announcement: Announcement) -> None:
         """Accept an announcement.
 
-        A state other than READY is reported to the leader at once, so that all hosts
-        stop using the backend server in time.
+        A state other than READY is committed, so that all hosts stop using the backend
+        server in time, whichever hosts are lost meanwhile.
         """
         self._sync.announce(announcement, boot_clock_s())
         if announcement.state != READY:
-            await self._sync.sync_now()
+            await self._commit_departure(announcement)
             self._log.line(
                 "backend_leaving",
                 backend=announcement.instance_id,
@@ -109,7 +114,27 @@
         )
 
     async def remove_backend(self, instance_id: str) -> None:
-        """Mark a backend server as gone, here and through the leader on all hosts."""
+        """Commit that a backend server is gone; all hosts stop using it.
+
+        A host that does not know the backend server asks the leader first, because the
+        call does not tell which of its incarnations is gone.
+        """
+        if self._view.backends.find(instance_id) is None:
+            await self._sync.sync_now()
         self._sync.end(instance_id, boot_clock_s())
-        await self._sync.sync_now()
+        backend = self._view.backends.find(instance_id)
+        if backend is not None:
+            await self._commit_departure(backend.announcement)
         self._log.line("backend_gone", backend=instance_id)
+
+    async def _commit_departure(self, announcement: Announcement) -> None:
+        """Commit the state of a backend server that leaves or is gone."""
+        if self._view.backends.is_departed(announcement):
+            return
+        record = DepartureRecord(
+            announcement.instance_id,
+            announcement.started_at_ms,
+            announcement.state == GONE,
+            0,
+        )
+        await self._state_client.commit(Command(departure=record))
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
@@ -1,6 +1,7 @@
 """Client of the replicated state: commits commands and follows applied state."""
 
 import asyncio
+import itertools
 import zlib
 from collections.abc import Collection, Sequence
 from typing import Any
@@ -16,6 +17,7 @@
     Command,
     CommandResult,
     ConfirmRequest,
+    DepartureRecord,
     DocumentRecord,
     ProposeRequest,
     SuspectRecord,
@@ -76,6 +78,8 @@
         # Version of the suspects that the group actor passed on last; -1 before the
         # first.
         self._suspects_version = -1
+        # The log index of the newest departure that the group actor passed on.
+        self._departures_index = 0
         self.applied_index = 0
 
     def status(self) -> NodeStatus:
@@ -145,11 +149,29 @@
         # Records of streams are many and looked up rarely, so they are not copied.
         self._view.stream_records = node.state_machine.streams
         self._view.base_versions = dict(node.state_machine.base_versions)
+        self._pass_on_departures(node)
         if node.state_machine.suspects_version != self._suspects_version:
             self._suspects_version = node.state_machine.suspects_version
             suspects = dict(node.state_machine.suspects)
             self._loop.call_soon_threadsafe(self._apply_suspects, suspects)
 
+    def _pass_on_departures(self, node: GroupNode) -> None:
+        departures = node.state_machine.departures
+        self._view.backends.departures = departures
+        new = list(
+            itertools.takewhile(
+                lambda item: item.index > self._departures_index,
+                reversed(departures.values()),
+            )
+        )
+        if new:
+            self._departures_index = new[0].index
+            self._loop.call_soon_threadsafe(self._apply_departures, new)
+
+    def _apply_departures(self, records: Sequence[DepartureRecord]) -> None:
+        for record in records:
+            self._view.backends.apply_departure(record)
+
     def _apply_suspects(self, records: dict[str, SuspectRecord]) -> None:
         view = self._view
         now_s = boot_clock_s()
--- a/packages/damaskvalve-state/damaskvalve_state/_machine_state.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_machine_state.py
@@ -9,6 +9,7 @@
     BaseVersion,
     ClaimRecord,
     CreditRecord,
+    DepartureRecord,
     DocumentRecord,
     FenceRecord,
     JobRecord,
@@ -45,6 +46,8 @@
         self.streams: OrderedDict[bytes, StreamRecord] = OrderedDict()
         # Software version of the streams without a record, by service.
         self.base_versions: dict[str, str] = {}
+        # Backend servers that leave or are gone, by instance; the newest is at the end.
+        self.departures: OrderedDict[str, DepartureRecord] = OrderedDict()
 
     def _all_rows(self) -> list[Row]:
         return [
@@ -80,6 +83,7 @@
                     BaseVersion(key, self.base_versions[key])
                     for key in sorted(self.base_versions)
                 ],
+                list(self.departures.values()),
             )
         )
 
@@ -121,4 +125,7 @@
             item.service_name: item.software_version
             for item in snapshot.base_versions or ()
         }
+        state_machine.departures.update(
+            (item.instance_id, item) for item in snapshot.departures or ()
+        )
         return state_machine
--- a/packages/damaskvalve-state/damaskvalve_state/_state_machine.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_state_machine.py
@@ -14,6 +14,7 @@
     ClearSuspect,
     Command,
     CommandResult,
+    DepartureRecord,
     DocumentRecord,
     DropJob,
     ExpireClaims,
@@ -50,6 +51,8 @@
 MAX_CLAIMS = 200_000
 MAX_SUSPECTS = 1_000
 MAX_STREAMS = 200_000
+# Some days of restarts of the largest fleet.
+MAX_DEPARTURES = 2_000
 # Number of crashes, the last one in an isolated run, that quarantines a request.
 QUARANTINE_CRASHES = 2
 
@@ -324,6 +327,27 @@
         self.base_versions[body.service_name] = body.software_version
         return self._result(accepted=True)
 
+    # ---- backend servers that leave ----
+
+    def record_departure(self, index: int, body: DepartureRecord) -> CommandResult:
+        """Record that an incarnation of a backend server leaves or is gone.
+
+        An older incarnation does not replace a newer one, and none that is gone leaves.
+        """
+        known = self.departures.get(body.instance_id)
+        if known is not None and (known.started_at_ms, known.gone) >= (
+            body.started_at_ms,
+            body.gone,
+        ):
+            return self._result(accepted=True, reason="repeated")
+        self.departures[body.instance_id] = DepartureRecord(
+            body.instance_id, body.started_at_ms, body.gone, index
+        )
+        self.departures.move_to_end(body.instance_id)
+        while len(self.departures) > MAX_DEPARTURES:
+            self.departures.popitem(last=False)
+        return self._result(accepted=True)
+
     # ---- credit, fences, suspects ----
 
     def reserve(self, index: int, body: ReserveCredit) -> CommandResult:
@@ -418,4 +442,5 @@
     "record_streams": StateMachine.record_streams,
     "expire_streams": StateMachine.expire_streams,
     "base_version": StateMachine.set_base_version,
+    "departure": StateMachine.record_departure,
 }
