Backend servers that the leader does not list are not kept in use

Cause: each exchange with a leader renewed all servers that it does not report as overdue, also those that it has never heard of.

Fix: a host keeps which leadership lists each server and renews only those.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend.py
@@ -46,6 +46,7 @@
         "published_resident",
         "published_s",
         "last_direct_s",
+        "listed_by",
         "active",
         "sent_count",
         "failures",
@@ -75,6 +76,8 @@
         # When the backend server last announced itself directly to this host; NEVER_S
         # if it has not.
         self.last_direct_s = NEVER_S
+        # The id of the leadership whose table lists it, as far as this host knows.
+        self.listed_by = ""
         # Number of requests of this host that are running there.
         self.active = 0
         # Number of requests that this host has sent there.
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backends.py
@@ -3,7 +3,7 @@
 import collections
 import itertools
 import math
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from damaskvalve_core.messages import DepartureRecord
 from damaskvalve_gateway._backend import ANNOUNCEMENT_TIMEOUT_S, NEVER_S, Backend
@@ -149,13 +149,25 @@
             if now_s - backend.last_seen_s > ANNOUNCEMENT_OVERDUE_S
         }
 
-    def confirm_live(self, overdue_ages: Mapping[str, float], now_s: float) -> None:
-        """Refresh all instances that the leader does not report as overdue.
-
-        An instance that has already timed out on this host becomes live again only by
-        an announcement.
+    def note_listed(self, instance_ids: Iterable[str], leader_id: str) -> None:
+        """Record that the table of a leader lists instances."""
+        for instance_id in instance_ids:
+            backend = self._backends.get(instance_id)
+            if backend is not None:
+                backend.listed_by = leader_id
+
+    def confirm_live(
+        self, overdue_ages: Mapping[str, float], leader_id: str, now_s: float
+    ) -> None:
+        """Refresh the instances that the leader lists and does not report as overdue.
+
+        A leader that has just started lists only what has been announced or reported to
+        it since. An instance that has already timed out on this host becomes live again
+        only by an announcement.
         """
         for instance_id, backend in self._backends.items():
+            if backend.listed_by != leader_id:
+                continue
             age_s = overdue_ages.get(instance_id, ANNOUNCEMENT_OVERDUE_S)
             if now_s - backend.last_seen_s < ANNOUNCEMENT_TIMEOUT_S:
                 backend.last_seen_s = max(backend.last_seen_s, now_s - age_s)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_sync.py
@@ -254,6 +254,8 @@
             queued = self._outbox.get(key)
             if queued is not None and queued.announcement is announcement:
                 del self._outbox[key]
+        sent_ids = [notice.instance_id for notice in request.notices]
+        self._view.backends.note_listed(sent_ids, reply.leader_id)
         unreported = self._crashes.note_reported(crashes, served)
         self._apply_reply(reply, now_s)
         self._more = bool(reply.more or len(self._outbox) >= MAX_NOTICES or unreported)
@@ -271,8 +273,11 @@
                 continue
             backends.update(announcement, now_s - max(0.0, notice.age_s))
             apply_limit_notice(backends, notice, asked_s, now_s, self._log, "leader")
+        backends.note_listed(
+            (notice.instance_id for notice in reply.notices), reply.leader_id
+        )
         self._leader_clock.note(reply.leader_id, reply.clock_s or 0.0, now_s)
-        backends.confirm_live(reply.silent or {}, now_s)
+        backends.confirm_live(reply.silent or {}, reply.leader_id, now_s)
         # The lease is counted from the time of the request, so that it ends on this
         # host before it ends at the leader.
         self._quota.renew(reply.share, asked_s + reply.share_s, now_s)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_backends.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_backends.py
@@ -103,9 +103,10 @@
         table = BackendTable()
         table.update(announcement(1, name="i-1", address="10.0.0.1:80"), 0.0)
         table.update(announcement(1, name="i-2", address="10.0.0.2:80"), 0.0)
+        table.note_listed(("i-1", "i-2"), "L/1")
         for step in range(1, 31):
             overdue = {"i-2": float(step)} if step > ANNOUNCEMENT_OVERDUE_S else {}
-            table.confirm_live(overdue, float(step))
+            table.confirm_live(overdue, "L/1", float(step))
             both = step < ANNOUNCEMENT_TIMEOUT_S
             found = self.live(table, float(step))
             self.assertEqual(found, ["i-1", "i-2"] if both else ["i-1"], step)
@@ -117,8 +118,9 @@
         """
         table = BackendTable()
         table.update(announcement(1), 0.0)
+        table.note_listed(("i-1",), "L/1")
         late_s = ANNOUNCEMENT_TIMEOUT_S + 1
-        table.confirm_live({}, late_s)
+        table.confirm_live({}, "L/1", late_s)
         self.assertEqual(self.live(table, late_s), [])
         table.update(announcement(2), late_s)
         self.assertEqual(self.live(table, late_s), ["i-1"])
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_sync.py
@@ -14,6 +14,7 @@
 )
 from damaskvalve_core.messages import LimitNotice, SyncReply, SyncRequest
 from damaskvalve_gateway._backend import Backend
+from damaskvalve_gateway._backends import BackendTable
 from damaskvalve_gateway._cluster_view import ClusterView
 from damaskvalve_gateway._crash_controller import CrashController
 from damaskvalve_gateway._leader_service import MAX_NOTICES, LeaderService
@@ -356,6 +357,53 @@
     return odd
 
 
+class RestartedLeaderTests(unittest.TestCase):
+    """A leader that has just started knows no backend server."""
+
+    def setUp(self):
+        self.leader = Host(1)
+        self.host = Host(2, self.leader)
+        # Overdue, but not timed out.
+        self.seen_s = boot_clock_s() - 4.5
+        self.host.view.backends.update(announcement(1), self.seen_s)
+
+    def last_seen_s(self):
+        return self.host.view.backends.find("i-1").last_seen_s
+
+    def test_a_backend_server_that_no_leader_lists_is_not_kept_in_use(self):
+        """It may be gone: that it is not reported as overdue shows nothing."""
+        for _ in range(3):
+            self.host.sync_until_done()
+        self.assertEqual(self.last_seen_s(), self.seen_s)
+
+    def test_a_backend_server_is_kept_in_use_once_the_leader_lists_it(self):
+        """It has announced itself to another host, or to this one."""
+        self.host.sync_until_done()
+        self.leader.view.backends.update(announcement(1), boot_clock_s())
+        self.host.sync_until_done()
+        self.assertGreater(self.last_seen_s(), self.seen_s)
+        listed_s = self.last_seen_s()
+        self.host.sync_until_done()
+        self.assertGreater(self.last_seen_s(), listed_s)
+
+    def test_a_backend_server_that_this_host_reported_is_kept_in_use(self):
+        """The leader lists it from then on, and sends it to the other hosts only."""
+        self.host.sync.announce(announcement(1), self.seen_s)
+        self.host.sync_until_done()
+        self.assertGreater(self.last_seen_s(), self.seen_s)
+
+    def test_the_listing_of_an_earlier_leader_does_not_count(self):
+        """The next one has not heard of the backend server."""
+        self.leader.view.backends.update(announcement(1), self.seen_s)
+        self.host.sync_until_done()
+        for client in (self.leader.state_client, self.host.state_client):
+            client.leader_id = "M/2"
+        self.leader.view.backends = BackendTable()
+        before_s = self.last_seen_s()
+        self.host.sync_until_done()
+        self.assertEqual(self.last_seen_s(), before_s)
+
+
 class OddNoticeTests(unittest.TestCase):
     """One odd entry is left out; all others are exchanged."""
 
