A member waits for its disk after any error, and a stop ends the wait

Cause: only ENOSPC and EDQUOT of writes under way were waited for.

Fix: all writes of a member, the opening of its folder too, are repeated after any OSError; one other than a full disk's ends the process after 15 s. A stop ends the wait.

--- a/packages/damaskvalve-state/damaskvalve_state/_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_group.py
@@ -120,5 +120,6 @@
         yield group
     finally:
         stop.set()
+        published.stop_requested.set()
         ticker.join()
         actor.stop()
--- a/packages/damaskvalve-state/damaskvalve_state/_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_journal.py
@@ -118,7 +118,7 @@
             return
         data = b"".join(_frame(encode_struct(item)) for item in records)
         if self._has_partial_batch:
-            self._file.truncate(self._size_bytes)
+            os.ftruncate(self._file.fileno(), self._size_bytes)
         self._has_partial_batch = True
         written = os.write(self._file.fileno(), data)
         if written < len(data):
@@ -136,8 +136,9 @@
         records.extend(JournalRecord(entry=entry) for entry in entries)
         data = b"".join(_frame(encode_struct(item)) for item in records)
         write_atomically(self._path, data)
+        file = self._path.open("ab", buffering=0)
         self._file.close()
-        self._file = self._path.open("ab", buffering=0)
+        self._file = file
         self._size_bytes = len(data)
         self._has_partial_batch = False
 
@@ -222,6 +223,8 @@
     folder.mkdir(parents=True, exist_ok=True)
     path = folder / MEMBER_FILE
     if path.exists():
+        # A start that failed may not have synced the name of the file.
+        sync_folder(folder)
         return path.read_text(encoding="ascii").strip()
     member_id = uuid.uuid4().hex
     write_atomically(path, member_id.encode("ascii"))
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -316,16 +316,18 @@
 
         A member that cannot write must not continue.
         """
+        self._fail_callbacks()
+        self.journal.close()
+        if self._published.stop_requested.is_set():
+            _log.warning("stopped with an unfinished write: {}", failure[1])
+            return
         _log.critical(
             "the group member failed, terminating the process: {}", failure[1]
         )
-        self._fail_callbacks()
-        self.journal.close()
         os.kill(os.getpid(), signal.SIGTERM)
 
     def on_stop(self) -> None:
         """Stop the peer senders and close the journal."""
-        self._stopping = True
         for sender in self._senders.values():
             sender.stop()
         self._fail_callbacks()
--- a/packages/damaskvalve-state/damaskvalve_state/_node_settings.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node_settings.py
@@ -1,5 +1,6 @@
 """The settings of a group member and its published status."""
 
+import threading
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -99,9 +100,11 @@
 class PublishedStatus:
     """Holds the newest status of a member for other threads."""
 
-    __slots__ = ("status",)
+    __slots__ = ("status", "stop_requested")
 
     def __init__(self) -> None:
+        # Ends the wait of a member for its disk.
+        self.stop_requested = threading.Event()
         self.status = NodeStatus(
             "", "", is_leader=False, lease_until_s=0.0, contact_s=0.0, applied_index=0
         )
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -48,8 +48,11 @@
 
 SNAPSHOT_INTERVAL_ENTRIES = 5_000
 FULL_DISK_ERRORS = (errno.ENOSPC, errno.EDQUOT)
-# Interval between attempts to write to a full disk.
+# Interval between attempts to write to a disk that refuses it.
 DISK_RETRY_INTERVAL_S = 0.2
+# After an error other than that of a full disk, the files may have to be opened anew,
+# which a restart does. Disks recover from most such errors sooner.
+MAX_DISK_ERROR_S = 15.0
 
 _log = logbook.Logger("group")
 
@@ -98,9 +101,8 @@
         self.known_addresses: frozenset[str] = frozenset()
         # Called in the actor's thread after committed commands are applied.
         self.apply_hooks: list[Callable[[Any], None]] = []
-        self._stopping = False
         self.tick_hooks: list[Callable[[Any, float], None]] = []
-        self._open_folder(boot_clock_s())
+        self._write_with_retry(lambda: self._open_folder(boot_clock_s()))
 
     # ---- data folder ----
 
@@ -194,27 +196,33 @@
         self._write_with_retry(lambda: self.journal.append(output.records))
 
     def _write_with_retry(self, write: Callable[[], None]) -> None:
-        """Retry a write until a full disk has free space again.
+        """Retry a write until the disk takes it.
 
         The actor blocks meanwhile: a leader sends no heartbeats, so another member is
-        elected, and nothing is acknowledged that is not on disk.
+        elected, and nothing is acknowledged that is not on disk. Raise
+        :class:`OSError` if an error lasts for MAX_DISK_ERROR_S, unless the disk is
+        full, and if the member has to stop.
         """
-        disk_was_full = False
+        began_s = boot_clock_s()
+        logged_errno: int | None = None
+        attempts = 0
         while True:
             try:
                 write()
                 break
             except OSError as error:
-                if error.errno not in FULL_DISK_ERRORS:
+                attempts += 1
+                if attempts == 1 or error.errno != logged_errno:
+                    _log.error("the disk refused a write, retrying it: {}", error)
+                    logged_errno = error.errno
+                is_full = error.errno in FULL_DISK_ERRORS
+                if not is_full and boot_clock_s() - began_s > MAX_DISK_ERROR_S:
                     raise
-                if not disk_was_full:
-                    _log.error("the disk is full, retrying the write: {}", error)
-                disk_was_full = True
-                if self._stopping:
+                if self._published.stop_requested.wait(DISK_RETRY_INTERVAL_S):
                     raise
-                time.sleep(DISK_RETRY_INTERVAL_S)
-        if disk_was_full:
-            _log.info("write succeeded; the disk has free space again")
+        if attempts:
+            took_s = boot_clock_s() - began_s
+            _log.info("the disk took the write after {:.1f} s", took_s)
 
     def _run_apply_hooks(self) -> None:
         for hook in self.apply_hooks:
--- a/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
@@ -3,6 +3,7 @@
 import contextlib
 import heapq
 import itertools
+import json
 import random
 
 from damaskvalve_core.messages import (
@@ -32,6 +33,8 @@
 SEED_LAG_S = 3.0
 SEED_COUNT = 3
 MAX_STOP_S = 8.0
+# How long a group is watched after all faults.
+CALM_S = 60.0
 PROPOSAL_INTERVAL_S = 0.2
 SIZES_BY_TOLERANCE = {1: (3,), 2: (5, 6, 8), 3: (9,), 4: (9,)}
 
@@ -136,6 +139,8 @@
         self.rng = rng
         self.clock_rate = rng.choice(CLOCK_RATES)
         self.frozen_until_s = 0.0
+        # Until when its disk refuses writes.
+        self.disk_full_until_s = 0.0
         self.consensus = None
         self.applied = []
         self.seeds = tuple(seeds)
@@ -278,6 +283,49 @@
             host.has_joined = True
         return host.consensus.receive(message, now_s)
 
+    # ---- disks ----
+
+    def flush(self, host, reply=None, to=None):
+        """Write, send and apply like the driver, which waits while the disk is full."""
+        while host.consensus is not None:
+            output = host.consensus.take_output()
+            for member, message in output.early_messages:
+                self.send(host, member.address, message)
+            for_s = host.disk_full_until_s - self.now_s
+            if (output.records or output.install) and for_s > 0:
+                host.frozen_until_s = max(host.frozen_until_s, host.disk_full_until_s)
+                arguments = host, host.consensus, output, reply, to
+                self.at(for_s, self.finish_write, *arguments)
+                return
+            self.write(host, output, reply, to)
+            reply = None
+            work = output.records or output.early_messages or output.messages
+            if not (work or output.committed):
+                return
+
+    def finish_write(self, host, consensus, output, reply, to):
+        """Go on with a step whose write the disk has refused until now."""
+        if host.consensus is not consensus:
+            return
+        if host.disk_full_until_s > self.now_s:
+            for_s = host.disk_full_until_s - self.now_s
+            self.at(for_s, self.finish_write, host, consensus, output, reply, to)
+            return
+        self.write(host, output, reply, to)
+        self.flush(host)
+
+    def write(self, host, output, reply, to):
+        host.disk.write(output)
+        if output.install is not None:
+            host.applied = json.loads(output.install.data or b"[]")
+        log = host.consensus.log
+        host.consensus.record_synced(log.last_index, self.local_time_s(host))
+        for member, message in output.messages:
+            self.send(host, member.address, message)
+        if reply is not None:
+            self.send(host, to, reply)
+        self.apply(host, output.committed)
+
     # ---- the node's ticks and hellos ----
 
     def tick_host(self, host):
@@ -751,6 +799,35 @@
     return group
 
 
+def run_full_disks(seed, tolerance, size, rounds=3):
+    """Let the disk of one host after the other refuse writes, then wait for calm.
+
+    Each is full for some seconds, never two at once. Hosts may be replaced meanwhile.
+    Return the group.
+    """
+    group = LossGroup(seed, size, tolerance)
+    losses = Losses(group, overlap_share=0.0)
+    rng = group.rng
+    with _explained_failures(group, seed):
+        group.run(3.0)
+        for _ in range(rounds):
+            hosts = list(group.hosts.values())
+            rng.shuffle(hosts)
+            for host in hosts:
+                for_s = rng.uniform(1.0, 5.0)
+                group.note(f"the disk of {host.address} is full for {for_s:.2f} s")
+                group.rule.lose(host.slot, group.now_s)
+                host.disk_full_until_s = group.now_s + for_s
+                group.run(for_s + rng.choice([0.0, rng.uniform(0.0, 2.0)]))
+                group.rule.give_back(host.slot, group.now_s)
+        _run_until_all_back(group, losses)
+        _check_recovery(group)
+        before = len(group.accepted)
+        group.run(CALM_S)
+        assert len(group.accepted) > before, "no change is accepted in the calm"
+    return group
+
+
 @contextlib.contextmanager
 def _explained_failures(group, seed):
     """Add the losses and the hosts' states to the message of a failed check."""
