--- a/packages/damaskvalve-state/damaskvalve_state/_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_journal.py
@@ -104,6 +104,8 @@
         self._path = folder / JOURNAL_FILE
         self._file = self._path.open("ab", buffering=0)
         self._size_bytes = self._path.stat().st_size
+        # Bytes that follow the last snapshot.
+        self.appended_bytes = self._size_bytes
         # Whether bytes of a failed batch may follow the last complete record.
         self._has_partial_batch = False
         sync_folder(folder)
@@ -126,6 +128,7 @@
         os.fdatasync(self._file.fileno())
         self._has_partial_batch = False
         self._size_bytes += len(data)
+        self.appended_bytes += len(data)
 
     def install(
         self, snapshot: SnapshotFile, entries: Sequence[LogEntry], hard_state: HardState
@@ -140,6 +143,7 @@
         self._file.close()
         self._file = file
         self._size_bytes = len(data)
+        self.appended_bytes = 0
         self._has_partial_batch = False
 
     def close(self) -> None:
@@ -150,6 +154,8 @@
 class MemoryJournal:
     """The journal of a member without a disk; it stores nothing."""
 
+    appended_bytes = 0
+
     def append(self, records: Sequence[JournalRecord]) -> None:
         """Discard the records."""
 
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -46,7 +46,10 @@
 from damaskvalve_state._state_machine import StateMachine
 from damaskvalve_state._timing import Output
 
+# A snapshot is due after this many entries, or this many bytes of the journal: a few
+# hundred configurations of some thousand routes would fill a disk of 64 MB.
 SNAPSHOT_INTERVAL_ENTRIES = 5_000
+SNAPSHOT_INTERVAL_BYTES = 8 * 1024 * 1024
 FULL_DISK_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 # Interval between attempts to write to a disk that refuses it.
 DISK_RETRY_INTERVAL_S = 0.2
@@ -260,10 +263,17 @@
         if entries:
             self._publish(self.step_at_s)
             self._run_apply_hooks()
-        snapshot_index = self.consensus.log.snapshot.last_index
-        if self.applied_index - snapshot_index >= SNAPSHOT_INTERVAL_ENTRIES:
+        if self._is_snapshot_due():
             self._snapshot()
 
+    def _is_snapshot_due(self) -> bool:
+        new_entries = self.applied_index - self.consensus.log.snapshot.last_index
+        if new_entries >= SNAPSHOT_INTERVAL_ENTRIES:
+            return True
+        return (
+            new_entries > 0 and self.journal.appended_bytes >= SNAPSHOT_INTERVAL_BYTES
+        )
+
     def _fail_callbacks(self) -> None:
         callbacks, self._callbacks = self._callbacks, {}
         for _, callback in callbacks.values():
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_full_disks.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_full_disks.py
@@ -12,6 +12,7 @@
 from hypothesis import given, settings, strategies as st
 
 from damaskvalve_core import RetryLaterError
+from damaskvalve_core.messages import Command, DocumentRecord
 from damaskvalve_state import NodeSettings, Timing, _stored_member, running_group
 from damaskvalve_state.tests.faulty_disk import FaultyDisk
 from damaskvalve_state.tests.loss_simulation import run_full_disks
@@ -129,6 +130,35 @@
             self.assertLess(time.monotonic() - began_s, RECOVERY_S)
 
 
+class JournalSizeTests(unittest.TestCase):
+    def test_large_commands_do_not_fill_the_disk(self):
+        """The journal is replaced by a snapshot long before the entries are many."""
+        body, count = b"x" * 50_000, 40
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = Path(scratch) / "group"
+            node = NodeSettings(folder, ADDRESS, "dc", [ADDRESS], Timing(0.3, 0.05))
+            limit = mock.patch.object(
+                _stored_member, "SNAPSHOT_INTERVAL_BYTES", 8 * len(body)
+            )
+            with limit, running_group(node, NoPeers()) as group:
+                for version in range(1, count + 1):
+                    document = DocumentRecord("d", version, body)
+                    until_s = time.monotonic() + RECOVERY_S
+                    while group.propose(Command(document=document), 2.0) is None:
+                        self.assertLess(time.monotonic(), until_s)
+                        time.sleep(0.02)
+                    size_bytes = (folder / "journal").stat().st_size
+                    self.assertLess(size_bytes, 10 * len(body))
+            with running_group(node, NoPeers()) as group:
+                # The commit of the last one is known once the member leads.
+                while group.propose(Command(document=document), 2.0) is None:
+                    time.sleep(0.02)
+                version = group.run(
+                    lambda node, now_s: node.state_machine.documents["d"].version
+                )
+        self.assertEqual(version, count)
+
+
 class FullDisksInTurnTests(unittest.TestCase):
     @settings(FIXED, max_examples=20)
     @given(seed=SEEDS, sizes=st.sampled_from([(1, 3), (1, 4), (2, 5), (2, 6)]))
