A late copy of an engine's report is not taken for a restart

Callers saw (review case 3, LIMIT): the agent read a second copy of an older report as the newest, forgot the loads on their way and ordered one adapter too many; the replica crashed and all its streams broke.

Cause: a lower count of orders counted as a restart, with the start time unchanged. Fix: such a report is outdated and changes nothing.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
@@ -428,8 +428,25 @@
 
     # ---- reports ----
 
+    def is_outdated(self, report: EngineReport) -> bool:
+        """Return whether the engine has made a report before the last one.
+
+        It may be a second copy of an earlier answer. An engine that does not state when
+        it started shows a restart only by its count of orders.
+        """
+        return (
+            self.has_report
+            and report.started_at_ms == self._started_at_ms != 0
+            and report.order_count < self.order_count
+        )
+
     def apply_report(self, report: EngineReport, now_s: float) -> bool:
-        """Update the state from a report; return whether the engine has restarted."""
+        """Update the state from a report; return whether the engine has restarted.
+
+        A report that is outdated changes nothing.
+        """
+        if self.is_outdated(report):
+            return False
         restarted = self.has_report and (
             report.started_at_ms != self._started_at_ms
             or report.order_count < self.order_count
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -120,7 +120,7 @@
         self._instance_id = ""
         self._report_due = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
-        # Reports that arrive out of order would look like a restart.
+        # Reports are applied in the order in which the engine makes them.
         self._report_lock = asyncio.Lock()
 
     # ---- calls from hosts ----
@@ -283,6 +283,14 @@
             )
         report = self._dialect.read_report(body)
         now_s = boot_clock_s()
+        if self._admission.is_outdated(report):
+            self._log.line(
+                "engine_report_outdated",
+                started_at_ms=report.started_at_ms,
+                order_count=report.order_count,
+                newest_order_count=self._admission.order_count,
+            )
+            return
         if self._admission.apply_report(report, now_s):
             self._log.line("engine_restarted", started_at_ms=report.started_at_ms)
         self._dispatch_grants(now_s)
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
@@ -187,6 +187,26 @@
         self.assertEqual(admission.take_grants(1.0), [])
         self.assertEqual(admission.next_order(1.0).kind, LOAD_MODEL)
 
+    def test_a_late_copy_of_an_earlier_report_is_no_restart(self):
+        """Loads in transit keep their places: one more would crash the engine."""
+        admission = make_admission(adapter_slots=2, adapters={"a1": 1})
+        early = make_report({"a1": 1}, order_count=0)
+        admission.submit(make_request(2, adapter="a2"), 0.0)
+        order = admission.next_order(0.0)
+        admission.record_outcome(order, ACCEPTED, 0.0)
+        admission.apply_report(make_report({"a1": 1}, ["m/a2@1"], order_count=1), 0.1)
+        self.assertFalse(admission.apply_report(early, 0.2))
+        self.assertEqual(admission.load_count(), 1)
+        admission.submit(make_request(3, adapter="a3"), 0.2)
+        next_order = admission.next_order(0.2)
+        self.assertTrue(next_order is None or next_order.kind == UNLOAD)
+
+    def test_an_engine_without_a_start_time_shows_a_restart_by_its_count(self):
+        """Nothing else tells it."""
+        admission = make_admission(adapters={"a1": 1})
+        admission.apply_report(make_report({"a1": 1}, (), 0, 5), 0.1)
+        self.assertTrue(admission.apply_report(make_report((), (), 0, 1), 0.2))
+
     def test_a_request_waits_for_a_model_on_the_engines_disk(self):
         """A load from the disk is shorter than one from the store."""
         for on_disk, accepted in (((MODEL,), True), ((), False)):
