--- a/packages/damaskvalve-state/damaskvalve_state/tests/fake_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/fake_group.py
@@ -126,21 +126,31 @@
             if output.records and self.rng.random() < self.crash_rate:
                 self.crash(host)
                 return
-            host.disk.write(output)
-            if output.install is not None:
-                host.applied = json.loads(output.install.data or b"[]")
-            log = host.consensus.log
-            host.consensus.record_synced(log.last_index, self.local_time_s(host))
-            for member, message in output.messages:
-                self.send(host, member.address, message)
-            if reply is not None:
-                self.send(host, to, reply)
-                reply = None
-            self.apply(host, output.committed)
+            if self.delays_write(host, output, reply, to):
+                return
+            self.write(host, output, reply, to)
+            reply = None
             work = output.records or output.early_messages or output.messages
             if not (work or output.committed):
                 return
 
+    def delays_write(self, host, output, reply, to):
+        """Return whether the disk refuses the write now; it is then made later."""
+        return False
+
+    def write(self, host, output, reply, to):
+        """Write the records of a step, then send its messages and apply its entries."""
+        host.disk.write(output)
+        if output.install is not None:
+            host.applied = json.loads(output.install.data or b"[]")
+        log = host.consensus.log
+        host.consensus.record_synced(log.last_index, self.local_time_s(host))
+        for member, message in output.messages:
+            self.send(host, member.address, message)
+        if reply is not None:
+            self.send(host, to, reply)
+        self.apply(host, output.committed)
+
     def apply(self, host, entries):
         for entry in entries:
             first_committed = self.committed.setdefault(entry.index, entry)
--- a/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
@@ -3,7 +3,6 @@
 import contextlib
 import heapq
 import itertools
-import json
 import random
 
 from damaskvalve_core.messages import (
@@ -285,26 +284,15 @@
 
     # ---- disks ----
 
-    def flush(self, host, reply=None, to=None):
-        """Write, send and apply like the driver, which waits while the disk is full."""
-        while host.consensus is not None:
-            output = host.consensus.take_output()
-            for member, message in output.early_messages:
-                self.send(host, member.address, message)
-            if output.records and self.rng.random() < self.crash_rate:
-                self.crash(host)
-                return
-            for_s = host.disk_full_until_s - self.now_s
-            if (output.records or output.install) and for_s > 0:
-                host.frozen_until_s = max(host.frozen_until_s, host.disk_full_until_s)
-                arguments = host, host.consensus, output, reply, to
-                self.at(for_s, self.finish_write, *arguments)
-                return
-            self.write(host, output, reply, to)
-            reply = None
-            work = output.records or output.early_messages or output.messages
-            if not (work or output.committed):
-                return
+    def delays_write(self, host, output, reply, to):
+        """Return whether the disk is full; the host stands still until it is not."""
+        for_s = host.disk_full_until_s - self.now_s
+        if not (output.records or output.install) or for_s <= 0:
+            return False
+        host.frozen_until_s = max(host.frozen_until_s, host.disk_full_until_s)
+        arguments = host, host.consensus, output, reply, to
+        self.at(for_s, self.finish_write, *arguments)
+        return True
 
     def finish_write(self, host, consensus, output, reply, to):
         """Go on with a step whose write the disk has refused until now."""
@@ -317,18 +305,6 @@
         self.write(host, output, reply, to)
         self.flush(host)
 
-    def write(self, host, output, reply, to):
-        host.disk.write(output)
-        if output.install is not None:
-            host.applied = json.loads(output.install.data or b"[]")
-        log = host.consensus.log
-        host.consensus.record_synced(log.last_index, self.local_time_s(host))
-        for member, message in output.messages:
-            self.send(host, member.address, message)
-        if reply is not None:
-            self.send(host, to, reply)
-        self.apply(host, output.committed)
-
     # ---- the node's ticks and hellos ----
 
     def tick_host(self, host):
