A peer that sends faster than it is parsed no longer fills the memory

Callers saw: one reply without end in small chunks, or one request body, took a host beyond its memory limit. The process was killed, and the requests of all its other callers ended without an answer. No key was needed.

Cause: received bytes were handed to the parser before each event, and reading from the socket went on at once. The limit on reading ahead counted only what had not been handed over; the parser has no bound of its own. The server did not pause the socket at all while it read a body. Since the loops let other tasks run, so more arrived meanwhile. Besides, a body was kept as a list of its parts, whose objects weigh up to fifty times their bytes.

Fix: client and server share one receiving side. Bodies grow in one buffer.

Ruled out: the limits of 16 MiB and of body_bytes. Only 123 KB of a reply had been parsed when the process had grown by 472 MB.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine.py
@@ -84,12 +84,10 @@
             try:
                 connection.send(call.method, call.target, call.headers, call.body)
                 head = await connection.read_head()
-                parts = []
-                left_bytes = MAX_REPLY_BYTES
+                body = bytearray()
                 while (piece := await connection.read_chunk()) is not None:
-                    parts.append(piece)
-                    left_bytes -= len(piece)
-                    if left_bytes < 0:
+                    body += piece
+                    if len(body) > MAX_REPLY_BYTES:
                         raise ChannelError(
                             f"the reply of {address} exceeds {MAX_REPLY_BYTES} bytes"
                         )
@@ -98,4 +96,4 @@
                 raise
             connection.finish_reply(head, boot_clock_s())
             self._pool.release(address, connection, boot_clock_s())
-            return head.status, b"".join(parts)
+            return head.status, bytes(body)
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -10,6 +10,7 @@
 from damaskvalve_core import ChannelError, NotSentError, enable_keepalive, split_address
 from damaskvalve_core._channel import CONNECT_TIMEOUT_S
 from damaskvalve_core._turn_limit import TurnLimit
+from damaskvalve_core.http._bounded_reader import BoundedReader
 from damaskvalve_core.http._buffer_budget import BufferBudget
 from damaskvalve_core.http._request import Headers
 
@@ -19,7 +20,6 @@
 # An idle connection is not reused after this time, or after a shorter one that the
 # backend server announces. Some backend servers drop idle connections early.
 IDLE_TIMEOUT_S = 4.0
-READ_AHEAD_BYTES = 256 * 1024
 # Maximum number of informational replies before the final one; one or two are usual.
 MAX_INFORMATIONAL = 8
 MAX_HEAD_BYTES = 64 * 1024
@@ -56,19 +56,17 @@
         )
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(BoundedReader):
     """One connection to one backend server."""
 
     def __init__(self, address: str) -> None:
+        super().__init__()
         self.address = address
         self._framing = h11.Connection(h11.CLIENT)
-        self._received = asyncio.Event()
-        self._pending = bytearray()
         self._turn = TurnLimit()
         self._connection_error: Exception | None = None
         self._eof_received = False
         self._busy = False
-        self._reading_paused = False
         self._reusable = False
         self.usable_until_s = 0.0
         self.idle_since_s = 0.0
@@ -86,11 +84,7 @@
             # Data without a request in progress: a duplicate or a late reply.
             self.close()
             return
-        self._pending += data
-        self._received.set()
-        if len(self._pending) > READ_AHEAD_BYTES and not self._reading_paused:
-            self._reading_paused = True
-            self._transport.pause_reading()
+        super().data_received(data)
 
     def eof_received(self) -> bool:
         self._eof_received = True
@@ -134,12 +128,6 @@
         # Before the event is taken: a task that is cancelled here loses none.
         await self._turn.step()
         while True:
-            if self._pending:
-                self._framing.receive_data(bytes(self._pending))
-                self._pending.clear()
-                if self._reading_paused:
-                    self._reading_paused = False
-                    self._transport.resume_reading()
             try:
                 event = self._framing.next_event()
             except h11.RemoteProtocolError as error:
@@ -148,14 +136,17 @@
                 if isinstance(event, h11.ConnectionClosed):
                     raise BackendFailedError(f"{self.address} closed the connection")
                 return event  # type: ignore[return-value]
-            if self._eof_received and not self._pending:
+            if data := self._take_unread():
+                self._framing.receive_data(data)
+                continue
+            if self._eof_received:
                 self._framing.receive_data(b"")
                 self._eof_received = False
                 self._connection_error = self._connection_error or ConnectionResetError(
                     "the backend server closed the connection"
                 )
                 continue
-            if self._connection_error is not None and not self._pending:
+            if self._connection_error is not None:
                 raise BackendFailedError(f"{self.address}: {self._connection_error}")
             self._received.clear()
             await self._received.wait()
@@ -187,7 +178,7 @@
         is_reusable = (
             not trailing
             and not closed
-            and not self._pending
+            and not self._unread
             and sent_all
             and self._framing.their_state is h11.DONE
             and not self._eof_received
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -20,6 +20,7 @@
     split_address,
 )
 from damaskvalve_core._turn_limit import TurnLimit
+from damaskvalve_core.http._bounded_reader import BoundedReader
 from damaskvalve_core.http._buffer_budget import (
     BufferBudget,
     BufferBudgetExceededError,
@@ -33,8 +34,6 @@
 )
 from damaskvalve_core.http._responder import Responder
 
-# Maximum number of bytes of the next request that are read while one is handled.
-READ_AHEAD_BYTES = 64 * 1024
 # Size of the write buffer at which a stream waits for a slow caller.
 WRITE_AHEAD_BYTES = 64 * 1024
 BACKLOG = 512
@@ -51,16 +50,14 @@
 RequestHandler = Callable[[IncomingRequest, Responder], Awaitable[None]]
 
 
-class _ServerConnection(asyncio.Protocol):
+class _ServerConnection(BoundedReader):
     """One connection, whose task reads and handles requests one after the other."""
 
     def __init__(self, server: "HttpServer") -> None:
+        super().__init__()
         self._server = server
-        self._buffer = bytearray()
-        self._received = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
-        self._reading_paused = False
         self._caller_gone = False
         self._task: asyncio.Task[None] | None = None
         self._turn = TurnLimit()
@@ -89,13 +86,8 @@
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def data_received(self, data: bytes) -> None:
-        if self._discarding:
-            return
-        self._buffer += data
-        self._received.set()
-        if self._handling and len(self._buffer) > READ_AHEAD_BYTES:
-            self._reading_paused = True
-            self._transport.pause_reading()
+        if not self._discarding:
+            super().data_received(data)
 
     def eof_received(self) -> bool:
         self._handle_disconnect()
@@ -121,7 +113,7 @@
 
     def is_idle(self) -> bool:
         """Return whether no byte of a request has arrived."""
-        return self.idle and not self._buffer
+        return self.idle and not self._unread
 
     def refuse_unread(self, refusal: RefusedError) -> None:
         """Refuse the request that is being read, if there is one."""
@@ -203,10 +195,11 @@
         lost in transit.
         """
         self._discarding = True
-        self._buffer.clear()
+        self._unread.clear()
         if self._caller_gone or self._transport.is_closing():
             return
         self._transport.write_eof()
+        self._resume_reading()
         self._received.clear()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._received.wait(), LINGER_S)
@@ -224,14 +217,13 @@
         finally:
             self._server.active -= 1
             self._handling = False
-            if self._reading_paused:
-                self._reading_paused = False
-                self._transport.resume_reading()
 
     async def _wait_for_data(self, timeout_s: float | None) -> bool:
         """Wait for more data; return False on a disconnect or a timeout."""
         if self._caller_gone:
             return False
+        # A head may be larger than what is read ahead.
+        self._resume_reading()
         self._received.clear()
         try:
             await asyncio.wait_for(self._received.wait(), timeout_s)
@@ -249,7 +241,7 @@
     ) -> IncomingRequest | None:
         """Return the next request, or None if the caller disconnects or stays idle."""
         self.idle = True
-        while not self._buffer:
+        while not self._unread:
             if not await self._wait_for_data(limits.idle_timeout_s):
                 return None
         self.idle = False
@@ -283,21 +275,21 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + limits.header_timeout_s
         while True:
-            if has_bare_line_feed(self._buffer):
+            if has_bare_line_feed(self._unread):
                 raise RefusedError(
                     400,
                     "bad_line_end",
                     "a line of the request head does not end with CR LF",
                 )
-            end = self._buffer.find(b"\r\n\r\n")
+            end = self._unread.find(b"\r\n\r\n")
             if end > limits.header_bytes or (
-                end < 0 and len(self._buffer) > limits.header_bytes
+                end < 0 and len(self._unread) > limits.header_bytes
             ):
                 message = f"the headers exceed {limits.header_bytes} bytes"
                 raise RefusedError(431, "headers_too_large", message)
             if end >= 0:
-                head = bytes(self._buffer[: end + 4])
-                del self._buffer[: end + 4]
+                head = bytes(self._unread[: end + 4])
+                del self._unread[: end + 4]
                 check_header_lines(head)
                 return head
             if not await self._wait_for_data(deadline_s - loop.time()):
@@ -313,7 +305,7 @@
         limits: ServerLimits,
         reservation: BufferReservation,
     ) -> bytes:
-        parts: list[bytes] = []
+        body = bytearray()
         while True:
             await self._turn.step()
             try:
@@ -321,15 +313,15 @@
             except h11.RemoteProtocolError as error:
                 raise RefusedError(400, "bad_body", str(error)) from error
             if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                body += event.data
                 reservation.add(len(event.data))
                 if reservation.size_bytes > limits.body_bytes:
                     message = f"the body exceeds {limits.body_bytes} bytes"
                     raise RefusedError(413, "body_too_large", message)
             elif isinstance(event, h11.EndOfMessage):
                 # Data after the body belongs to the next request.
-                self._buffer[:0] = framing.trailing_data[0]
-                return b"".join(parts)
+                self._unread[:0] = framing.trailing_data[0]
+                return bytes(body)
             else:
                 await self._feed_body(framing, limits)
 
@@ -337,12 +329,10 @@
         if framing.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self.write(framing.send(continue_response) or b"")
-        if not self._buffer and not await self._wait_for_data(limits.idle_timeout_s):
+        if not self._unread and not await self._wait_for_data(limits.idle_timeout_s):
             raise RefusedError(408, "body_too_slow", "the body did not arrive in time")
-        data = bytes(self._buffer)
-        self._buffer.clear()
         try:
-            framing.receive_data(data)
+            framing.receive_data(self._take_unread())
         except h11.RemoteProtocolError as error:
             raise RefusedError(400, "bad_body", str(error)) from error
 
