The limit of buffered replies counts all that is kept of them

Callers would see: a host that exceeds its memory limit and ends, with the requests of all its callers, while many replies are large or many callers slow.

Cause: the shared limit of 48 MiB counted a body only until it had been read. A reply that waited for a slow caller, a failure kept for the caller while another attempt ran, unfinished events and comments before the first event did not count. Messages up to 128 KiB were accepted without end, however many there were. A body was passed to the transport whole, which kept a second copy of it.

Fix: one reservation for each request, from its first attempt until its response has been sent; it follows what is buffered. Small messages may exceed the limit by 16 MiB together. Responses are written in pieces of 64 KiB.

Evidence: three tests that fail on (an endless event is not counted; a reply counts 0 bytes while it is relayed; 1,000 messages of 100 kB are accepted).

--- a/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
@@ -1,6 +1,10 @@
 """HTTP/1.1 client and server over asyncio; h11 parses and frames the messages."""
 
-from damaskvalve_core.http._buffer_budget import BufferBudget, BufferBudgetExceededError
+from damaskvalve_core.http._buffer_budget import (
+    BufferBudget,
+    BufferBudgetExceededError,
+    BufferReservation,
+)
 from damaskvalve_core.http._client import (
     BackendConnection,
     BackendFailedError,
@@ -20,6 +24,7 @@
     "BackendTimeoutError",
     "BufferBudget",
     "BufferBudgetExceededError",
+    "BufferReservation",
     "Headers",
     "HttpServer",
     "IncomingRequest",
--- a/packages/damaskvalve-core/damaskvalve_core/http/_buffer_budget.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_buffer_budget.py
@@ -12,9 +12,10 @@
 # Maximum size of a budget. Of the 200 MB of a host, the process itself takes about
 # 30 MB, and connections the rest.
 MAX_BUFFERED_BYTES = 48 * 1024 * 1024
-# A message up to this size is accepted even if the budget is used up. About four
-# hundred such messages at a time are as large as the budget.
+# A message up to this size is accepted although the budget is used up.
 EXEMPT_MESSAGE_BYTES = 128 * 1024
+# What exempt messages may use beyond a budget, all of them together.
+MAX_EXEMPT_BYTES = 16 * 1024 * 1024
 
 
 class BufferBudgetExceededError(DamaskvalveError):
@@ -22,7 +23,7 @@
 
 
 class BufferReservation:
-    """The buffered bytes of one message."""
+    """The buffered bytes of one message, or of one after the other."""
 
     __slots__ = ("size_bytes", "_budget")
 
@@ -37,20 +38,25 @@
         """
         self.size_bytes += size_bytes
         self._budget.used_bytes += size_bytes
-        if (
-            self.size_bytes > EXEMPT_MESSAGE_BYTES
-            and self._budget.used_bytes > self._budget.limit_bytes
-        ):
+        limit_bytes = self._budget.limit_bytes
+        if self.size_bytes <= EXEMPT_MESSAGE_BYTES:
+            limit_bytes += MAX_EXEMPT_BYTES
+        if size_bytes > 0 and self._budget.used_bytes > limit_bytes:
             raise BufferBudgetExceededError(
-                f"buffered messages exceed {self._budget.limit_bytes} bytes in total; "
+                f"buffered messages exceed {limit_bytes} bytes in total; "
                 f"discarding one of {self.size_bytes} bytes"
             )
 
+    def resize(self, size_bytes: int) -> None:
+        """Reserve as many bytes as are buffered now; raise like :meth:`add`."""
+        self.add(size_bytes - self.size_bytes)
+
 
 class BufferBudget:
     """The memory limit of all buffered messages of one kind.
 
-    Messages up to :data:`EXEMPT_MESSAGE_BYTES` are always accepted.
+    Messages up to :data:`EXEMPT_MESSAGE_BYTES` may exceed it, within
+    :data:`MAX_EXEMPT_BYTES`.
     """
 
     __slots__ = ("limit_bytes", "used_bytes")
--- a/packages/damaskvalve-core/damaskvalve_core/http/_responder.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_responder.py
@@ -6,6 +6,10 @@
 
 from damaskvalve_core.http._request import Headers
 
+# A body is passed to the connection in pieces of this size, so that a slow caller does
+# not keep a second copy of it in memory.
+WRITE_BYTES = 64 * 1024
+
 
 class ResponseConnection(Protocol):
     """The part of a caller's connection that a responder uses."""
@@ -39,7 +43,8 @@
         response_headers.append((b"content-length", str(len(body)).encode()))
         self._send_head(status, response_headers)
         if not self.omits_body:
-            self._write(self._framing.send(h11.Data(data=body)))
+            for start in range(0, len(body), WRITE_BYTES):
+                await self.write(body[start : start + WRITE_BYTES])
         await self.finish()
 
     async def start(self, status: int, headers: Headers) -> None:
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_endless_bytes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_endless_bytes.py
@@ -9,6 +9,8 @@
 from damaskvalve_core._turn_limit import MAX_STEPS_PER_TURN
 from damaskvalve_core.http import (
     BackendConnection,
+    BufferBudget,
+    BufferBudgetExceededError,
     ServerLimits,
     _client,
     _server,
@@ -174,5 +176,17 @@
         self.assertEqual(len(handled[0].headers), 91)
 
 
+class BudgetTests(unittest.TestCase):
+    def test_many_small_messages_do_not_exceed_the_budget_without_end(self):
+        """Each of them is exempt, but not all of them together."""
+        budget = BufferBudget()
+        with contextlib.ExitStack() as stack:
+            with self.assertRaises(BufferBudgetExceededError):
+                for _ in range(2 * budget.limit_bytes // 100_000):
+                    stack.enter_context(budget.reserve()).add(100_000)
+            self.assertLess(budget.used_bytes, 1.5 * budget.limit_bytes)
+        self.assertEqual(budget.used_bytes, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -128,10 +128,18 @@
         self._first_event_s = self._last_event_s = 0.0
         # Whether a complete reply with a 2xx status has arrived.
         self.succeeded = False
+        # The size of the failure reply of an earlier attempt, which is still kept.
+        self._kept_bytes = 0
 
     async def run(self) -> str:
         """Send the request and relay the reply; return the outcome."""
-        self.outcome = await self._run()
+        reply_buffer = self._exchange.reply_buffer
+        self._kept_bytes = reply_buffer.size_bytes
+        try:
+            self.outcome = await self._run()
+        finally:
+            if self.failure is None:
+                reply_buffer.resize(self._kept_bytes)
         return self.outcome
 
     async def _run(self) -> str:
@@ -313,24 +321,27 @@
         head: ReplyHead,
         max_bytes: int = MAX_REPLY_BODY_BYTES,
     ) -> bytes:
-        parts: list[bytes] = []
-        with self._pool.reply_budget.reserve() as reservation:
-            while True:
-                piece = await connection.read_chunk()
-                if piece is None:
-                    break
-                parts.append(piece)
-                try:
-                    reservation.add(len(piece))
-                except BufferBudgetExceededError as error:
-                    raise BackendFailedError(str(error)) from error
-                if reservation.size_bytes > max_bytes:
-                    raise BackendFailedError("the reply body is too large")
+        body = bytearray()
+        while (piece := await connection.read_chunk()) is not None:
+            body += piece
+            self._note_buffered(len(body))
+            if len(body) > max_bytes:
+                raise BackendFailedError("the reply body is too large")
         now_s = boot_clock_s()
         connection.finish_reply(head, now_s)
         instance_id = self._backend.announcement.instance_id
         self._pool.release(instance_id, connection, now_s)
-        return b"".join(parts)
+        return bytes(body)
+
+    def _note_buffered(self, size_bytes: int) -> None:
+        """Count what is buffered of the reply.
+
+        Raise :class:`BackendFailedError` if it is too much for all replies together.
+        """
+        try:
+            self._exchange.reply_buffer.resize(self._kept_bytes + size_bytes)
+        except BufferBudgetExceededError as error:
+            raise BackendFailedError(str(error)) from error
 
     async def _relay_whole(
         self, head: ReplyHead, body: bytes, started_at_s: float
@@ -369,6 +380,7 @@
             if piece is None:
                 break
             events = splitter.feed(piece)
+            self._note_buffered(splitter.buffered_bytes() + len(early_comments))
             if splitter.is_too_large():
                 raise BackendFailedError("an event exceeds the size limit")
             line = foreign_line(events, self._dialect.event_fields)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_events.py
@@ -44,6 +44,10 @@
         """Return the bytes after the last complete event."""
         return bytes(self._partial)
 
+    def buffered_bytes(self) -> int:
+        """Return the size of the incomplete event that is buffered."""
+        return len(self._partial)
+
     def is_too_large(self) -> bool:
         """Return whether the buffered part exceeds the size of an event."""
         return len(self._partial) > MAX_EVENT_BYTES
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_exchange.py
@@ -1,6 +1,6 @@
 """State of one request while the gateway serves it."""
 
-from damaskvalve_core.http import Responder
+from damaskvalve_core.http import BufferReservation, Responder
 from damaskvalve_gateway._model import (
     STREAMING,
     CallerRequest,
@@ -35,7 +35,10 @@
         "backend_id",
         "backend_version",
         "outcome",
+        "reply_buffer",
     )
+    # What is buffered of the replies to this request; set before the first attempt.
+    reply_buffer: BufferReservation
 
     def __init__(
         self,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -253,7 +253,8 @@
             async with asyncio.timeout(left_s) as timeout:
                 self._open[exchange] = timeout
                 async with self._rate.spending(exchange):
-                    await self._dispatch(exchange)
+                    with self._pool.reply_budget.reserve() as exchange.reply_buffer:
+                        await self._dispatch(exchange)
         except TimeoutError as error:
             if exchange.outcome == STOPPING:
                 raise self._stopped(exchange) from error
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/attempt_fixtures.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from damaskvalve_core import ChannelError, boot_clock_s
-from damaskvalve_core.http import BackendPool
+from damaskvalve_core.http import BackendPool, BufferBudget, BufferReservation
 from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._backend_attempt import BackendAttempt
 from damaskvalve_gateway._dialect import Dialect
@@ -101,7 +101,9 @@
     request = CallerRequest("r-1", "POST", "/x", "h", (), b"")
     service = Service("s", 10, None)
     now_s = boot_clock_s()
-    return Exchange(request, route, None, service, RecordingResponder(), now_s, "")
+    exchange = Exchange(request, route, None, service, RecordingResponder(), now_s, "")
+    exchange.reply_buffer = BufferReservation(BufferBudget())
+    return exchange
 
 
 class ScriptedServer:
@@ -189,11 +191,12 @@
             if metadata.leaving and leaving_backends is not None:
                 leaving_backends.append(backend)
 
+        pool = pool or BackendPool()
         attempt = BackendAttempt(
             exchange,
             backend,
             0,
-            pool or BackendPool(),
+            pool,
             DIALECT,
             lambda: None,
             note_reply,
@@ -201,7 +204,8 @@
         )
         started_at_s = boot_clock_s()
         async with asyncio.timeout(within_s):
-            outcome = await attempt.run()
+            with pool.reply_budget.reserve() as exchange.reply_buffer:
+                outcome = await attempt.run()
         return outcome, attempt.reason, boot_clock_s() - started_at_s
 
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_hostile_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_hostile_replies.py
@@ -116,6 +116,36 @@
             self.assertLess(took_s, 0.5)
             await asyncio.wait_for(server.closed.wait(), 1.0)
 
+    async def test_an_endless_event_counts_towards_the_buffer_budget(self):
+        """Streams share the limit of all replies, and release it at their end."""
+        for data in (b"z" * 4_096, b": " + b"c" * 4_000 + b"\n\n"):
+            pool = BackendPool()
+            pool.reply_budget.limit_bytes = 200_000
+            server = ScriptedServer(
+                write_head_then(CHUNKED, write_endlessly(chunk(data)))
+            )
+            outcome, reason, _ = await run_attempt(
+                server, make_exchange(), within_s=5.0, pool=pool
+            )
+            self.assertEqual((outcome, pool.reply_budget.used_bytes), (BROKEN, 0))
+            self.assertIn("buffered messages exceed", reason)
+
+    async def test_a_reply_counts_until_a_slow_caller_has_received_it(self):
+        """Many replies that wait for their callers would exceed the limit."""
+        body = b"b" * 300_000
+        head = OK + b"content-length: %d\r\n\r\n" % len(body)
+        pool, exchange = BackendPool(), make_exchange(kind=UNSAFE)
+        used_bytes = []
+
+        async def note_used(data):
+            used_bytes.append(pool.reply_budget.used_bytes)
+
+        exchange.responder.write = note_used
+        server = ScriptedServer(write_once(head + body))
+        outcome, _, _ = await run_attempt(server, exchange, within_s=5.0, pool=pool)
+        self.assertEqual((outcome, used_bytes), (ANSWERED, [len(body)]))
+        self.assertEqual(pool.reply_budget.used_bytes, 0)
+
     async def test_many_endless_bodies_at_once_stay_within_the_buffer_budget(self):
         """Valid replies of usual size are relayed meanwhile."""
         pool = BackendPool()
