A process waits for a port that a connection holds, and does not end

Cause: the local port of an outgoing connection, also of one that was closed within the last minute, conflicts with a listener on the same address and port. Any failure to bind ended the process.

Fix: an address in use is tried again every 0.2 s for 75 s, longer than TCP holds the port of a closed connection; other errors end the process as before.

Whether the users' run had this cause is not known: no logs were kept.

--- a/packages/damaskvalve-core/damaskvalve_core/_channel.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_channel.py
@@ -25,10 +25,10 @@
     ChannelError,
     EncodingError,
     NotSentError,
-    OperatorError,
     ProtocolError,
     ReceiveTimeoutError,
 )
+from damaskvalve_core._listen import open_listener
 from damaskvalve_core._messages import Problem
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -283,10 +283,9 @@
         self._lock = threading.Lock()
         self._open_connections: set[Connection] = set()
         self._stopping = False
-        try:
-            self._sock = socket.create_server(split_address(address), backlog=256)
-        except OSError as error:
-            raise OperatorError(f"cannot listen on {address}: {error}") from error
+        self._sock = open_listener(
+            lambda: socket.create_server(split_address(address), backlog=256), address
+        )
         self.address = "{}:{}".format(*self._sock.getsockname()[:2])
 
     def accept_forever(self) -> None:
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -13,12 +13,8 @@
 
 import h11
 
-from damaskvalve_core import (
-    OperatorError,
-    RefusedError,
-    enable_keepalive,
-    split_address,
-)
+from damaskvalve_core import RefusedError, enable_keepalive, split_address
+from damaskvalve_core._listen import open_server
 from damaskvalve_core._turn_limit import TurnLimit
 from damaskvalve_core.http._bounded_reader import BoundedReader
 from damaskvalve_core.http._buffer_budget import (
@@ -365,16 +361,16 @@
     async def listen(self, address: str) -> None:
         """Start accepting connections.
 
-        Raises :class:`OperatorError` if the address cannot be bound.
+        Raises :class:`damaskvalve_core.OperatorError` if the address cannot be bound.
         """
         ip, port = split_address(address)
         loop = asyncio.get_running_loop()
-        try:
-            self._listener = await loop.create_server(
+        self._listener = await open_server(
+            lambda: loop.create_server(
                 lambda: _ServerConnection(self), ip, port, backlog=BACKLOG
-            )
-        except OSError as error:
-            raise OperatorError(f"cannot listen on {address}: {error}") from error
+            ),
+            address,
+        )
 
     def close_after_response(self) -> None:
         """Close each connection after its next response.
--- a/packages/damaskvalve-core/damaskvalve_core/rpc.py
+++ b/packages/damaskvalve-core/damaskvalve_core/rpc.py
@@ -25,9 +25,9 @@
     ChannelError,
     EncodingError,
     NotSentError,
-    OperatorError,
     ProtocolError,
 )
+from damaskvalve_core._listen import open_server
 from damaskvalve_core._messages import Problem
 from damaskvalve_core._turn_limit import TurnLimit
 
@@ -203,16 +203,11 @@
             open_calls.discard(call)
             call.close()
 
-    try:
-        server = await asyncio.start_server(
-            serve,
-            ip,
-            port,
-            ssl=identity.ssl_context(server=True) if identity else None,
-            backlog=BACKLOG,
-        )
-    except OSError as error:
-        raise OperatorError(f"cannot listen on {address}: {error}") from error
+    context = identity.ssl_context(server=True) if identity else None
+    server = await open_server(
+        lambda: asyncio.start_server(serve, ip, port, ssl=context, backlog=BACKLOG),
+        address,
+    )
     try:
         yield
     finally:
