The test run plays three packages at a time

Each package now runs in a process of its own, three at a time, those that take longest first. A package whose process ends before its tests, or that has none, counts as failed. The tests of a package still run one after the other, because they share loopback addresses; no two packages share an address and a port. The runner's tests replace its two parts; two new ones cover the packages.

--- a/testing/damaskvalve-standins/damaskvalve_standins/run_tests.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/run_tests.py
@@ -3,10 +3,18 @@
 Tests listed in KNOWN-RED.txt are run, may fail and are printed. An intermittent test
 may pass or fail. A run of all tests fails if a listed test that is not intermittent
 did not fail, or if an intermittent test was not run.
+
+Each package runs in a process of its own, a few at a time. The tests of a package run
+one after the other; no two packages use the same loopback addresses.
 """
 
+import argparse
+import concurrent.futures
+import json
+import subprocess
 import sys
-from collections.abc import Collection, Mapping
+import tempfile
+from collections.abc import Collection, Mapping, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -18,15 +26,17 @@
 ROOT = Path(__file__).resolve().parents[3]
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 INTERMITTENT = "intermittent"
+# Those that take longest come first.
 PACKAGES = (
-    "packages/damaskvalve-core",
+    "platform",
+    "testing/damaskvalve-standins",
     "packages/damaskvalve-state",
+    "packages/damaskvalve-gateway",
     "packages/damaskvalve-agent",
+    "packages/damaskvalve-core",
     "packages/damaskvalve",
-    "packages/damaskvalve-gateway",
-    "platform",
-    "testing/damaskvalve-standins",
 )
+MAX_PARALLEL_PACKAGES = 3
 
 
 class KnownRed(NamedTuple):
@@ -96,19 +106,88 @@
     hypothesis.settings.load_profile("fixed")
 
 
-def _run(package: str, names: list[str]) -> None:
+def _run(package: str, names: Sequence[str]) -> None:
     arguments = ["nose2", "-s", package, "-t", package, *names]
     plugins = [tally.__name__]
     PluggableTestProgram(module=None, argv=arguments, exit=False, plugins=plugins)
 
 
-def main(names: list[str]) -> int:
-    """Run all or the named tests; return 1 if an unlisted test failed."""
+def _run_package(package: str, names: Sequence[str], outcome_file: Path) -> None:
+    """Run the tests of one package; write which ran and which failed."""
     use_fixed_profile()
+    _run(str(ROOT / package), names)
+    outcome = {"ran": sorted(tally.RAN), "failed": sorted(tally.FAILED)}
+    outcome_file.write_text(json.dumps(outcome), encoding="utf-8")
+
+
+def _run_in_process(
+    package: str, names: Sequence[str], folder: Path
+) -> tuple[str, Path]:
+    """Run a package in a process of its own; return its output and outcome file."""
+    outcome_file = folder / f"{package.replace('/', '-')}.json"
+    command = [sys.executable, "-m", "damaskvalve_standins.run_tests"]
+    options = ["--package", package, "--outcome-file", str(outcome_file)]
+    done = subprocess.run(
+        [*command, *options, *names],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors="replace",
+    )
+    return done.stdout, outcome_file
+
+
+def _read_outcome(file: Path) -> dict[str, list[str]] | None:
+    if not file.exists():
+        return None
+    outcome: dict[str, list[str]] = json.loads(file.read_text(encoding="utf-8"))
+    return outcome
+
+
+def run_packages(
+    packages: Sequence[str], names: Sequence[str]
+) -> tuple[set[str], set[str]]:
+    """Run packages, a few at a time; return the tests that ran and those that failed.
+
+    A package without tests, or whose process ended before them, counts as one failed
+    test, unless only some tests are named.
+    """
+    ran: set[str] = set()
+    failed: set[str] = set()
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        concurrent.futures.ThreadPoolExecutor(MAX_PARALLEL_PACKAGES) as executor,
+    ):
+        runs = {
+            executor.submit(_run_in_process, package, names, Path(folder)): package
+            for package in packages
+        }
+        for run in concurrent.futures.as_completed(runs):
+            output, outcome_file = run.result()
+            print(f"{runs[run]}:\n{output}", flush=True)
+            outcome = _read_outcome(outcome_file)
+            if outcome is None or not (outcome["ran"] or names):
+                outcome = {"ran": [runs[run]], "failed": [runs[run]]}
+            ran.update(outcome["ran"])
+            failed.update(outcome["failed"])
+    return ran, failed
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run all or the named tests; return 1 if an unlisted test failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*", help="ids of tests; all if none are given")
+    parser.add_argument("--package", help="run the tests of this package only")
+    parser.add_argument("--outcome-file", type=Path, help=argparse.SUPPRESS)
+    options = parser.parse_args(arguments)
+    if options.outcome_file is not None:
+        _run_package(options.package, options.names, options.outcome_file)
+        return 0
     allowed = parse_known_red(KNOWN_RED_FILE.read_text(encoding="utf-8"))
-    for package in PACKAGES:
-        _run(str(ROOT / package), names)
-    return report_outcome(allowed, tally.RAN, tally.FAILED, is_full_run=not names)
+    packages = [options.package] if options.package else PACKAGES
+    ran, failed = run_packages(packages, options.names)
+    is_full_run = not options.names and not options.package
+    return report_outcome(allowed, ran, failed, is_full_run=is_full_run)
 
 
 if __name__ == "__main__":
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/test_run_tests.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/test_run_tests.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import json
 import tempfile
 import unittest
 from pathlib import Path
@@ -24,10 +25,7 @@
             path.write_text(f"# A comment\n\n{text}\n", encoding="utf-8")
             for target, name, value in (
                 (run_tests, "KNOWN_RED_FILE", path),
-                (run_tests, "use_fixed_profile", mock.Mock()),
-                (run_tests, "_run", mock.Mock()),
-                (run_tests.tally, "RAN", set(ran)),
-                (run_tests.tally, "FAILED", set(failed)),
+                (run_tests, "run_packages", lambda *_: (set(ran), set(failed))),
             ):
                 stack.enter_context(mock.patch.object(target, name, value))
             stack.enter_context(contextlib.redirect_stdout(output))
@@ -116,5 +114,37 @@
         self.assertEqual((code, lines), (1, ["0 passed, 0 failed"]))
 
 
+class PackageTests(unittest.TestCase):
+    def run_packages(self, outcomes):
+        """Run packages that write these outcomes; None stands for none written."""
+
+        def run(package, names, folder):
+            file = folder / package
+            if outcomes[package] is not None:
+                file.write_text(json.dumps(outcomes[package]), encoding="utf-8")
+            return "output", file
+
+        with (
+            mock.patch.object(run_tests, "_run_in_process", run),
+            contextlib.redirect_stdout(io.StringIO()),
+        ):
+            return run_tests.run_packages(list(outcomes), [])
+
+    def test_outcomes_of_all_packages_are_added_up(self):
+        ran, failed = self.run_packages(
+            {
+                "one": {"ran": [LISTED], "failed": [LISTED]},
+                "two": {"ran": [OTHER], "failed": []},
+            }
+        )
+        self.assertEqual((ran, failed), ({LISTED, OTHER}, {LISTED}))
+
+    def test_package_that_ends_early_or_has_no_tests_counts_as_failed(self):
+        for outcome in (None, {"ran": [], "failed": []}):
+            with self.subTest(outcome=outcome):
+                ran, failed = self.run_packages({"one": outcome})
+                self.assertEqual((ran, failed), ({"one"}, {"one"}))
+
+
 if __name__ == "__main__":
     unittest.main()
