Two tests that failed only beside load wait for what they check

test_queued_proposals_share_one_sync once counted 33 syncs for 60 proposals: its threads start one after another, and beside load most proposals were synced before the next one was made. The first sync now lasts until all have been made; the bound of 30 stays.

test_withdrawn_key_ends_open_connections_and_running_streams once got 200 from a host right after the stream on another host had ended. The promise is five seconds for every host (docs/PROMISES.md), and the test asked before. It now asks once they are over, each host and the open connection; the bound stays.

Neither failure has been reproduced here.

--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_group.py
@@ -80,22 +80,34 @@
             self.assertEqual(group.run(lag), (False, True))
 
     def test_queued_proposals_share_one_sync(self):
-        """60 concurrent proposals need fewer than 30 syncs."""
+        """60 concurrent proposals need fewer than 30 syncs.
+
+        The first sync lasts until all of them have been made: how fast threads start
+        depends on the load of the machine.
+        """
         syncs = []
         original = Journal.append
+        made = threading.Semaphore(0)
 
         def append(journal, records):
             if records:
                 syncs.append(len(records))
-                time.sleep(0.005)
+                if len(syncs) == 1:
+                    for _ in range(60):
+                        made.acquire(timeout=10.0)
             original(journal, records)
 
         with running_group(self.settings, NoPeers()) as group:
             self.commit(group, "first")
+
+            def propose(number):
+                made.release()
+                group.propose(claim(f"c{number}"), 20.0)
+
             with mock.patch.object(Journal, "append", append):
                 threads = [
-                    threading.Thread(target=group.propose, args=(claim(f"c{n}"), 5.0))
-                    for n in range(60)
+                    threading.Thread(target=propose, args=(number,))
+                    for number in range(60)
                 ]
                 for thread in threads:
                     thread.start()
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/test_callers.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/test_callers.py
@@ -17,6 +17,8 @@
     stream_text,
 )
 
+# The time within which a withdrawn key stops working everywhere.
+WITHDRAWAL_S = 5.0
 TEXT = st.text("abcXYZ019-_ %/:{}[]\"'\\", max_size=30)
 
 
@@ -121,7 +123,7 @@
                 self.assertFalse(contains_key, path)
 
     def test_withdrawn_key_ends_open_connections_and_running_streams(self):
-        """A running stream ends within five seconds; all hosts then answer 401."""
+        """Within five seconds a running stream ends and all hosts answer 401."""
         key, digest = self.fleet.grant_key(WORKSPACE)
         host, _, port = self.fleet.entries["host-3"].partition(":")
         open_connection = http.client.HTTPConnection(host, int(port), timeout=10)
@@ -131,9 +133,11 @@
         self.fleet.run_operator_command("key", "withdraw", digest)
         withdrawn_s = time.monotonic()
         thread.join()
-        self.assertLess(time.monotonic() - withdrawn_s, 5.0)
+        self.assertLess(time.monotonic() - withdrawn_s, WITHDRAWAL_S)
         self.assertIn("key_withdrawn", collected[0])
         self.assertNotIn("[DONE]", collected[0])
+        # The stream ends as soon as its own host knows of the withdrawal.
+        time.sleep(max(0.0, withdrawn_s + WITHDRAWAL_S - time.monotonic()))
         for entry in self.fleet.entries:
             self.assertEqual(self.fleet.complete(entry, key, "ink:1").status, 401)
         self.assertEqual(self.send_on_connection(open_connection, key), 401)
