Many peers that fill the buffers delay other callers by one turn, not by theirs all

Callers saw: 64 streams without end, asked for at one host, kept its memory in bounds but a sound request beside them took 1.14 s, over its objective of 1 s (platform test, beside load).

Cause: each task that reads buffered bytes gives way after 32 steps, one to two milliseconds, and all of them go on in the next iteration of the event loop. With 64 such tasks an iteration takes a tenth of a second, and a sound request needs several.

A task that has waited for data begins a new turn, so that sound streams do not queue.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -150,6 +150,7 @@
                 raise BackendFailedError(f"{self.address}: {self._connection_error}")
             self._received.clear()
             await self._received.wait()
+            self._turn.begin_turn()
 
     async def read_head(self) -> ReplyHead:
         """Return the head of the final reply; skip informational replies."""
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_turn_limit.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_turn_limit.py
@@ -8,10 +8,11 @@
 from damaskvalve_core import rpc
 from damaskvalve_core._codec import encode_message
 from damaskvalve_core._messages import ConfirmRequest
-from damaskvalve_core._turn_limit import MAX_STEPS_PER_TURN
+from damaskvalve_core._turn_limit import MAX_STEPS_PER_TURN, TurnLimit
 from damaskvalve_core.http import BackendConnection, ServerLimits, _server
 
 COUNT = 5_000
+PEERS = 64
 MIN_TURNS = COUNT // MAX_STEPS_PER_TURN - 1
 CHUNK = b"10\r\n################\r\n"
 REPLY_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -57,6 +58,34 @@
                 await connection.read_chunk()
         self.assertGreaterEqual(len(turns), MIN_TURNS)
 
+    async def test_many_peers_that_fill_the_buffers_delay_other_tasks_by_one_turn(self):
+        """However many they are, another task runs after each of their turns."""
+        steps_each = 10 * MAX_STEPS_PER_TURN
+
+        async def read_without_waiting():
+            turn = TurnLimit()
+            for _ in range(steps_each):
+                await turn.step()
+
+        async with counting_turns() as turns:
+            await asyncio.gather(*(read_without_waiting() for _ in range(PEERS)))
+        self.assertGreaterEqual(len(turns), PEERS * steps_each // MAX_STEPS_PER_TURN)
+
+    async def test_a_peer_that_is_cancelled_leaves_its_turn_to_the_next(self):
+        """Those behind it go on."""
+
+        async def read_without_waiting():
+            turn = TurnLimit()
+            for _ in range(MAX_STEPS_PER_TURN):
+                await turn.step()
+
+        tasks = [asyncio.create_task(read_without_waiting()) for _ in range(PEERS)]
+        await asyncio.sleep(0)
+        for task in tasks[: PEERS // 2]:
+            task.cancel()
+        async with asyncio.timeout(1.0):
+            await asyncio.gather(*tasks[PEERS // 2 :])
+
     async def serve(self, data, is_done):
         """Let a server connection read data that has arrived at once."""
         handled = []
