A request that arrives as a timeout of its connection passes is answered

Callers saw: a kept connection that closed without an answer although the host had read the request; an upload that a planned stop closed without its refusal.

Cause: the wait for data forgot what happened beside it. If the idle timeout passed in the same turn of the event loop as the request was read (a busy loop makes the turn long), the bytes were dropped with the connection. A refusal at the end of a stop was lost if the request was being parsed: the next wait cleared its wakeup.

Evidence: both new tests of test_http fail before the fix, the first with a closed connection and 0 bytes, the second with no answer within 1 s, and pass with it.

Fix: after a timeout, what has arrived meanwhile decides; a refusal is checked before each wait as well as after it.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -220,14 +220,21 @@
             return False
         # A head may be larger than what is read ahead.
         self._resume_reading()
+        self._check_refusal()
         self._received.clear()
         try:
             await asyncio.wait_for(self._received.wait(), timeout_s)
         except TimeoutError:
-            return False
+            # Data may have arrived as the timeout passed.
+            if not self._received.is_set():
+                return False
+        self._check_refusal()
+        return not self._caller_gone
+
+    def _check_refusal(self) -> None:
+        """Raise the refusal of the request that is being read, if it is refused."""
         if self._refusal is not None:
             raise self._refusal
-        return not self._caller_gone
 
     async def _read_request(
         self,
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import unittest
+from unittest import mock
 
 from damaskvalve_core import ChannelError, NotSentError, RefusedError
 from damaskvalve_core.http import (
@@ -12,6 +13,7 @@
     ServerLimits,
     serving_http,
 )
+from damaskvalve_core.http import _server
 
 ADDRESS = "127.0.0.1:21690"
 PORT = 21_690
@@ -250,6 +252,48 @@
         self.assertEqual(self.server.active, 1)
         self.assertFalse(self.cancelled.is_set())
 
+    async def test_a_request_that_arrived_as_the_idle_timeout_passed_was_dropped(self):
+        """It is answered: its bytes were read before the connection was closed."""
+        request = HEAD + b"Content-Length: 2\r\n\r\nok"
+        wait_for = asyncio.wait_for
+        late = []
+
+        async def time_out_late(waited, timeout_s):
+            if timeout_s != self.limits.idle_timeout_s or late:
+                return await wait_for(waited, timeout_s)
+            late.append(timeout_s)
+            waited.close()
+            (connection,) = self.server.connections
+            connection.data_received(request)
+            raise TimeoutError
+
+        with mock.patch.object(_server.asyncio, "wait_for", time_out_late):
+            reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+            self.addCleanup(writer.close)
+            response = await wait_for(reader.readuntil(b"ok"), 1.0)
+        self.assertIn(b" 200 ", response)
+        self.assertTrue(late)
+
+    async def test_a_refusal_at_the_end_of_a_stop_was_lost_while_a_body_was_parsed(
+        self,
+    ):
+        """The request is refused at once, not when its next bytes arrive."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+        self.addCleanup(writer.close)
+        refusal = RefusedError(503, "stopping", "stopping")
+        step = _server.TurnLimit.step
+        refused = []
+
+        async def refuse_and_step(turn):
+            if self.server.is_busy() and not refused:
+                refused.append(self.server.refuse_unread(refusal))
+            await step(turn)
+
+        with mock.patch.object(_server.TurnLimit, "step", refuse_and_step):
+            writer.write(HEAD + b"Content-Length: 4\r\n\r\nbo")
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
+        self.assertIn(b" 503 ", head)
+
     async def test_a_disconnect_of_the_caller_cancels_its_request(self):
         """The handler is cancelled at once, not when its response is ready."""
         _, writer = await asyncio.open_connection("127.0.0.1", PORT)
