A planned stop closes no connection whose caller was not told so

Callers saw: a request on a kept connection that got no answer around a planned stop, and the end of a reply missing if they read it slowly.

Cause, the first: a response that began before the stop cannot say that its connection closes, and the connection closed right after it all the same. What the caller had sent meanwhile, or sent at once afterwards, was lost, also if the host had read it. Idle connections were closed at the first poll after a response, so that a caller had no time for its next request.

Cause, the second: the stop did not wait for connections with an answered request. Up to 64 KB of the response that were still unsent ended with the process.

Evidence: test_a_stop_closed_a_connection_whose_response_had_not_said_so fails before the fix, with no bytes for the request, both pipelined and sent 50 ms after the response. test_a_reply_that_the_caller_read_slowly_was_cut_at_the_end_of_a_stop fails with the rest of the body missing. Both pass with the fix.

Fix: a connection closes after the response that says so; otherwise it is kept for one more, and closed once it has been idle for 0.25 s or the grace period ends. The stop waits until each connection has closed, with its bytes sent.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -13,7 +13,12 @@
 
 import h11
 
-from damaskvalve_core import RefusedError, enable_keepalive, split_address
+from damaskvalve_core import (
+    RefusedError,
+    boot_clock_s,
+    enable_keepalive,
+    split_address,
+)
 from damaskvalve_core._listen import open_server
 from damaskvalve_core._turn_limit import TurnLimit
 from damaskvalve_core.http._bounded_reader import BoundedReader
@@ -63,9 +68,10 @@
         self._discarding = False
         # Refuses the request that is being read; None if it is not refused.
         self._refusal: RefusedError | None = None
-        # Whether the connection closes after the next response.
+        # Whether the next response says that the connection closes.
         self.closing = server.closing
         self.idle = True
+        self.idle_since_s = boot_clock_s()
         self.peer = ""
 
     # ---- asyncio.Protocol callbacks ----
@@ -131,8 +137,9 @@
 
     async def _run(self) -> None:
         try:
-            while await self._serve_request() and not self.closing:
-                # The next request may have been read already.
+            # If a response has not said that the connection closes, the caller may
+            # have sent the next request already.
+            while await self._serve_request():
                 await self._turn.step()
         except asyncio.CancelledError:
             pass
@@ -243,7 +250,7 @@
         reservation: BufferReservation,
     ) -> IncomingRequest | None:
         """Return the next request, or None if the caller disconnects or stays idle."""
-        self.idle = True
+        self.idle, self.idle_since_s = True, boot_clock_s()
         while not self._unread:
             if not await self._wait_for_data(limits.idle_timeout_s):
                 return None
@@ -357,7 +364,7 @@
         self.limits = limits
         self.format_refusal = format_refusal
         self.connections: set[_ServerConnection] = set()
-        # Whether each connection closes after its next response.
+        # Whether the next response of each connection says that it closes.
         self.closing = False
         # Number of requests that are being handled.
         self.active = 0
@@ -380,7 +387,10 @@
         )
 
     def close_after_response(self) -> None:
-        """Close each connection after its next response.
+        """Close each connection after the next response, which says so.
+
+        A response that has begun cannot say so; the connection is then kept for another
+        one.
 
         This includes connections that were accepted before the listening socket was
         closed and are noticed afterwards.
@@ -389,10 +399,10 @@
         for connection in self.connections:
             connection.closing = True
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request has begun."""
+    def close_idle(self, now_s: float, min_idle_s: float = 0.0) -> None:
+        """Close the connections on which no request has begun for some time."""
         for connection in list(self.connections):
-            if connection.is_idle():
+            if connection.is_idle() and now_s >= connection.idle_since_s + min_idle_s:
                 connection.close()
 
     def close_all(self) -> None:
@@ -405,9 +415,9 @@
         for connection in list(self.connections):
             connection.refuse_unread(refusal)
 
-    def is_busy(self) -> bool:
-        """Return whether a request is being read or handled."""
-        return any(not connection.is_idle() for connection in self.connections)
+    def is_open(self) -> bool:
+        """Return whether a connection is open, or closes but has unsent bytes."""
+        return bool(self.connections)
 
     def stop_accepting(self) -> None:
         """Close the listening socket."""
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -6,14 +6,14 @@
 import unittest
 from unittest import mock
 
-from damaskvalve_core import ChannelError, NotSentError, RefusedError
+from damaskvalve_core import ChannelError, NotSentError, RefusedError, boot_clock_s
 from damaskvalve_core.http import (
     BackendFailedError,
     BackendPool,
     ServerLimits,
+    _server,
     serving_http,
 )
-from damaskvalve_core.http import _server
 
 ADDRESS = "127.0.0.1:21690"
 PORT = 21_690
@@ -28,6 +28,7 @@
     async def asyncSetUp(self):
         self.handled_requests = []
         self.cancelled = asyncio.Event()
+        self.stream_ends = asyncio.Event()
         self.limits = ServerLimits(1_000, 2_000, 0.5, 5.0)
         serving = serving_http(
             ADDRESS, self.handle, lambda: self.limits, format_refusal
@@ -40,6 +41,10 @@
             await responder.start(200, [])
             await responder.write(b"part")
             responder.abort()
+        elif incoming.target == "/stream":
+            await responder.start(200, [])
+            await self.stream_ends.wait()
+            await responder.finish()
         elif incoming.target == "/slow-stream":
             await responder.start(200, [])
             await asyncio.sleep(5)
@@ -213,9 +218,10 @@
         await writer.drain()
         await asyncio.sleep(0.1)
         self.assertEqual(self.server.active, 0)
-        self.assertTrue(self.server.is_busy())
-        self.server.close_idle()
+        self.server.close_idle(boot_clock_s())
         self.assertEqual(await asyncio.wait_for(idle_reader.read(), 0.5), b"")
+        self.assertEqual(len(self.server.connections), 1)
+        self.assertTrue(self.server.is_open())
         writer.write(b"dy")
         response = await asyncio.wait_for(reader.readuntil(b"body"), 0.5)
         self.assertIn(b" 200 ", response)
@@ -252,6 +258,34 @@
         self.assertEqual(self.server.active, 1)
         self.assertFalse(self.cancelled.is_set())
 
+    async def test_a_stop_closed_a_connection_whose_response_had_not_said_so(self):
+        """The request after a stream that began before the stop is answered.
+
+        It may have been read while the stream ran, or be sent right after its end.
+        """
+        request = HEAD + b"Content-Length: 2\r\n\r\nok"
+        for pipelined in (True, False):
+            with self.subTest(pipelined=pipelined):
+                self.stream_ends.clear()
+                self.server.closing = False
+                reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+                self.addCleanup(writer.close)
+                writer.write(b"GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
+                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
+                self.assertNotIn(b"connection: close", head.lower())
+                if pipelined:
+                    writer.write(request)
+                    await asyncio.sleep(0.05)
+                self.server.close_after_response()
+                self.stream_ends.set()
+                await asyncio.wait_for(reader.readuntil(b"0\r\n\r\n"), 1.0)
+                if not pipelined:
+                    await asyncio.sleep(0.05)
+                    writer.write(request)
+                response = await asyncio.wait_for(reader.read(), 1.0)
+                self.assertIn(b" 200 ", response)
+                self.assertIn(b"connection: close", response.lower())
+
     async def test_a_request_that_arrived_as_the_idle_timeout_passed_was_dropped(self):
         """It is answered: its bytes were read before the connection was closed."""
         request = HEAD + b"Content-Length: 2\r\n\r\nok"
@@ -285,7 +319,7 @@
         refused = []
 
         async def refuse_and_step(turn):
-            if self.server.is_busy() and not refused:
+            if self.server.is_open() and not refused:
                 refused.append(self.server.refuse_unread(refusal))
             await step(turn)
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -75,6 +75,9 @@
 # Callers are told with their responses that their connections close, for this long
 # before idle connections are closed. By then, new connections go to other hosts.
 CLOSE_NOTICE_S = 0.6
+# A connection is closed as idle after this time. A caller that goes on sending, and was
+# not told that its connection closes, sends the next request by then.
+MIN_IDLE_S = 0.25
 # Part of the grace period that is reserved for closing open connections.
 CLOSE_MARGIN_S = 0.4
 # Part of that in which the requests that were ended get their answers.
@@ -361,17 +364,16 @@
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     caller_server.stop_accepting()
     caller_server.close_after_response()
-    while caller_server.is_busy() and boot_clock_s() < end_s:
-        caller_server.close_idle()
+    while caller_server.is_open() and boot_clock_s() < end_s:
+        caller_server.close_idle(boot_clock_s(), MIN_IDLE_S)
         gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     unfinished = caller_server.active
     gateway.end_unfinished()
     caller_server.refuse_unread(stopping_refusal())
-    while caller_server.is_busy() and boot_clock_s() < end_s + LAST_ANSWERS_S:
-        caller_server.close_idle()
+    while caller_server.is_open() and boot_clock_s() < end_s + LAST_ANSWERS_S:
+        caller_server.close_idle(boot_clock_s())
         await asyncio.sleep(LAST_ANSWERS_POLL_INTERVAL_S)
-    caller_server.close_idle()
     log.line(
         "stopped",
         active=unfinished,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_run.py
@@ -1,13 +1,23 @@
 """The sequence of a planned stop."""
 
+import asyncio
+import socket
+import threading
 import time
 import unittest
 from unittest import mock
 
 from damaskvalve_core import boot_clock_s
+from damaskvalve_core.http import ServerLimits, serving_http
 from damaskvalve_gateway import _run
 
 GRACE_S = 1.0
+IP, PORT = "127.0.0.1", 21_695
+REQUEST = b"GET /p HTTP/1.1\r\nHost: h\r\n\r\n"
+# Fits into the write buffer of a connection.
+REPLY_BYTES = 48 * 1024
+# Smallest size of a socket's buffer.
+SOCKET_BYTES = 4096
 
 
 class BusyServer:
@@ -18,7 +28,7 @@
         self.stop_accepting = self.close_after_response = mock.Mock()
         self.close_idle = self.refuse_unread = mock.Mock()
 
-    def is_busy(self):
+    def is_open(self):
         return self.active > 0
 
 
@@ -40,3 +50,45 @@
         self.assertLess(ended_s[0], GRACE_S)
         (end_s,), _ = gateway.begin_stop.call_args
         self.assertLess(end_s - started_s, GRACE_S)
+
+    def test_a_reply_that_the_caller_read_slowly_was_cut_at_the_end_of_a_stop(self):
+        """The host waits for what it has not sent yet, within the grace period."""
+        listening, answered = threading.Event(), threading.Event()
+
+        async def answer(_, responder):
+            transport = responder._connection._transport
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BYTES
+            )
+            await responder.send(200, [], b"x" * REPLY_BYTES)
+            answered.set()
+
+        async def serve_and_stop():
+            limits = ServerLimits(1_000, 1_000, 1.0, 9.0)
+            serving = serving_http(f"{IP}:{PORT}", answer, lambda: limits, mock.Mock())
+            async with serving as server:
+                listening.set()
+                await asyncio.to_thread(answered.wait, 5.0)
+                group = mock.Mock()
+                group.status.return_value.has_spare_vote = False
+                await _run._stop(2.0, group, server, mock.Mock(), mock.Mock())
+
+        host = threading.Thread(target=lambda: asyncio.run(serve_and_stop()))
+        received = b""
+        with (
+            mock.patch.object(_run, "BALANCER_REMOVAL_S", 0.2),
+            socket.socket() as caller,
+        ):
+            host.start()
+            listening.wait(5.0)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+            caller.settimeout(5.0)
+            caller.connect((IP, PORT))
+            caller.sendall(REQUEST)
+            answered.wait(5.0)
+            time.sleep(0.8)
+            while piece := caller.recv(SOCKET_BYTES):
+                received += piece
+            host.join()
+        body = received.partition(b"\r\n\r\n")[2]
+        self.assertEqual(len(body), REPLY_BYTES)
