A planned stop answers the calls at the control address

Operators and backend servers saw: calls without an answer, on kept connections, as a host stopped as planned, also changes that the host had read and passed on.

Cause: a stop drained the connections of callers only. The control address closed all its connections as soon as callers and vote were done with, whatever was being read or handled on them.

Fix: the control address serves until the rest of the stop is done, or 0.4 s before requests are ended. Its responses then say that the connections close, the listening socket is closed, and what is read or handled by the end is refused with 503.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -123,6 +123,13 @@
             self._refusal = refusal
             self._received.set()
 
+    def refuse_handled(self, refusal: RefusedError) -> None:
+        """Cancel and refuse the request that is being handled, if there is one."""
+        is_unanswered = self._responder is not None and not self._responder.finished
+        if self._handling and is_unanswered and self._task is not None:
+            self._refusal = refusal
+            self._task.cancel()
+
     # ---- writing ----
 
     def write(self, data: bytes) -> None:
@@ -216,11 +223,28 @@
             if self._caller_gone or self._transport.is_closing():
                 # Do not start a request whose response cannot be sent.
                 return
-            await self._server.handler(incoming, responder)
+            await self._call_handler(incoming, responder)
         finally:
             self._server.active -= 1
             self._handling = False
 
+    async def _call_handler(
+        self, incoming: IncomingRequest, responder: Responder
+    ) -> None:
+        """Call the handler; refuse the request if the handler is cancelled."""
+        try:
+            await self._server.handler(incoming, responder)
+        except asyncio.CancelledError:
+            if self._refusal is None or self._caller_gone or self._task is None:
+                raise
+            self._task.uncancel()
+            if responder.started:
+                responder.abort()
+                return
+            self.closing = True
+            headers, body = self._server.format_refusal(self._refusal)
+            await responder.send(self._refusal.status, headers, body)
+
     async def _wait_for_data(self, timeout_s: float | None) -> bool:
         """Wait for more data; return False on a disconnect or a timeout."""
         if self._caller_gone:
@@ -415,6 +439,12 @@
         for connection in list(self.connections):
             connection.refuse_unread(refusal)
 
+    def refuse_all(self, refusal: RefusedError) -> None:
+        """Refuse the requests that are being read or handled."""
+        for connection in list(self.connections):
+            connection.refuse_unread(refusal)
+            connection.refuse_handled(refusal)
+
     def is_open(self) -> bool:
         """Return whether a connection is open, or closes but has unsent bytes."""
         return bool(self.connections)
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -328,6 +328,22 @@
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
         self.assertIn(b" 503 ", head)
 
+    async def test_a_request_that_was_handled_at_the_end_of_a_stop_got_no_answer(self):
+        """Its handler is cancelled and it is refused; idle connections are kept."""
+        idle_reader, idle_writer = await asyncio.open_connection("127.0.0.1", PORT)
+        self.addCleanup(idle_writer.close)
+        reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+        self.addCleanup(writer.close)
+        writer.write(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(0.1)
+        self.server.refuse_all(RefusedError(503, "stopping", "stopping"))
+        response = await asyncio.wait_for(reader.read(), 0.5)
+        self.assertIn(b" 503 ", response)
+        self.assertIn(b"connection: close", response.lower())
+        self.assertTrue(self.cancelled.is_set())
+        self.assertEqual(self.server.active, 0)
+        self.assertFalse(await self.has_response(idle_reader))
+
     async def test_a_disconnect_of_the_caller_cancels_its_request(self):
         """The handler is cancelled at once, not when its response is ready."""
         _, writer = await asyncio.open_connection("127.0.0.1", PORT)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -78,6 +78,8 @@
 # A connection is closed as idle after this time. A caller that goes on sending, and was
 # not told that its connection closes, sends the next request by then.
 MIN_IDLE_S = 0.25
+# The same notice for operators and backend servers, which are served until the end.
+CONTROL_CLOSE_NOTICE_S = 0.4
 # Part of the grace period that is reserved for closing open connections.
 CLOSE_MARGIN_S = 0.4
 # Part of that in which the requests that were ended get their answers.
@@ -238,7 +240,7 @@
             serving = serving_http(address, handler, limits, dialect.refusal)
             return await stack.enter_async_context(serving)
 
-        await open_server(
+        control_server = await open_server(
             settings.control_address, make_control(control), _control_limits
         )
         await open_server(
@@ -261,7 +263,9 @@
         )
         with background_tasks(runs, log):
             await stopping.wait()
-            await _stop(settings.grace_s, group, caller_server, gateway, log)
+            await _stop(
+                settings.grace_s, group, caller_server, control_server, gateway, log
+            )
 
 
 def make_reply_observer(
@@ -327,20 +331,55 @@
     grace_s: float,
     group: Group,
     caller_server: HttpServer,
+    control_server: HttpServer,
     gateway: Gateway,
     log: DecisionLog,
 ) -> None:
     """Give up leadership and vote, and finish the requests within the grace period.
 
     The announcement takes up to its timeout if the group member waits for its disk, so
-    it is not waited for first.
+    it is not waited for first. Operators and backend servers are served until the rest
+    is done, or the grace period is about to end.
     """
     end_s = boot_clock_s() + grace_s - CLOSE_MARGIN_S
-    await asyncio.gather(
-        _announce_stop(group, log),
-        _drain(grace_s, caller_server, gateway, log),
-    )
-    await _give_up_vote(group, end_s, log)
+    finished = asyncio.Event()
+
+    async def finish() -> None:
+        await asyncio.gather(
+            _announce_stop(group, log),
+            _drain(grace_s, caller_server, gateway, log),
+        )
+        await _give_up_vote(group, end_s, log)
+        finished.set()
+
+    await asyncio.gather(finish(), _drain_control(control_server, finished, end_s))
+
+
+async def _drain_control(
+    server: HttpServer, finished: asyncio.Event, end_s: float
+) -> None:
+    """Answer the calls of operators and backend servers, then close.
+
+    The clients are told with their responses that their connections close.
+    """
+    notice_s = end_s - CONTROL_CLOSE_NOTICE_S
+    while not finished.is_set() and boot_clock_s() < notice_s:
+        await asyncio.sleep(STOP_POLL_INTERVAL_S)
+    server.close_after_response()
+    await asyncio.sleep(CONTROL_CLOSE_NOTICE_S)
+    server.stop_accepting()
+    await _close_when_answered(server, end_s, MIN_IDLE_S)
+    server.refuse_all(stopping_refusal())
+    await _close_when_answered(server, end_s + LAST_ANSWERS_S)
+
+
+async def _close_when_answered(
+    server: HttpServer, end_s: float, min_idle_s: float = 0.0
+) -> None:
+    """Close each connection once it is idle; wait for the others until a given time."""
+    while server.is_open() and boot_clock_s() < end_s:
+        server.close_idle(boot_clock_s(), min_idle_s)
+        await asyncio.sleep(LAST_ANSWERS_POLL_INTERVAL_S)
 
 
 async def _drain(
@@ -371,9 +410,7 @@
     unfinished = caller_server.active
     gateway.end_unfinished()
     caller_server.refuse_unread(stopping_refusal())
-    while caller_server.is_open() and boot_clock_s() < end_s + LAST_ANSWERS_S:
-        caller_server.close_idle(boot_clock_s())
-        await asyncio.sleep(LAST_ANSWERS_POLL_INTERVAL_S)
+    await _close_when_answered(caller_server, end_s + LAST_ANSWERS_S)
     log.line(
         "stopped",
         active=unfinished,
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_run.py
@@ -32,6 +32,15 @@
         return self.active > 0
 
 
+class ClosedServer(BusyServer):
+    """A server without connections."""
+
+    def __init__(self):
+        super().__init__()
+        self.active = 0
+        self.refuse_all = mock.Mock()
+
+
 class StopTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_slow_transfer_of_leadership_took_its_time_from_the_requests(self):
         """Requests are ended when the grace period ends, not later by the transfer."""
@@ -46,7 +55,9 @@
 
         gateway.end_unfinished = end_unfinished
         with mock.patch.object(_run, "BALANCER_REMOVAL_S", 0.2):
-            await _run._stop(GRACE_S, group, server, gateway, mock.Mock())
+            await _run._stop(
+                GRACE_S, group, server, ClosedServer(), gateway, mock.Mock()
+            )
         self.assertLess(ended_s[0], GRACE_S)
         (end_s,), _ = gateway.begin_stop.call_args
         self.assertLess(end_s - started_s, GRACE_S)
@@ -71,7 +82,9 @@
                 await asyncio.to_thread(answered.wait, 5.0)
                 group = mock.Mock()
                 group.status.return_value.has_spare_vote = False
-                await _run._stop(2.0, group, server, mock.Mock(), mock.Mock())
+                await _run._stop(
+                    2.0, group, server, ClosedServer(), mock.Mock(), mock.Mock()
+                )
 
         host = threading.Thread(target=lambda: asyncio.run(serve_and_stop()))
         received = b""
