Records that a killed process did not sync are synced at the start

Callers: a change that was acknowledged could be gone after a loss of power (LOST). None was seen lost in this way; the fault was found by reading.

The next start read them, took them for synced and let them count in the quorum: a follower acknowledges an entry that it has already without writing it again. Until the next append nothing synced them, so a loss of power took an entry of which a leader had been told that it is on this disk.

It costs one sync a start.

--- a/packages/damaskvalve-state/damaskvalve_state/_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_journal.py
@@ -108,6 +108,9 @@
         self.appended_bytes = self._size_bytes
         # Whether bytes of a failed batch may follow the last complete record.
         self._has_partial_batch = False
+        # A process that was killed may have written records that it did not sync. They
+        # are read at the start, and acknowledged without being written again.
+        os.fdatasync(self._file.fileno())
         sync_folder(folder)
 
     def append(self, records: Sequence[JournalRecord]) -> None:
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
@@ -1,8 +1,10 @@
 """Journal recovery after torn writes, corruption and many records."""
 
+import os
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from hypothesis import given, settings, strategies as st
 
@@ -28,6 +30,20 @@
             journal.append([JournalRecord(entry=entry(index))])
 
 
+class SyncedSizes:
+    """Notes how many bytes of each file and folder its last sync covered."""
+
+    def __init__(self):
+        self.bytes_by_path = {}
+
+    def note(self, descriptor):
+        path = Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+        self.bytes_by_path[path] = os.fstat(descriptor).st_size
+
+    def installed(self):
+        return mock.patch.multiple(os, fsync=self.note, fdatasync=self.note)
+
+
 class JournalTests(unittest.TestCase):
     def setUp(self):
         self.scratch = tempfile.TemporaryDirectory()
@@ -101,6 +117,23 @@
         self.path.write_bytes(old)
         self.assertEqual(recover(self.folder).log.last_index, 9)
 
+    def test_records_that_a_killed_process_did_not_sync_are_synced_at_the_start(self):
+        """Otherwise they count in the quorum, and are gone after a loss of power."""
+        write_entries(self.folder, 2)
+        synced = self.path.read_bytes()
+        write_entries(self.folder, 3)
+        written = self.path.read_bytes()
+        self.path.write_bytes(synced)
+        sizes = SyncedSizes()
+        with sizes.installed():
+            # The process is killed between the write and the sync.
+            with self.path.open("ab") as file:
+                file.write(written[len(synced) :])
+            recovered = recover(self.folder)
+            with open_journal(self.folder):
+                self.assertEqual(recovered.log.last_index, 3)
+                self.assertEqual(sizes.bytes_by_path.get(self.path), len(written))
+
 
 if __name__ == "__main__":
     unittest.main()
