A caller that leaves after a large head is noticed

Cause: reading is paused while more than 16 KiB are unread, and the head is taken from what is unread without reading on. Only the next wait for data resumed it. The end of a connection is not seen while reading is paused.

Fix: a head is taken as other bytes are, which resumes reading.

Evidence: the test fails without the fix (TimeoutError after 1 s).

--- a/packages/damaskvalve-core/damaskvalve_core/http/_bounded_reader.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_bounded_reader.py
@@ -52,10 +52,10 @@
             self._reading_paused = True
             self._transport.pause_reading()
 
-    def _take_unread(self) -> bytes:
+    def _take_unread(self, max_bytes: int = PARSE_BYTES) -> bytes:
         """Return the next bytes for the parser; empty if all have been taken."""
-        data = bytes(self._unread[:PARSE_BYTES])
-        del self._unread[:PARSE_BYTES]
+        data = bytes(self._unread[:max_bytes])
+        del self._unread[:max_bytes]
         if len(self._unread) <= READ_AHEAD_BYTES:
             self._resume_reading()
         return data
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -322,8 +322,8 @@
                 message = f"the headers exceed {limits.header_bytes} bytes"
                 raise RefusedError(431, "headers_too_large", message)
             if end >= 0:
-                head = bytes(self._unread[: end + 4])
-                del self._unread[: end + 4]
+                # Reading goes on, so that the end of the connection is noticed.
+                head = self._take_unread(end + 4)
                 check_header_lines(head)
                 return head
             if not await self._wait_for_data(deadline_s - loop.time()):
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_endless_bytes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_endless_bytes.py
@@ -15,6 +15,7 @@
     _client,
     _server,
 )
+from damaskvalve_core.http._bounded_reader import READ_AHEAD_BYTES
 
 READ_BYTES = 64 * 1024
 CHUNKS = 4_000
@@ -175,6 +176,29 @@
                     await asyncio.sleep(0)
         self.assertEqual(len(handled[0].headers), 91)
 
+    async def test_a_caller_that_leaves_after_a_large_head_is_noticed(self):
+        """The end of the connection arrives only while reading goes on."""
+        cancelled = asyncio.Event()
+
+        async def handle(incoming, responder):
+            writer.close()
+            try:
+                await asyncio.sleep(5.0)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        limits = ServerLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, 5.0, 5.0)
+        server = _server.HttpServer(handle, lambda: limits, lambda error: ([], b"no"))
+        await server.listen("127.0.0.1:0")
+        self.addCleanup(server.stop_accepting)
+        address = server._listener.sockets[0].getsockname()
+        _, writer = await asyncio.open_connection(*address)
+        field = b"x: " + b"v" * 2 * READ_AHEAD_BYTES
+        writer.write(b"GET /p HTTP/1.1\r\nHost: h\r\n" + field + b"\r\n\r\n")
+        async with asyncio.timeout(1.0):
+            await cancelled.wait()
+
 
 class BudgetTests(unittest.TestCase):
     def test_many_small_messages_do_not_exceed_the_budget_without_end(self):
