A connection that has waited for data begins a new turn

The server's side of the queue of turns: a caller whose bytes come slowly does not wait behind those that fill the buffers.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -259,6 +259,7 @@
             # Data may have arrived as the timeout passed.
             if not self._received.is_set():
                 return False
+        self._turn.begin_turn()
         self._check_refusal()
         return not self._caller_gone
 
