The limits of buffered messages count the fields of their heads

Callers would see: a host that exceeds its memory limit and ends. 500 connections, no key, each with a head of 16 KB of two-letter fields and a body that never comes: the process grew by 285 MB. A reply with such a head of 64 KiB is kept until its body is relayed.

Cause: the objects of a parsed field weigh some 200 bytes, so that a head of short fields takes up to fifty times its bytes. The shared limits counted bodies only.

Fix: a head is reserved with its bytes and 256 for each field, that of a request before it is parsed, so that one that is refused weighs nothing. The limit of one body counts its bytes alone, as before.

The test of a reply to a slow caller now expects the exact size of head and body.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_buffer_budget.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_buffer_budget.py
@@ -16,6 +16,9 @@
 EXEMPT_MESSAGE_BYTES = 128 * 1024
 # What exempt messages may use beyond a budget, all of them together.
 MAX_EXEMPT_BYTES = 16 * 1024 * 1024
+# What the objects of one parsed header field take in memory beside its bytes. A head of
+# short fields weighs up to fifty times its bytes.
+FIELD_BYTES = 256
 
 
 class BufferBudgetExceededError(DamaskvalveError):
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -11,7 +11,7 @@
 from damaskvalve_core._channel import CONNECT_TIMEOUT_S
 from damaskvalve_core._turn_limit import TurnLimit
 from damaskvalve_core.http._bounded_reader import BoundedReader
-from damaskvalve_core.http._buffer_budget import BufferBudget
+from damaskvalve_core.http._buffer_budget import FIELD_BYTES, BufferBudget
 from damaskvalve_core.http._request import Headers
 
 # Maximum number of idle connections from one host to one backend server. A backend
@@ -48,6 +48,10 @@
         """Return the first value of a header, or an empty one if it is absent."""
         return next((value for key, value in self.headers if key == name), b"")
 
+    def memory_bytes(self) -> int:
+        """Return about how much memory the head takes."""
+        return sum(FIELD_BYTES + len(name) + len(value) for name, value in self.headers)
+
     def has_framing(self) -> bool:
         """Return whether the body has an end of its own before the connection's."""
         return bool(
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -23,6 +23,7 @@
 from damaskvalve_core._turn_limit import TurnLimit
 from damaskvalve_core.http._bounded_reader import BoundedReader
 from damaskvalve_core.http._buffer_budget import (
+    FIELD_BYTES,
     BufferBudget,
     BufferBudgetExceededError,
     BufferReservation,
@@ -51,6 +52,16 @@
 RequestHandler = Callable[[IncomingRequest, Responder], Awaitable[None]]
 
 
+def _reserve(reservation: BufferReservation, size_bytes: int) -> None:
+    """Reserve bytes of a request; refuse it if they exceed the shared limit."""
+    try:
+        reservation.add(size_bytes)
+    except BufferBudgetExceededError as error:
+        raise RefusedError(
+            503, "bodies_too_large", str(error), retry_after_s=BODIES_RETRY_AFTER_S
+        ) from error
+
+
 class _ServerConnection(BoundedReader):
     """One connection, whose task reads and handles requests one after the other."""
 
@@ -169,7 +180,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes + 1024
         )
         responder = self._responder = Responder(self, framing)
-        # The body stays reserved until the response is sent.
+        # Head and body stay reserved until the response is sent.
         with self._server.body_budget.reserve() as reservation:
             return await self._read_and_handle(framing, limits, responder, reservation)
 
@@ -280,7 +291,7 @@
             if not await self._wait_for_data(limits.idle_timeout_s):
                 return None
         self.idle = False
-        head = await self._read_head(limits)
+        head = await self._read_head(limits, reservation)
         if head is None:
             return None
         try:
@@ -291,12 +302,7 @@
         if not isinstance(request, h11.Request):
             raise RefusedError(400, "bad_request", "the request head is incomplete")
         check_framing(request)
-        try:
-            body = await self._read_body(framing, limits, reservation)
-        except BufferBudgetExceededError as error:
-            raise RefusedError(
-                503, "bodies_too_large", str(error), retry_after_s=BODIES_RETRY_AFTER_S
-            ) from error
+        body = await self._read_body(framing, limits, reservation)
         return IncomingRequest(
             request.method.decode("ascii"),
             request.target.decode("latin-1"),
@@ -305,7 +311,9 @@
             self.peer,
         )
 
-    async def _read_head(self, limits: ServerLimits) -> bytes | None:
+    async def _read_head(
+        self, limits: ServerLimits, reservation: BufferReservation
+    ) -> bytes | None:
         """Return the head of a request, or None if the caller disconnects."""
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + limits.header_timeout_s
@@ -323,6 +331,8 @@
                 message = f"the headers exceed {limits.header_bytes} bytes"
                 raise RefusedError(431, "headers_too_large", message)
             if end >= 0:
+                fields = self._unread.count(b"\r\n", 0, end)
+                _reserve(reservation, end + fields * FIELD_BYTES)
                 # Reading goes on, so that the end of the connection is noticed.
                 head = self._take_unread(end + 4)
                 check_header_lines(head)
@@ -349,8 +359,8 @@
                 raise RefusedError(400, "bad_body", str(error)) from error
             if isinstance(event, h11.Data):
                 body += event.data
-                reservation.add(len(event.data))
-                if reservation.size_bytes > limits.body_bytes:
+                _reserve(reservation, len(event.data))
+                if len(body) > limits.body_bytes:
                     message = f"the body exceeds {limits.body_bytes} bytes"
                     raise RefusedError(413, "body_too_large", message)
             elif isinstance(event, h11.EndOfMessage):
@@ -393,7 +403,7 @@
         self.closing = False
         # Number of requests that are being handled.
         self.active = 0
-        # The shared memory limit of the bodies of all unanswered requests.
+        # The shared memory limit of the heads and bodies of all unanswered requests.
         self.body_budget = BufferBudget()
         self._listener: asyncio.Server | None = None
 
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_endless_bytes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_endless_bytes.py
@@ -24,6 +24,7 @@
 MAX_HELD_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 200 * 1024
 MAX_BODY_BYTES = 96 * 1024
+HEADS_BUDGET_BYTES = 5_000_000
 REPLY_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 REQUEST_HEAD = b"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -176,6 +177,30 @@
                     await asyncio.sleep(0)
         self.assertEqual(len(handled[0].headers), 91)
 
+    async def test_heads_of_many_short_fields_count_with_what_they_weigh(self):
+        """Many callers send such heads, and their bodies never."""
+        limits = ServerLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, 5.0, 5.0)
+        server = _server.HttpServer(
+            mock.AsyncMock(), lambda: limits, lambda error: ([], b"no")
+        )
+        server.body_budget.limit_bytes = HEADS_BUDGET_BYTES
+        head = b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n"
+        head += b"ab:\r\n" * 2_000 + b"\r\n"
+        transports = [FloodingTransport() for _ in range(60)]
+        connections = [_server._ServerConnection(server) for _ in transports]
+        with measuring_peak() as peak_bytes:
+            for connection, transport in zip(connections, transports, strict=True):
+                with mock.patch.object(_server, "enable_keepalive"):
+                    connection.connection_made(transport)
+                connection.data_received(head)
+                await asyncio.sleep(0.01)
+            self.assertLess(peak_bytes(), 2 * HEADS_BUDGET_BYTES)
+        refused = [b" 503 " in item.written for item in transports]
+        self.assertFalse(any(refused[:5]))
+        self.assertTrue(all(refused[-5:]))
+        for connection in connections:
+            connection.connection_lost(None)
+
     async def test_a_caller_that_leaves_after_a_large_head_is_noticed(self):
         """The end of the connection arrives only while reading goes on."""
         cancelled = asyncio.Event()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -130,6 +130,8 @@
         self.succeeded = False
         # The size of the failure reply of an earlier attempt, which is still kept.
         self._kept_bytes = 0
+        # What the head of the reply takes in memory.
+        self._head_bytes = 0
 
     async def run(self) -> str:
         """Send the request and relay the reply; return the outcome."""
@@ -211,6 +213,7 @@
         sent_s = boot_clock_s()
         connection.send(request.method, request.target, headers, request.body)
         head = await self._read_head(connection, started_at_s)
+        self._head_bytes = head.memory_bytes()
         read_s = boot_clock_s()
         metadata = self._dialect.read_reply(head.status, head.headers)
         self._check_request_id(metadata, connection)
@@ -322,6 +325,7 @@
         max_bytes: int = MAX_REPLY_BODY_BYTES,
     ) -> bytes:
         body = bytearray()
+        self._note_buffered(0)
         while (piece := await connection.read_chunk()) is not None:
             body += piece
             self._note_buffered(len(body))
@@ -334,12 +338,14 @@
         return bytes(body)
 
     def _note_buffered(self, size_bytes: int) -> None:
-        """Count what is buffered of the reply.
+        """Count the head of the reply and what is buffered of its body.
 
         Raise :class:`BackendFailedError` if it is too much for all replies together.
         """
         try:
-            self._exchange.reply_buffer.resize(self._kept_bytes + size_bytes)
+            self._exchange.reply_buffer.resize(
+                self._kept_bytes + self._head_bytes + size_bytes
+            )
         except BufferBudgetExceededError as error:
             raise BackendFailedError(str(error)) from error
 
@@ -371,6 +377,7 @@
         splitter = EventSplitter(exchange.last_event_id)
         # What came before the first event, while no response has started.
         early_comments = bytearray()
+        self._note_buffered(0)
         self._check_content_type(head)
         # Only complete events reset the stall timer. Neither comments nor the bytes of
         # an event that never ends keep a stream alive.
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_hostile_replies.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_hostile_replies.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from damaskvalve_core.http import BackendPool, _client
+from damaskvalve_core.http import BackendPool, ReplyHead, _client
 from damaskvalve_gateway import _backend_attempt
 from damaskvalve_gateway._backend_attempt import (
     ANSWERED,
@@ -15,6 +15,7 @@
     NOT_RUN,
     BackendAttempt,
 )
+from damaskvalve_gateway._model import STREAMING
 from damaskvalve_gateway.tests.attempt_fixtures import (
     CHUNKED,
     DIALECT,
@@ -130,6 +131,19 @@
             self.assertEqual((outcome, pool.reply_budget.used_bytes), (BROKEN, 0))
             self.assertIn("buffered messages exceed", reason)
 
+    async def test_a_head_of_many_short_fields_counts_with_what_it_weighs(self):
+        """It takes megabytes although it has only some kilobytes."""
+        head = OK + b"ab:\r\n" * 8_000 + b"content-length: 9\r\n\r\n"
+        for kind in (UNSAFE, STREAMING):
+            pool, exchange = BackendPool(), make_exchange(kind=kind)
+            pool.reply_budget.limit_bytes = 1_000_000
+            server = ScriptedServer(write_once(head + b"wwwwwwwww"))
+            outcome, reason, _ = await run_attempt(
+                server, exchange, within_s=5.0, pool=pool
+            )
+            self.assertEqual((outcome, pool.reply_budget.used_bytes), (BROKEN, 0))
+            self.assertIn("buffered messages exceed", reason)
+
     async def test_a_reply_counts_until_a_slow_caller_has_received_it(self):
         """Many replies that wait for their callers would exceed the limit."""
         body = b"b" * 300_000
@@ -143,7 +157,9 @@
         exchange.responder.write = note_used
         server = ScriptedServer(write_once(head + body))
         outcome, _, _ = await run_attempt(server, exchange, within_s=5.0, pool=pool)
-        self.assertEqual((outcome, used_bytes), (ANSWERED, [len(body)]))
+        fields = [(b"request-id", b"r-1"), (b"content-length", b"300000")]
+        expected_bytes = ReplyHead(200, fields).memory_bytes() + len(body)
+        self.assertEqual((outcome, used_bytes), (ANSWERED, [expected_bytes]))
         self.assertEqual(pool.reply_budget.used_bytes, 0)
 
     async def test_many_endless_bodies_at_once_stay_within_the_buffer_budget(self):
