A response stops after a write to its connection has failed

Operators saw: hundreds of lines "socket.send() raised exception." on standard error for each caller that resets its connection during a large response or while it pipelines requests. They are written by the event loop, which they can block.

Cause: the event loop reports a failed write in its next turn only, and the write buffer of a lost connection always has room. The rest of a response, since it is sent in pieces of 64 KiB, was therefore written piece by piece, and further requests that had been read already were handled in the same turn.

Fix: when a write has closed the connection, the next turn is awaited, in which the request is cancelled.

Evidence: the test fails without the fix, with such lines in the log of asyncio.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -150,6 +150,9 @@
     async def drain(self) -> None:
         """Wait until the write buffer has room."""
         await self._writable.wait()
+        if self._transport.is_closing():
+            # A write that failed cancels the request, but only in the next turn.
+            await asyncio.sleep(0)
 
     # ---- reading ----
 
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -48,6 +48,12 @@
         elif incoming.target == "/slow-stream":
             await responder.start(200, [])
             await asyncio.sleep(5)
+        elif incoming.target == "/reset":
+            self.reset.close()
+            try:
+                await responder.send(200, [], b"x" * 4_000_000)
+            finally:
+                self.cancelled.set()
         elif incoming.target == "/slow":
             try:
                 await asyncio.sleep(5)
@@ -83,6 +89,17 @@
         await asyncio.sleep(0.1)
         self.assertEqual(self.server.body_budget.used_bytes, 0)
 
+    async def test_a_connection_that_was_reset_is_not_written_to_again(self):
+        """Each further write would be one line of standard error."""
+        self.reset = socket.create_connection(("127.0.0.1", PORT))
+        self.reset.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        self.reset.sendall(b"GET /reset HTTP/1.1\r\nHost: h\r\n\r\n")
+        with self.assertNoLogs("asyncio", "WARNING"):
+            async with asyncio.timeout(1.0):
+                await self.cancelled.wait()
+
     async def has_response(self, reader):
         """Return whether any data arrives within 0.1 s."""
         for _ in range(10):
