Requests without retries do not fill the memory of the retry budget

Callers would see: a host that grows with each request that it serves, and that ends once it exceeds its memory limit.

Cause: the times of the requests that earn retries were dropped only when a retry was asked for. While a service needs none, its list grew by 32 bytes with each request.

Fix: they are dropped with each request too.

Evidence: the test fails without the fix: 50,000 requests at 100 a second, with a window of 10 s, kept 1.6 MB.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_retries.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_retries.py
@@ -21,6 +21,8 @@
     def earn(self, service: str, now_s: float) -> None:
         """Count one request for a service."""
         self._request_times_s.setdefault(service, collections.deque()).append(now_s)
+        # Requests may come for hours without a retry.
+        self._recent(self._request_times_s, service, now_s)
 
     def take(self, service: str, hosts: int, now_s: float) -> bool:
         """Use one retry, or return False if none is left in the window."""
