A restarted group no longer waits for hosts that were replaced long before

Callers saw (simulated): after a loss of power of all hosts, no change was accepted and the configuration was not confirmed, for good, although a majority of the voters was back. A leader was elected, stepped down after an election timeout, and so on.

Cause: a list of voters that follows an even one, as after each planned replacement, is committed only with a majority of the even list too. Whether it has been committed is known by the commit index, which is not kept over a restart; the leader marked even lists only. So a leader that had just started waited for a majority of the earlier list. With the replaced host gone and one more host that did not come back (one of a tolerance of one), half of the earlier list was left.

Fix: the leader marks each committed list in the log. A mark is appended only after the list before it is committed, so a log that holds it proves the commit; there is no need for the earlier list any more.

The simulation dropped the proof that a voter of the list before had lost its disk; the node keeps it.

--- a/packages/damaskvalve-state/damaskvalve_state/_consensus_state.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus_state.py
@@ -6,6 +6,7 @@
 from damaskvalve_core.messages import (
     HardState,
     JournalRecord,
+    LogEntry,
     Member,
 )
 from damaskvalve_state._log import Log
@@ -19,7 +20,7 @@
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
 LEADER = "leader"
-# The command of an entry that follows a committed list of an even number of voters.
+# The command of an entry that follows a committed list of voters.
 LIST_COMMITTED = b"committed"
 # The command of a member list that leaves out a voter known to have lost its disk.
 WITHOUT_LOST_VOTER = b"lost"
@@ -129,7 +130,7 @@
         if entry.command == WITHOUT_LOST_VOTER:
             return ()
         voters = self.log.members_at(entry.index - 1)
-        if len(voters) % 2:
+        if len(voters) % 2 or self._is_marked_as_committed(entry):
             return ()
         lost_voter = self._voter_without_disk(voters)
         return [voter for voter in voters if voter is not lost_voter]
@@ -143,11 +144,15 @@
         entry = self.log.newest_members_entry()
         if entry is None or entry.index <= self.commit_index:
             return ()
-        later = self.log.entries_from(entry.index + 1, self.log.last_index)
-        if any(item.command == LIST_COMMITTED for item in later):
+        if self._is_marked_as_committed(entry):
             return ()
         return self.log.members_at(entry.index - 1)
 
+    def _is_marked_as_committed(self, entry: LogEntry) -> bool:
+        """Return whether a leader has marked the newest list of voters as committed."""
+        later = self.log.entries_from(entry.index + 1, self.log.last_index)
+        return any(item.command == LIST_COMMITTED for item in later)
+
     def _voter_without_disk(self, voters: Sequence[Member]) -> Member | None:
         """Return a voter that is known to have lost its disk."""
         lost = (item for item in voters if item.member_id in self._lost_disk_ids)
--- a/packages/damaskvalve-state/damaskvalve_state/_replication.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_replication.py
@@ -175,14 +175,17 @@
     def _mark_committed_list(self) -> None:
         """Let all members know, also after a restart, that a list is committed.
 
-        Only an even number of voters may elect without one that lost its disk.
+        Only an even number of voters may elect without one that lost its disk. A list
+        that follows an even one needs a majority of that too until it is committed;
+        the members that it leaves out may be gone afterwards.
         """
-        voters, index = self.log.members()
-        is_marked = index == self._marked_list_index
-        if is_marked or len(voters) % 2 or index > self.commit_index:
+        index = self.log.members()[1]
+        if index == self._marked_list_index or index > self.commit_index:
             return
         self._marked_list_index = index
-        self._append_as_leader(EntryKind.NOOP, LIST_COMMITTED, ())
+        entry = self.log.newest_members_entry()
+        if entry is None or not self._is_marked_as_committed(entry):
+            self._append_as_leader(EntryKind.NOOP, LIST_COMMITTED, ())
 
     def _accept_leader(
         self, term: int, leader_id: str, address: str, now_s: float
--- a/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
@@ -263,7 +263,11 @@
 
     def note_answering_member(self, host, address, member_id):
         now_s = self.local_time_s(host)
-        for voter in host.consensus.voters():
+        asked = [
+            *host.consensus.voters(),
+            *host.consensus._voters_before_unknown_commit(),
+        ]
+        for voter in asked:
             if voter.address == address:
                 host.consensus.note_answering_member(voter, member_id, now_s)
 
@@ -734,7 +738,7 @@
     size = size or rng.choice(SIZES_BY_TOLERANCE[tolerance])
     group = LossGroup(rng.random(), size, tolerance)
     losses = Losses(group, overlap_share, stopping_counts=stopping_counts)
-    with _explained_failures(group, seed):
+    with explained_failures(group, seed):
         _run_losses(group, losses, duration_s)
     return group
 
@@ -746,11 +750,11 @@
     """
     group = LossGroup(seed, size, tolerance)
     losses = Losses(group, overlap_share=0.0)
-    with _explained_failures(group, seed):
+    with explained_failures(group, seed):
         group.run(3.0)
         for _ in range(count):
             assert losses.begin_when_allowed(kind, 30.0), "no loss is allowed"
-        _run_until_all_back(group, losses)
+        run_until_all_back(group, losses)
         _check_recovery(group)
     return group
 
@@ -761,7 +765,7 @@
     The removed host does not count as lost. Return the group.
     """
     group = LossGroup(seed, size, tolerance)
-    with _explained_failures(group, seed):
+    with explained_failures(group, seed):
         group.run(3.0)
         replaced = group.rng.choice(list(group.hosts.values()))
         group.add_successor(replaced.slot)
@@ -785,7 +789,7 @@
     """
     group = LossGroup(seed, size, 1)
     rng = group.rng
-    with _explained_failures(group, seed):
+    with explained_failures(group, seed):
         group.run(3.0)
         if size % 2:
             group.add_successor(0)
@@ -826,7 +830,7 @@
     group = LossGroup(seed, size, tolerance)
     losses = Losses(group, overlap_share=0.0)
     rng = group.rng
-    with _explained_failures(group, seed):
+    with explained_failures(group, seed):
         group.run(3.0)
         for _ in range(rounds):
             hosts = list(group.hosts.values())
@@ -838,7 +842,7 @@
                 host.disk_full_until_s = group.now_s + for_s
                 group.run(for_s + rng.choice([0.0, rng.uniform(0.0, 2.0)]))
                 group.rule.give_back(host.slot, group.now_s)
-        _run_until_all_back(group, losses)
+        run_until_all_back(group, losses)
         _check_recovery(group)
         before = len(group.accepted)
         group.run(CALM_S)
@@ -847,7 +851,7 @@
 
 
 @contextlib.contextmanager
-def _explained_failures(group, seed):
+def explained_failures(group, seed):
     """Add the losses and the hosts' states to the message of a failed check."""
     size = len(group.hosts)
     try:
@@ -867,29 +871,29 @@
     while group.now_s < duration_s:
         losses.draw()
         group.run(rng.choice([0.0, rng.expovariate(1.0), rng.uniform(0.0, 6.0)]))
-    _run_until_all_back(group, losses)
+    run_until_all_back(group, losses)
     if rng.random() < 0.7:
         group.run(rng.choice([0.0, group.rule.catch_up_s]) + rng.random())
         acked = []
         group.on_ack = lambda: (acked.append(True), losses.wipe_and_power_off())
-        _run_until(group, lambda: acked, "nothing was acknowledged")
-        _run_until_all_back(group, losses)
+        run_until(group, lambda: acked, "nothing was acknowledged")
+        run_until_all_back(group, losses)
     _check_recovery(group)
 
 
 def _check_recovery(group):
     group.note("all are back")
     group.last_proposal = "after-all-losses"
-    _run_until(group, group.has_recovered, "the group did not recover")
+    run_until(group, group.has_recovered, "the group did not recover")
 
 
-def _run_until_all_back(group, losses):
+def run_until_all_back(group, losses):
     while losses.pending:
         group.step()
     group.run(PROCESS_START_S)
 
 
-def _run_until(group, is_done, failure):
+def run_until(group, is_done, failure):
     deadline_s = group.now_s + group.rule.recovery_s
     while not is_done():
         assert group.now_s < deadline_s, failure
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -534,6 +534,12 @@
         f"{STATE}.test_consensus.ConsensusTests."
         "test_simultaneous_voter_restarts_do_not_break_leader_lease",
     ),
+    Proof(
+        "a restarted member knows that a list of voters is committed",
+        replace(Consensus, "_is_marked_as_committed", lambda self, entry: False),
+        f"{STATE}.test_power_losses.PowerLossTests."
+        "test_a_host_replaced_before_a_loss_of_power_is_not_needed_after_it",
+    ),
     Proof(
         "revisions never go down",
         _accept_any_revision,
