An order in flight counts when a report takes the last place

Cause: reports are also polled while an order is on its way. A report that shows other loads in the place of the order made the record of its outcome raise ValueError. The loop that sends orders was started again a second later and the outcome was lost. A load without an answer was also repeated at once, even beyond the places.

An order in flight now takes a place beyond the capacity, and beyond it no load is ordered, neither a repeated one nor a replacement.

test_an_answer_after_a_report_that_takes_the_last_place_is_recorded raised ValueError before; with the place recorded but without the limit, it saw the load repeated.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
@@ -361,7 +361,9 @@
         name = self._adapter_key(request)
         if not request.adapter or self._is_ready(request):
             return None
-        if self._loads.is_unanswered(name):
+        # Beyond the places, the adapter itself may hold none of them at the engine.
+        may_load = not self.slots.is_overfull()
+        if may_load and self._loads.is_unanswered(name):
             return Order(
                 LOAD, request.model, request.adapter, self._newest_versions.get(name, 0)
             )
@@ -376,7 +378,8 @@
             # The engine accepts no other order while a replacement waits for runs.
             if self.slots.pins(name):
                 return None
-            return Order(LOAD, request.model, request.adapter, newest)
+            if may_load:
+                return Order(LOAD, request.model, request.adapter, newest)
         if self.slots.has_free_slot():
             return Order(LOAD, request.model, request.adapter, newest)
         excluded = {self._adapter_key(item) for item in self._queue} | set(
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_loads.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_loads.py
@@ -81,8 +81,9 @@
         self._unanswered[name] = order_count
 
     def _occupy_slot(self, name: str, now_s: float) -> None:
-        if self._slots.state(name) is None:
-            self._slots.start_load(name)
+        # A report that is applied before the answer may have shown other loads, so the
+        # place need not be free any more.
+        self._slots.adopt_load(name)
         self._ordered_s[name] = now_s
 
     def discard_unanswered(self, accepted: str) -> None:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_slots.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_slots.py
@@ -97,6 +97,10 @@
         """Return whether a slot is free."""
         return len(self._states) < self.capacity
 
+    def is_overfull(self) -> bool:
+        """Return whether more adapters count than the engine has slots for."""
+        return len(self._states) > self.capacity
+
     def victim(self, wanted: Collection[str], now_s: float) -> str | None:
         """Return the adapter to evict, or None; never a pinned or ``wanted`` one."""
         candidates = [
@@ -127,6 +131,10 @@
         """Record a resident adapter that was not loaded through these slots."""
         self._states[adapter] = RESIDENT
 
+    def adopt_load(self, adapter: str) -> None:
+        """Record a load that the engine carries out, even beyond the capacity."""
+        self._states.setdefault(adapter, LOADING)
+
     def drop(self, adapter: str) -> None:
         """Record that the engine no longer holds an adapter."""
         self._states.pop(adapter, None)
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
@@ -217,6 +217,17 @@
         admission.apply_report(early, 0.4)
         self.assertIsNone(admission.next_order(0.4))
 
+    def test_an_answer_after_a_report_that_takes_the_last_place_is_recorded(self):
+        """The engine may carry out the order, so it counts, even beyond the places."""
+        admission = make_admission(adapter_slots=1)
+        admission.submit(make_request(1, "a1"), 0.0)
+        order = admission.next_order(0.0)
+        admission.apply_report(make_report({"a2": 1}, order_count=1), 0.1)
+        admission.record_outcome(order, NO_ANSWER, 0.2)
+        self.assertEqual(admission.load_count(), 1)
+        next_order = admission.next_order(0.2)
+        self.assertTrue(next_order is None or next_order.kind == UNLOAD)
+
     def test_an_engine_without_a_start_time_shows_a_restart_by_its_count(self):
         """Nothing else tells it."""
         admission = make_admission(adapters={"a1": 1})
