A late copy of a report frees no place that an order may occupy

Cause: only adapters that a report lists as resident, and loads that this agent remembered, had a place. A late copy from before a load had ended, with the same count of orders, lists the adapter as pending; the agent had seen the load end, dropped the adapter and freed its place. So did the first report of an agent that starts while loads are on their way, and a copy after a load counted as lost.

What an engine holds or loads only becomes less until it accepts another order. A copy with the current count thus lists at least what occupies a place now, if pending adapters count; one with a lower count is outdated already. An order that names the count of the report is rejected if the engine has accepted another since. So each adapter that a report lists as pending or resident has a place, whoever ordered it, and the view is never smaller than the engine for the count that the order names.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
@@ -471,6 +471,12 @@
         return restarted
 
     def _apply_adapters(self, report: EngineReport, now_s: float) -> None:
+        """Update the places for adapters from a report.
+
+        Until the engine accepts another order, what it holds and loads only becomes
+        less. A copy with the current count of orders thus lists at least what occupies
+        a place now, and the engine rejects an order that names an outdated count.
+        """
         reported = {
             f"{model}/{adapter}": version
             for model, adapters in report.models.items()
@@ -482,18 +488,21 @@
             if not loaded and self.slots.state(name) is None:
                 self.slots.adopt(name)
             self._versions[name] = version
+        for name in pending:
+            self._loads.note_pending(name, now_s)
+        held = reported.keys() | pending
         self._loads.resolve_unanswered(report.order_count, pending)
         self._loads.drop_lost_loads(pending, now_s)
         for name, ordered_s in list(self._replacement_ordered_s.items()):
             done = self._versions.get(name, 0) >= self._newest_versions.get(name, 0)
             lost = name not in pending and now_s - ordered_s > LOAD_LOST_AFTER_S
-            if done or lost or name not in reported:
+            if done or lost or name not in held:
                 del self._replacement_ordered_s[name]
         for name, ordered_s in list(self._unload_ordered_s.items()):
             if name not in reported or now_s - ordered_s > UNLOAD_TIMEOUT_S:
                 del self._unload_ordered_s[name]
         for name in list(self.slots.resident()):
-            if name not in reported and name not in self._replacement_ordered_s:
+            if name not in held and name not in self._replacement_ordered_s:
                 self.slots.drop(name)
                 self._versions.pop(name, None)
 
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_loads.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_loads.py
@@ -80,6 +80,11 @@
         self._occupy_slot(name, now_s)
         self._unanswered[name] = order_count
 
+    def note_pending(self, name: str, now_s: float) -> None:
+        """Record that the engine reports a load, whoever ordered it."""
+        if self._slots.state(name) is None:
+            self._occupy_slot(name, now_s)
+
     def _occupy_slot(self, name: str, now_s: float) -> None:
         # A report that is applied before the answer may have shown other loads, so the
         # place need not be free any more.
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
@@ -217,6 +217,16 @@
         admission.apply_report(early, 0.4)
         self.assertIsNone(admission.next_order(0.4))
 
+    def test_a_load_from_before_the_agent_started_keeps_its_place(self):
+        """Only the report tells of it."""
+        admission = AdmissionController()
+        admission.set_engine_capacity(EngineCapacity(64, 1, 100_000))
+        admission.apply_report(make_report((), ["m/a1@1"], order_count=1), 0.0)
+        admission.submit(make_request(2, "a2"), 0.0)
+        self.assertIsNone(admission.next_order(0.0))
+        admission.apply_report(make_report({"a1": 1}, order_count=1), 0.3)
+        self.assertEqual(admission.next_order(0.3).kind, UNLOAD)
+
     def test_an_answer_after_a_report_that_takes_the_last_place_is_recorded(self):
         """The engine may carry out the order, so it counts, even beyond the places."""
         admission = make_admission(adapter_slots=1)
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -492,6 +492,12 @@
         f"{AGENT}.test_permits.PermitTests."
         "test_slots_and_pins_hold_under_every_interleaving",
     ),
+    Proof(
+        "a reported load has a place",
+        replace(LoadTracker, "note_pending", lambda *_: None),
+        f"{AGENT}.test_permits.PermitTests."
+        "test_a_load_from_before_the_agent_started_keeps_its_place",
+    ),
     Proof(
         "an accepted order voids unanswered loads",
         replace(LoadTracker, "discard_unanswered", lambda *_: None),
