The test of a held port lets the peer close first in any case

Seen once beside a load of 20: the test timed out. Its two timers could fire in the other order, so that the port stayed held for a minute by the test itself. No bound changed.

--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_listen.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_listen.py
@@ -41,11 +41,14 @@
         with socket.create_server(("127.0.0.1", 0)) as peer:
             held = socket.create_connection(peer.getsockname())
             accepted, _ = peer.accept()
-            timer = threading.Timer(HELD_S, lambda: held.close())
-            # The peer closes first, so that the port is free at once.
-            close_peer = threading.Timer(HELD_S / 2, accepted.close)
-            for item in (timer, close_peer):
-                item.start()
+
+            def release():
+                # The side that closes first holds its port for a minute.
+                accepted.close()
+                held.close()
+
+            timer = threading.Timer(HELD_S, release)
+            timer.start()
             yield "{}:{}".format(*held.getsockname())
             timer.join()
 
