A repeated request to stop does not end a process that closes its files

Supervisors saw: a process that ended by signal 15 instead of with code 0, in the middle of closing its files, if SIGTERM came again near the end of its stop.

Cause: the event loop restored the default action of SIGTERM and SIGINT as it closed, and the interpreter did as it exited.

Fix: the handlers of both signals outlive the event loop and do nothing once it is closed, as that of SIGHUP does; all three are ignored as the interpreter exits.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import functools
-import signal
 import uuid
 
 from damaskvalve_agent._permits._admission import AdmissionController, Grant
@@ -39,6 +38,7 @@
     decision_log,
     dialing,
     log_reloads,
+    set_on_stop_signals,
 )
 from damaskvalve_core.http import (
     BackendPool,
@@ -387,9 +387,7 @@
     settings: PermitSettings, dialect: EngineDialect, log: DecisionLog
 ) -> None:
     stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    set_on_stop_signals(stopping)
     log_reloads(log)
     async with open_backend_pool() as pool:
         server = PermitServer(settings, dialect, pool, log)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import functools
-import signal
 import time
 from collections.abc import Awaitable, Callable, Iterator
 
@@ -15,6 +14,7 @@
     dialing,
     listening,
     log_reloads,
+    set_on_stop_signals,
 )
 from damaskvalve_core.http import (
     BackendPool,
@@ -184,9 +184,7 @@
     started_at_s: float,
 ) -> None:
     stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    set_on_stop_signals(stopping)
     log_reloads(log)
     view = ClusterView()
     rpc_client = RpcClient(settings.identity, settings.bind_ip)
