Connections to backend servers that have ended are not kept

Callers would see: a host that grows with each start of a backend server.

Cause: idle connections were dropped only when one to the same instance was wanted. Each start of a backend server is an instance of its own, and nothing asked for those of one that had ended: up to 16 of some 3.4 KB each.

Fix: when a connection is released, at most once in the time for which an idle connection is used, all that will not be used again are closed and forgotten.

Evidence: the test fails without the fix, with 20 of 20 instances kept.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -207,6 +207,7 @@
     def __init__(self, source_ip: str = "") -> None:
         self._source_address = (source_ip, 0) if source_ip else None
         self._idle: dict[str, list[BackendConnection]] = {}
+        self._dropped_s = 0.0
         self.opened_count = 0
         # The shared memory limit of all replies that are not complete yet.
         self.reply_budget = BufferBudget()
@@ -249,12 +250,29 @@
         self, instance_id: str, connection: BackendConnection, now_s: float
     ) -> None:
         """Return a connection to the pool, or close it if it is not usable."""
+        if now_s - self._dropped_s >= IDLE_TIMEOUT_S:
+            self._drop_unusable(now_s)
         idle = self._idle.setdefault(instance_id, [])
         if connection.is_usable(now_s) and len(idle) < MAX_IDLE_CONNECTIONS:
             idle.append(connection)
         else:
             connection.close()
 
+    def _drop_unusable(self, now_s: float) -> None:
+        """Close the idle connections that will not be used again.
+
+        Those to an instance that has ended are never asked for.
+        """
+        self._dropped_s = now_s
+        for instance_id, idle in list(self._idle.items()):
+            kept = [item for item in idle if item.is_usable(now_s)]
+            for connection in idle:
+                if connection not in kept:
+                    connection.close()
+            idle[:] = kept
+            if not kept:
+                del self._idle[instance_id]
+
     def close_idle(self, instance_id: str) -> None:
         """Close the idle connections to an instance."""
         for connection in self._idle.pop(instance_id, ()):
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -11,6 +11,7 @@
     BackendFailedError,
     BackendPool,
     ServerLimits,
+    _client,
     _server,
     serving_http,
 )
@@ -393,8 +394,8 @@
             await writer.drain()
         writer.close()
 
-    async def send_request(self, now_s=0.0):
-        connection = await self.pool.acquire("i", ADDRESS, now_s, 60.0)
+    async def send_request(self, now_s=0.0, instance_id="i"):
+        connection = await self.pool.acquire(instance_id, ADDRESS, now_s, 60.0)
         connection.send("GET", "/", [(b"host", b"h")], b"")
         try:
             head = await connection.read_head()
@@ -405,7 +406,7 @@
             connection.close()
             raise
         connection.finish_reply(head, now_s)
-        self.pool.release("i", connection, now_s)
+        self.pool.release(instance_id, connection, now_s)
         return head.status, b"".join(parts)
 
     async def test_an_idle_connection_is_reused(self):
@@ -416,6 +417,15 @@
         self.assertEqual(await self.send_request(), (200, b"ok"))
         self.assertEqual(self.accepted, 1)
 
+    async def test_connections_to_instances_that_have_ended_are_not_kept(self):
+        """Each start of a backend server is an instance of its own."""
+        reply = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        for number in range(20):
+            self.scripted_replies = [[reply]]
+            now_s = 2.0 * _client.IDLE_TIMEOUT_S * (1 + number)
+            await self.send_request(now_s, f"i-{number}")
+        self.assertLessEqual(len(self.pool._idle), 2)
+
     async def test_extra_bytes_are_not_taken_for_the_next_reply(self):
         """The connection is closed, and the next request uses a new one."""
         reply_with_extra_bytes = (
