Names of adapters that callers invent are not kept by agents

Callers would see: an agent that exceeds its memory limit and ends, after one caller with a key has asked for ever new adapters; a name may be as long as a header.

Cause: the newest version that a request required was kept for each name, also the 0 of names that no version was put for, and never dropped.

Fix: only versions above the known one are kept; a name without any counts as 0, as before.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
@@ -212,9 +212,9 @@
         """Queue a request and return 0, or return the wait that is too long for it."""
         if request.adapter:
             name = self._adapter_key(request)
-            self._newest_versions[name] = max(
-                self._newest_versions.get(name, 0), request.version
-            )
+            # Callers may name any adapter; the operator names those with a version.
+            if request.version > self._newest_versions.get(name, 0):
+                self._newest_versions[name] = request.version
         wait_s = self.predicted_wait_s(request, now_s)
         if wait_s > request.max_wait_s:
             self._request_model_load(request, now_s)
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
@@ -1,6 +1,7 @@
 """Tests of admission: which requests start and which adapters are loaded."""
 
 import random
+import tracemalloc
 import unittest
 
 from hypothesis import given, settings, strategies as st
@@ -71,6 +72,17 @@
         self.assertEqual(grant.version, 3)
         self.assertIsNone(admission.next_order(0.0))
 
+    def test_names_of_adapters_that_callers_invent_are_not_kept(self):
+        """Each may be as long as a header, and their number has no limit."""
+        admission = make_admission()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(100):
+            adapter = f"{number}" + "a" * 10_000
+            admission.submit(make_request(number, adapter, wait_s=0.0), 0.0)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held_bytes, 100_000)
+
     def test_a_missing_adapter_is_loaded_once_for_all_waiting_requests(self):
         """All requests wait for the same load."""
         admission = make_admission()
