Only lists of voters that follow an even one are marked besides even ones

A list that follows an odd one needs no majority of that, so its mark would be an entry without a use. The tests of power losses are run again with the whole package.

--- a/packages/damaskvalve-state/damaskvalve_state/_replication.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_replication.py
@@ -179,11 +179,15 @@
         that follows an even one needs a majority of that too until it is committed;
         the members that it leaves out may be gone afterwards.
         """
-        index = self.log.members()[1]
+        voters, index = self.log.members()
         if index == self._marked_list_index or index > self.commit_index:
             return
         self._marked_list_index = index
         entry = self.log.newest_members_entry()
+        earlier = self.log.members_at(index - 1) if entry is not None else ()
+        follows_even = bool(earlier) and len(earlier) % 2 == 0
+        if len(voters) % 2 and not follows_even:
+            return
         if entry is None or not self._is_marked_as_committed(entry):
             self._append_as_leader(EntryKind.NOOP, LIST_COMMITTED, ())
 
