A late copy of a report from before a restart is no restart

Cause: any other start time counted as a restart, also an earlier one, and none at all (an answer to an order, read as a report). The count of orders of the earlier incarnation may be that of the present one, so the engine accepts what the old view leads to.

A report with an earlier start time, or with the same one and a lower count, is outdated. If nothing else is reported for 3 s it is believed, so an engine whose clock was set back, or one wrong high count, does not stop the agent for ever; connections to the engine are not kept so long without a report.

Failed before: test_a_late_copy_from_before_a_restart_is_no_other_restart and test_a_report_without_a_start_time_is_no_restart_of_an_engine_with_one.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
@@ -48,6 +48,9 @@
 # A request that still waits with less time than this left cannot meet its deadline.
 MIN_REMAINING_S = 0.2
 NEVER_S = 60.0
+# A report that seems outdated is believed if no other was for this long. Connections to
+# the engine are not kept so long without a report, so it cannot be a copy.
+MAX_DOUBT_S = 3.0
 
 
 class _Run:
@@ -103,6 +106,8 @@
         self.next_check_at_s = 0.0
         self._mean_run_s = DEFAULT_RUN_S
         self._started_at_ms = 0
+        # When the last report arrived that was not outdated.
+        self._reported_at_s = 0.0
         self.order_count = 0
         self.has_report = False
 
@@ -431,24 +436,25 @@
 
     # ---- reports ----
 
-    def is_outdated(self, report: EngineReport) -> bool:
+    def is_outdated(self, report: EngineReport, now_s: float) -> bool:
         """Return whether the engine has made a report before the last one.
 
         It may be a second copy of an earlier answer. An engine that does not state when
-        it started shows a restart only by its count of orders.
+        it started shows a restart only by its count of orders. After a restart with the
+        clock set back, the earlier reports cease and the later ones are believed.
         """
-        return (
-            self.has_report
-            and report.started_at_ms == self._started_at_ms != 0
-            and report.order_count < self.order_count
-        )
+        if not self.has_report or not self._started_at_ms:
+            return False
+        newest = (self._started_at_ms, self.order_count)
+        is_earlier = (report.started_at_ms, report.order_count) < newest
+        return is_earlier and now_s - self._reported_at_s <= MAX_DOUBT_S
 
     def apply_report(self, report: EngineReport, now_s: float) -> bool:
         """Update the state from a report; return whether the engine has restarted.
 
         A report that is outdated changes nothing.
         """
-        if self.is_outdated(report):
+        if self.is_outdated(report, now_s):
             return False
         restarted = self.has_report and (
             report.started_at_ms != self._started_at_ms
@@ -457,6 +463,7 @@
         if restarted:
             self._reset()
         self.has_report = True
+        self._reported_at_s = now_s
         self._started_at_ms = report.started_at_ms
         self.order_count = report.order_count
         self._models = set(report.models)
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -283,7 +283,7 @@
             )
         report = self._dialect.read_report(body)
         now_s = boot_clock_s()
-        if self._admission.is_outdated(report):
+        if self._admission.is_outdated(report, now_s):
             self._log.line(
                 "engine_report_outdated",
                 started_at_ms=report.started_at_ms,
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
@@ -250,6 +250,50 @@
         next_order = admission.next_order(0.2)
         self.assertTrue(next_order is None or next_order.kind == UNLOAD)
 
+    def test_a_late_copy_from_before_a_restart_is_no_other_restart(self):
+        """Its count may be the current one again, for fewer adapters."""
+        admission = make_admission(adapter_slots=1)
+        early = make_report({}, order_count=2)
+        admission.apply_report(early, 0.1)
+        restarted = make_report({"a1": 1}, (), 9, order_count=2)
+        self.assertTrue(admission.apply_report(restarted, 0.2))
+        self.assertFalse(admission.apply_report(early, 0.3))
+        admission.submit(make_request(2, "a2"), 0.3)
+        self.assertEqual(admission.next_order(0.3).kind, UNLOAD)
+
+    def test_a_report_without_a_start_time_is_no_restart_of_an_engine_with_one(self):
+        """It may be the answer to another call."""
+        admission = make_admission(adapter_slots=1, adapters={"a1": 1})
+        self.assertFalse(admission.apply_report(make_report((), (), 0, 0, ()), 0.1))
+        self.assertEqual(admission.slots.resident(), ["m/a1"])
+
+    def test_an_order_from_before_a_restart_finds_a_place_after_it(self):
+        """The engine may carry it out once its count is the same again."""
+        admission = make_admission(adapter_slots=1)
+        admission.apply_report(make_report(order_count=2), 0.0)
+        admission.submit(make_request(1, "a1"), 0.0)
+        admission.record_outcome(admission.next_order(0.0), NO_ANSWER, 0.2)
+        admission.cancel("r1")
+        admission.apply_report(make_report((), (), 9, 1), 0.3)
+        admission.submit(make_request(2, "a2"), 0.3)
+        order = admission.next_order(0.3)
+        if order is not None and order.kind == LOAD_MODEL:
+            admission.record_outcome(order, COMPLETED, 0.3)
+            order = admission.next_order(0.3)
+        # Its load would make the count 2, for which the first order is still valid.
+        self.assertIsNone(order)
+
+    def test_a_restart_with_the_clock_set_back_is_believed_in_the_end(self):
+        """No report of the earlier incarnation arrives any more."""
+        admission = make_admission(adapters={"a1": 1})
+        admission.apply_report(make_report({"a1": 1}, (), 9, 5), 0.0)
+        restarts = [
+            admission.apply_report(make_report((), (), 5, 0), 0.5 * step)
+            for step in range(1, 9)
+        ]
+        self.assertEqual(restarts.count(True), 1)
+        self.assertEqual(admission.slots.resident(), [])
+
     def test_an_engine_without_a_start_time_shows_a_restart_by_its_count(self):
         """Nothing else tells it."""
         admission = make_admission(adapters={"a1": 1})
