Each order to an engine has a connection of its own

A completed unload frees a place at once.

Cause: answers to orders carry no id, and an engine may send a second copy of an answer where the next one is expected. Reports and orders shared the kept connections, so the copy of an answer, or of a report, was read as the answer to the next order. Closing a connection on data without a request in progress does not help, because the copy arrives while a request is in progress.

An order is sent on a new connection, which no other answer can arrive on. Orders are rare; reports stay on kept connections. A copy of a report is accepted there, as test_reports_share_a_connection shows, and frees no place.

test_a_second_copy_of_an_answer_is_not_taken_for_that_of_an_order read 202 for an order that was answered with 409 when orders were sent like other calls. test_the_answer_to_an_order_is_not_taken_for_a_report passed there too: a copy that arrives with the answer closes the connection.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine.py
@@ -1,11 +1,17 @@
-"""HTTP calls to the engine, and the dialect that encodes and decodes them."""
+"""HTTP calls to the engine, and the dialect that encodes and decodes them.
+
+An engine may send a second copy of an answer where the next one is expected. Reports
+share connections, because they are frequent and say themselves whether they are
+outdated. The answer to an order does not say which order it answers, so each order has
+a connection of its own.
+"""
 
 import asyncio
 from collections.abc import Callable
 
 from damaskvalve_agent._permits._types import EngineReport, Order
 from damaskvalve_core import ChannelError, boot_clock_s
-from damaskvalve_core.http import BackendPool, Headers
+from damaskvalve_core.http import BackendConnection, BackendPool, Headers
 
 # A connection that has been idle for longer is not reused.
 MAX_IDLE_S = 2.0
@@ -64,7 +70,7 @@
 
 
 class EngineClient:
-    """Calls one engine over pooled connections."""
+    """Calls one engine: reports over pooled connections, orders over new ones."""
 
     def __init__(self, address: str, pool: BackendPool) -> None:
         self._address = address
@@ -81,19 +87,36 @@
             now_s = boot_clock_s()
             # The pool is keyed by instance id; here the address serves as the key.
             connection = await self._pool.acquire(address, address, now_s, MAX_IDLE_S)
-            try:
-                connection.send(call.method, call.target, call.headers, call.body)
-                head = await connection.read_head()
-                body = bytearray()
-                while (piece := await connection.read_chunk()) is not None:
-                    body += piece
-                    if len(body) > MAX_REPLY_BYTES:
-                        raise ChannelError(
-                            f"the reply of {address} exceeds {MAX_REPLY_BYTES} bytes"
-                        )
-            except BaseException:
-                connection.close()
-                raise
-            connection.finish_reply(head, boot_clock_s())
+            reply = await self._exchange(connection, call)
             self._pool.release(address, connection, boot_clock_s())
-            return head.status, bytes(body)
+            return reply
+
+    async def order(self, call: EngineCall, timeout_s: float) -> tuple[int, bytes]:
+        """Return the status and body of the reply to an order; raise as :meth:`call`.
+
+        The connection carries no other call, so the reply is to this order.
+        """
+        async with asyncio.timeout(timeout_s):
+            connection = await self._pool.connect(self._address)
+            reply = await self._exchange(connection, call)
+            connection.close()
+            return reply
+
+    async def _exchange(
+        self, connection: BackendConnection, call: EngineCall
+    ) -> tuple[int, bytes]:
+        try:
+            connection.send(call.method, call.target, call.headers, call.body)
+            head = await connection.read_head()
+            body = bytearray()
+            while (piece := await connection.read_chunk()) is not None:
+                body += piece
+                if len(body) > MAX_REPLY_BYTES:
+                    raise ChannelError(
+                        f"the reply of {self._address} exceeds {MAX_REPLY_BYTES} bytes"
+                    )
+        except BaseException:
+            connection.close()
+            raise
+        connection.finish_reply(head, boot_clock_s())
+        return head.status, bytes(body)
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -318,7 +318,7 @@
             self._instance_id,
         )
         try:
-            status, _ = await self._engine.call(
+            status, _ = await self._engine.order(
                 self._dialect.order_call(order, context), ORDER_TIMEOUT_S
             )
             outcome = self._dialect.read_outcome(status)
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -229,6 +229,10 @@
             if connection.is_usable(now_s):
                 return connection
             connection.close()
+        return await self.connect(address)
+
+    async def connect(self, address: str) -> BackendConnection:
+        """Return a new connection; raise :class:`NotSentError` if none can be made."""
         loop = asyncio.get_running_loop()
         try:
             ip, port = split_address(address)
