A request whose handler fails is refused, and the failure is logged

Callers saw: a connection that closed without an answer to a request that had been read. The cause was not logged unless the task was collected before the process ended.

Cause: an exception of a handler, as of the metrics or readiness handler, or of one that failed while it formatted a refusal, ended the task of the connection.

Evidence: test_a_request_whose_handler_failed_got_no_answer fails before the fix, with no bytes in place of the response, and passes with it.

Fix: the server answers such a request with 500 and logs the exception; a response that has begun is cut as before.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -12,8 +12,10 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
+import logbook
 
 from damaskvalve_core import (
+    UNKNOWN,
     RefusedError,
     boot_clock_s,
     enable_keepalive,
@@ -44,9 +46,13 @@
 # Retry-After of requests that are refused because bodies use up the budget. By then,
 # some of the bodies are complete or discarded.
 BODIES_RETRY_AFTER_S = 1.0
+# Maximum number of characters of a request's target in a log line.
+MAX_LOGGED_CHARACTERS = 200
 # The value of SO_LINGER, on and 0 s, with which closing a connection resets it.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+_log = logbook.Logger("http")
+
 
 #: Handles one request and sends its response.
 RequestHandler = Callable[[IncomingRequest, Responder], Awaitable[None]]
@@ -245,19 +251,26 @@
     async def _call_handler(
         self, incoming: IncomingRequest, responder: Responder
     ) -> None:
-        """Call the handler; refuse the request if the handler is cancelled."""
+        """Call the handler; refuse the request if it is cancelled or fails."""
         try:
             await self._server.handler(incoming, responder)
+            return
         except asyncio.CancelledError:
             if self._refusal is None or self._caller_gone or self._task is None:
                 raise
             self._task.uncancel()
-            if responder.started:
-                responder.abort()
-                return
-            self.closing = True
-            headers, body = self._server.format_refusal(self._refusal)
-            await responder.send(self._refusal.status, headers, body)
+            refusal = self._refusal
+        except Exception as error:
+            _log.exception(
+                "a request for {} failed", incoming.target[:MAX_LOGGED_CHARACTERS]
+            )
+            refusal = RefusedError(500, "internal", repr(error), ran=UNKNOWN)
+        if responder.started:
+            responder.abort()
+            return
+        self.closing = True
+        headers, body = self._server.format_refusal(refusal)
+        await responder.send(refusal.status, headers, body)
 
     async def _wait_for_data(self, timeout_s: float | None) -> bool:
         """Wait for more data; return False on a disconnect or a timeout."""
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_http.py
@@ -1,11 +1,14 @@
 """HTTP server and client: strict parsing, complete or visibly aborted responses."""
 
 import asyncio
+import gc
 import socket
 import struct
 import unittest
 from unittest import mock
 
+import logbook
+
 from damaskvalve_core import ChannelError, NotSentError, RefusedError, boot_clock_s
 from damaskvalve_core.http import (
     BackendFailedError,
@@ -38,6 +41,11 @@
 
     async def handle(self, incoming, responder):
         self.handled_requests.append((incoming.target, incoming.body))
+        if incoming.target == "/fail":
+            raise RuntimeError("a fault")
+        if incoming.target == "/fail-late":
+            await responder.start(200, [])
+            raise RuntimeError("a fault")
         if incoming.target == "/cut":
             await responder.start(200, [])
             await responder.write(b"part")
@@ -346,6 +354,26 @@
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
         self.assertIn(b" 503 ", head)
 
+    async def test_a_request_whose_handler_failed_got_no_answer(self):
+        """It is refused, and logged; a response that has begun is cut."""
+        loop_failures = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: loop_failures.append(context)
+        )
+        with logbook.TestHandler().applicationbound() as logs:
+            response = await self.exchange(b"GET /fail HTTP/1.1\r\nHost: h\r\n\r\n")
+            cut = await self.exchange(b"GET /fail-late HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertIn(b" 500 ", response)
+        self.assertIn(b"x-code: internal", response.lower())
+        self.assertTrue(cut.startswith(b"HTTP/1.1 200 "))
+        self.assertNotIn(b"0\r\n\r\n", cut)
+        for target in ("/fail", "/fail-late"):
+            self.assertTrue(
+                any(f"{target} failed" in line for line in logs.formatted_records)
+            )
+        gc.collect()
+        self.assertEqual(loop_failures, [])
+
     async def test_a_request_that_was_handled_at_the_end_of_a_stop_got_no_answer(self):
         """Its handler is cancelled and it is refused; idle connections are kept."""
         idle_reader, idle_writer = await asyncio.open_connection("127.0.0.1", PORT)
