A host goes on accepting connections after one could not be accepted

Operators would see: a host that runs, but that other hosts cannot connect to until it is started again, after its descriptors were used up for a moment.

Cause: any error of accept at a listener of the channel ended its accepting thread without a log line: too many open files, no memory for a socket, or a peer that gave up before it was accepted. So did a thread that could not be started, and its connection slot was lost.

Found by reading; it was not seen in a run.

Fix: the error is logged and accepting goes on after 0.2 s, until the listener closes.

--- a/packages/damaskvalve-core/damaskvalve_core/_channel.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_channel.py
@@ -14,6 +14,7 @@
 import ssl
 import struct
 import threading
+import time
 from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any
@@ -37,6 +38,8 @@
 # regions.
 CONNECT_TIMEOUT_S = 0.3
 HANDSHAKE_TIMEOUT_S = 3.0
+# Pause after a connection could not be accepted.
+ACCEPT_RETRY_S = 0.2
 # Maximum number of idle connections that are kept per address.
 MAX_IDLE_CONNECTIONS = 64
 # A connection fails once sent data has not been acknowledged for this long. It is the
@@ -289,12 +292,17 @@
         self.address = "{}:{}".format(*self._sock.getsockname()[:2])
 
     def accept_forever(self) -> None:
-        """Accept connections until the listener is closed or accepting fails."""
+        """Accept connections until the listener is closed."""
         while not self._stopping:
             try:
                 raw, peer = self._sock.accept()
-            except OSError:
-                return
+            except OSError as error:
+                if self._stopping:
+                    return
+                # The process may have no descriptor left, or the peer has given up.
+                _log.warning("cannot accept a connection: {}", error)
+                time.sleep(ACCEPT_RETRY_S)
+                continue
             if not self._connection_slots.acquire(blocking=False):
                 _log.warning(
                     "connection limit reached; closing a new connection from {}",
@@ -302,7 +310,16 @@
                 )
                 raw.close()
                 continue
-            threading.Thread(target=self._serve, args=(raw, peer), daemon=True).start()
+            self._start_serving(raw, peer)
+
+    def _start_serving(self, raw: socket.socket, peer: tuple[str, int]) -> None:
+        thread = threading.Thread(target=self._serve, args=(raw, peer), daemon=True)
+        try:
+            thread.start()
+        except RuntimeError as error:
+            _log.warning("closing a new connection from {}: {}", peer[0], error)
+            self._connection_slots.release()
+            raw.close()
 
     def _serve(self, raw: socket.socket, peer: tuple[str, int]) -> None:
         peer_name = f"{peer[0]}:{peer[1]}"
