The name of a new data folder survives a loss of power

Callers: after a loss of power a host could start with an empty disk, although all of its records had been synced; if it happens to more hosts than may be lost, what was acknowledged is gone (LOST). None was seen lost in this way; found by reading.

Cause: the folder of the group was created, and the files in it were synced with their names, but the name of the folder itself was not synced in the folder above it.

Evidence: two tests list what has been synced when the member id is returned; before, the folder above was not among it.

The folder above is now synced at each start, because the process that created the folder may have been killed before its sync.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -109,7 +109,6 @@
     """Wait until the data folder is usable; the disk may be full or broken."""
     while settings.folder is not None:
         try:
-            settings.folder.mkdir(parents=True, exist_ok=True)
             read_or_make_member_id(settings.folder)
             return
         except OSError as error:
--- a/packages/damaskvalve-state/damaskvalve_state/_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_group.py
@@ -10,6 +10,7 @@
 from damaskvalve_core import Dialer, RetryLaterError
 from damaskvalve_core.messages import Command, CommandResult
 from damaskvalve_state._group_reporter import GroupObserver, ignore_event
+from damaskvalve_state._journal import make_folder
 from damaskvalve_state._node import GroupNode
 from damaskvalve_state._node_messages import PeerRequest, RunInActor, Tick
 from damaskvalve_state._node_settings import NodeSettings, NodeStatus, PublishedStatus
@@ -109,7 +110,7 @@
     their contact with the leader, and of the leader.
     """
     if settings.folder is not None:
-        settings.folder.mkdir(parents=True, exist_ok=True)
+        make_folder(settings.folder)
     published = PublishedStatus()
     actor = GroupNode.start(settings, dialer, published, observer)
     group = Group(actor, published)
--- a/packages/damaskvalve-state/damaskvalve_state/_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_journal.py
@@ -74,6 +74,15 @@
         os.close(descriptor)
 
 
+def make_folder(folder: Path) -> None:
+    """Create a folder, and those above it, so that its name survives a power loss."""
+    if not folder.parent.exists():
+        make_folder(folder.parent)
+    folder.mkdir(exist_ok=True)
+    # A process that was killed may have created the folder without a sync.
+    sync_folder(folder.parent)
+
+
 def write_atomically(path: Path, data: bytes) -> None:
     """Replace a file so that a crash leaves either the old or the new content."""
     temporary = path.with_suffix(".new")
@@ -229,7 +238,7 @@
 
 def read_or_make_member_id(folder: Path) -> str:
     """Return the member id of a folder; create a new id if it has none."""
-    folder.mkdir(parents=True, exist_ok=True)
+    make_folder(folder)
     path = folder / MEMBER_FILE
     if path.exists():
         # A start that failed may not have synced the name of the file.
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
@@ -16,7 +16,12 @@
     LogEntry,
     SnapshotFile,
 )
-from damaskvalve_state import empty_snapshot, open_journal, recover
+from damaskvalve_state import (
+    empty_snapshot,
+    open_journal,
+    read_or_make_member_id,
+    recover,
+)
 
 
 def entry(index, term=1):
@@ -48,7 +53,7 @@
     def setUp(self):
         self.scratch = tempfile.TemporaryDirectory()
         self.addCleanup(self.scratch.cleanup)
-        self.folder = Path(self.scratch.name)
+        self.folder = Path(self.scratch.name).resolve()
         self.path = self.folder / "journal"
 
     def test_many_records_are_recovered_in_order(self):
@@ -134,6 +139,24 @@
                 self.assertEqual(recovered.log.last_index, 3)
                 self.assertEqual(sizes.bytes_by_path.get(self.path), len(written))
 
+    def test_the_name_of_a_new_folder_is_synced_before_its_member_id_is_used(self):
+        """Otherwise a loss of power takes the folder with all that is synced in it."""
+        folder = self.folder / "data" / "group"
+        sizes = SyncedSizes()
+        with sizes.installed():
+            read_or_make_member_id(folder)
+        self.assertIn(folder.parent, sizes.bytes_by_path)
+        self.assertIn(self.folder, sizes.bytes_by_path)
+
+    def test_a_folder_made_by_a_killed_process_is_synced_at_the_start(self):
+        """The folder is there, but its name may not be on the disk."""
+        folder = self.folder / "group"
+        folder.mkdir()
+        sizes = SyncedSizes()
+        with sizes.installed():
+            read_or_make_member_id(folder)
+        self.assertIn(self.folder, sizes.bytes_by_path)
+
 
 if __name__ == "__main__":
     unittest.main()
