--- a/packages/damaskvalve-state/damaskvalve_state/_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_journal.py
@@ -194,13 +194,19 @@
 
 
 def recover(folder: Path) -> RecoveredState | None:
-    """Recover a folder and truncate a torn tail; None if it was never bootstrapped."""
+    """Recover a folder and truncate a torn tail; None if it was never bootstrapped.
+
+    Raise :class:`CorruptJournalError` if synced records are damaged or missing.
+    """
     snapshot = read_snapshot(folder)
     if snapshot is None:
         return None
     path = folder / JOURNAL_FILE
     data = path.read_bytes() if path.exists() else b""
     payloads, valid_bytes = _read_frames(data, str(path))
+    if not payloads:
+        # The first record is synced before the file has its name.
+        raise CorruptJournalError(f"{path}: no record follows the snapshot")
     if valid_bytes < len(data):
         with path.open("r+b") as file:
             file.truncate(valid_bytes)
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
@@ -68,6 +68,19 @@
         """An empty folder must not be taken for a member with an empty log."""
         self.assertIsNone(recover(self.folder))
 
+    def test_a_journal_that_is_missing_or_empty_beside_a_snapshot_is_damage(self):
+        """It must not be taken for an empty log: its records and vote are lost."""
+        write_entries(self.folder, 3)
+        first_record = self.path.read_bytes()[:12]
+        for content in (b"", first_record, None):
+            with self.subTest(content=content):
+                if content is None:
+                    self.path.unlink()
+                else:
+                    self.path.write_bytes(content)
+                with self.assertRaises(CorruptJournalError):
+                    recover(self.folder)
+
     def test_torn_tail_is_truncated_and_earlier_records_kept(self):
         """A cut at any byte of the last record keeps the records before it."""
         write_entries(self.folder, 3)
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_open_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_open_group.py
@@ -4,8 +4,14 @@
 import time
 import unittest
 
-from damaskvalve_core.messages import Member
-from damaskvalve_state import LossTolerance, MembershipView, next_members
+from damaskvalve_core.messages import HardState, Member
+from damaskvalve_state import (
+    LossTolerance,
+    MembershipView,
+    empty_snapshot,
+    next_members,
+    open_journal,
+)
 from damaskvalve_state.tests.open_fleet import FIRST_PORT, Fleet
 
 
@@ -49,6 +55,19 @@
         fleet.await_version(3, 7)
         fleet.await_version(4, 7)
 
+    def test_a_founder_killed_between_its_snapshot_and_its_journal_founds_again(self):
+        """Otherwise it counts as founded with an empty log, and the others wait."""
+        fleet = self.fleet
+        fleet.start(0, [0, 1, 2])
+        fleet.stop(0)
+        folder = fleet.scratch / "0"
+        with open_journal(folder) as journal:
+            journal.install(empty_snapshot(), [], HardState(0, ""))
+        (folder / "journal").write_bytes(b"")
+        for number in range(3):
+            fleet.start(number, [0, 1, 2])
+        fleet.commit_document(1)
+
     def test_empty_members_do_not_bootstrap_without_permission(self):
         """Otherwise a loss of all disks would start a second, conflicting log."""
         for number in range(3):
