The agent no longer keeps a line of a stream that does not end

Callers saw: an engine whose stream had no line end took the agent to the limit of its memory and a core to its end; the requests of all other callers of that backend server ended or waited with it.

Cause: what follows the last line end was kept without a bound, and copied together with each new block, so that the work grew with the square of the line.

Fix: the unfinished line grows in one buffer, a new block alone is searched for line ends, and a line of more than 1 MiB ends the attempt.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_backend_client.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_backend_client.py
@@ -20,6 +20,8 @@
 CONNECT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 30.0
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Maximum size of one line of a stream.
+MAX_LINE_BYTES = 1024 * 1024
 _READ_BYTES = 64 * 1024
 _END_MARKER = "[DONE]"
 
@@ -257,12 +259,19 @@
 
 def _read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[list[str]]:
     """Yield the complete lines of each read, so that their texts can be merged."""
-    rest = b""
+    partial = bytearray()
     try:
         for block in response.stream(_READ_BYTES):
-            lines = (rest + block).split(b"\n")
-            rest = lines.pop()
-            yield [line.decode("utf-8", "replace") for line in lines]
+            ended, newline, rest = block.rpartition(b"\n")
+            if newline:
+                lines = (partial + ended).split(b"\n")
+                partial.clear()
+                yield [line.decode("utf-8", "replace") for line in lines]
+            partial += rest
+            if len(partial) > MAX_LINE_BYTES:
+                raise BackendError(
+                    f"a line of the stream exceeds {MAX_LINE_BYTES} bytes", sent=True
+                )
     except urllib3.exceptions.HTTPError as error:
         raise _backend_error(error) from error
 
--- /dev/null
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_endless_answers.py
@@ -0,0 +1,96 @@
+"""Answers of a backend server that do not end, or that are framed to use memory."""
+
+import contextlib
+import socket
+import threading
+import tracemalloc
+import unittest
+
+from damaskvalve_agent._backend_client import BackendClient, BackendError
+from damaskvalve_agent.tests.test_cut_answers import (
+    CHUNKED,
+    ENGINE_WORK,
+    OK,
+    SERVICE_WORK,
+    chunk,
+)
+
+MIB = 1024 * 1024
+
+
+class EndlessServer:
+    """Answers each connection with ``head`` and then ``piece`` again and again.
+
+    It stops and closes the connection after ``limit_bytes``.
+    """
+
+    def __init__(self, head, piece, limit_bytes=16 * MIB):
+        self._head, self._limit_bytes = head, limit_bytes
+        self._pieces = piece * max(1, 16_384 // len(piece))
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        self._threads = [threading.Thread(target=self._accept)]
+        self._threads[0].start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._threads.append(threading.Thread(target=self._send, args=[connection]))
+            self._threads[-1].start()
+
+    def _send(self, connection):
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65_536)
+            connection.sendall(self._head)
+            for _ in range(self._limit_bytes // len(self._pieces)):
+                connection.sendall(self._pieces)
+
+    def close(self):
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for thread in self._threads:
+            thread.join()
+
+
+@contextlib.contextmanager
+def calling(head, piece, limit_bytes=16 * MIB):
+    """Yield a client of a server that answers without end."""
+    server = EndlessServer(head, piece, limit_bytes)
+    client = BackendClient(server.address, 8, 5.0)
+    try:
+        yield client
+    finally:
+        client.close()
+        server.close()
+
+
+def run_engine(client):
+    for _ in client.run_engine(ENGINE_WORK, 1):
+        pass
+
+
+class EndlessAnswerTests(unittest.TestCase):
+    def peak_bytes(self, run, head, piece, limit_bytes=16 * MIB):
+        """Return the most memory that a call needed, which has to fail."""
+        with calling(head, piece, limit_bytes) as client:
+            tracemalloc.start()
+            try:
+                with self.assertRaises(BackendError) as caught:
+                    run(client)
+                self.assertTrue(caught.exception.sent)
+                return tracemalloc.get_traced_memory()[1]
+            finally:
+                tracemalloc.stop()
+
+    def test_an_endless_line_ends_the_stream(self):
+        """No part of it has an end that a limit on events would see."""
+        head = CHUNKED + chunk(b"data: ")
+        for piece in (chunk(b"x" * 8_192), chunk(b"xy" * 8)):
+            self.assertLess(self.peak_bytes(run_engine, head, piece, 8 * MIB), 4 * MIB)
+
+
+if __name__ == "__main__":
+    unittest.main()
