The agent's limit on an answer counts all that is kept of it

Callers saw: a plain service or an engine with an answer without end took the agent to the limit of its memory. The requests of the others ended with it.

Cause: answers to orders and health checks were read to their end, whatever their size. The limit of the other answers counts their bytes, but the standard library collects an object for each chunk, and joins them only at the end.

Fix: all answers are read in blocks of at most 64 KiB into one buffer, and end the attempt beyond 32 MiB, or 64 KiB for an order or a health check. A connection whose answer is not whole is closed; those with too large an answer went back to the pool.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_backend_client.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_backend_client.py
@@ -4,6 +4,7 @@
 must repeat the request id and the adapter, and a stream must reach its end marker.
 """
 
+import contextlib
 import json
 from collections.abc import Iterator, Mapping
 from typing import Any
@@ -20,6 +21,8 @@
 CONNECT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 30.0
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Maximum size of the answer to an order or a health check.
+MAX_ORDER_RESPONSE_BYTES = 64 * 1024
 # Maximum size of one line of a stream.
 MAX_LINE_BYTES = 1024 * 1024
 _READ_BYTES = 64 * 1024
@@ -110,8 +113,8 @@
 
         The id changes with each restart of the backend server.
         """
-        response = self._request("GET", "/health", None, {}, timeout_s=2.0)
-        start_id: str = json.loads(response.data).get("start_id", "")
+        _, body = self._request("GET", "/health", None, {}, timeout_s=2.0)
+        start_id: str = json.loads(body).get("start_id", "")
         return start_id
 
     def load(self, name: str, fence_number: int) -> None:
@@ -129,13 +132,13 @@
             "Content-Type": "application/json",
             FENCE_HEADER: str(fence_number),
         }
-        response = self._request("POST", path, body, headers, ORDER_TIMEOUT_S)
-        text = response.data.decode("utf-8", "replace")
-        if response.status == 409:
+        status, answer = self._request("POST", path, body, headers, ORDER_TIMEOUT_S)
+        text = answer.decode("utf-8", "replace")
+        if status == 409:
             raise FencedError(text, sent=True)
         already = "already" in text or "not loaded" in text
-        if response.status >= 300 and not already:
-            raise BackendError(f"{path}: {response.status} {text[:200]}", sent=True)
+        if status >= 300 and not already:
+            raise BackendError(f"{path}: {status} {text[:200]}", sent=True)
 
     def _request(
         self,
@@ -144,42 +147,52 @@
         body: bytes | None,
         headers: Mapping[str, str],
         timeout_s: float,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> tuple[int, bytes]:
+        """Return the status and the body of the answer to an order."""
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
-        try:
-            return self._pool.urlopen(
-                method, path, body=body, headers=dict(headers), timeout=timeout
-            )
-        except urllib3.exceptions.HTTPError as error:
-            raise _backend_error(error) from error
+        with self._open(method, path, body, headers, timeout) as response:
+            return response.status, _read_body(response, MAX_ORDER_RESPONSE_BYTES)
 
+    @contextlib.contextmanager
     def _open(
-        self, method: str, target: str, body: bytes, headers: Mapping[str, str]
-    ) -> urllib3.BaseHTTPResponse:
+        self,
+        method: str,
+        target: str,
+        body: bytes | None,
+        headers: Mapping[str, str],
+        timeout: urllib3.Timeout,
+    ) -> Iterator[urllib3.BaseHTTPResponse]:
+        """Yield an answer whose body is unread; keep the connection if it is whole."""
         try:
-            return self._pool.urlopen(
+            response = self._pool.urlopen(
                 method,
                 target,
                 body=body,
                 headers=dict(headers),
-                timeout=self._timeout,
+                timeout=timeout,
                 preload_content=False,
             )
         except urllib3.exceptions.HTTPError as error:
             raise _backend_error(error) from error
+        try:
+            yield response
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
 
     def run_service(self, work: WorkRequest, fence_number: int) -> BackendResult:
         """Forward a call to a plain service and return its complete answer."""
         headers = _headers(work, fence_number)
-        response = self._open(work.method, work.target, work.body, headers)
-        try:
-            body = _read_body(response)
-        finally:
-            response.release_conn()
-        echoed = response.headers.get(REQUEST_ID_HEADER)
-        if echoed is not None and echoed != work.request_id:
-            response.close()
-            raise BackendError("the answer has the id of another request", sent=True)
+        with self._open(
+            work.method, work.target, work.body, headers, self._timeout
+        ) as response:
+            body = _read_body(response, MAX_RESPONSE_BYTES)
+            echoed = response.headers.get(REQUEST_ID_HEADER)
+            if echoed is not None and echoed != work.request_id:
+                raise BackendError(
+                    "the answer has the id of another request", sent=True
+                )
         content_type = response.headers.get("Content-Type", "")
         return BackendResult(response.status, content_type, body)
 
@@ -198,19 +211,11 @@
         headers = _headers(work, fence_number)
         headers["Content-Type"] = "application/json"
         body = json.dumps(payload).encode()
-        response = self._open("POST", work.target, body, headers)
-        ended = False
-        try:
+        with self._open("POST", work.target, body, headers, self._timeout) as response:
             if response.status != 200:
                 yield _engine_refusal(response)
             else:
                 yield from _read_stream(response, work.request_id, name)
-            ended = True
-        finally:
-            if ended:
-                response.release_conn()
-            else:
-                response.close()
 
 
 def _backend_error(error: urllib3.exceptions.HTTPError) -> BackendError:
@@ -229,23 +234,25 @@
     return headers
 
 
-def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+def _read_body(response: urllib3.BaseHTTPResponse, max_bytes: int) -> bytes:
+    body = bytearray()
     try:
-        body = response.read(MAX_RESPONSE_BYTES + 1)
+        for block in response.stream(_READ_BYTES):
+            body += block
+            if len(body) > max_bytes:
+                raise BackendError(f"the answer exceeds {max_bytes} bytes", sent=True)
     except urllib3.exceptions.HTTPError as error:
         raise _backend_error(error) from error
-    if len(body) > MAX_RESPONSE_BYTES:
-        raise BackendError("the answer exceeds the size limit", sent=True)
     expected = response.headers.get("Content-Length")
     if expected is not None and len(body) != int(expected):
         raise BackendError(
             "the answer is truncated: its length is not the Content-Length", sent=True
         )
-    return body
+    return bytes(body)
 
 
 def _engine_refusal(response: urllib3.BaseHTTPResponse) -> BackendResult:
-    body = _read_body(response)
+    body = _read_body(response, MAX_RESPONSE_BYTES)
     text = body.decode("utf-8", "replace")
     if response.status == 409:
         raise FencedError(text, sent=False)
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_endless_answers.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_endless_answers.py
@@ -72,6 +72,10 @@
         pass
 
 
+def run_service(client):
+    client.run_service(SERVICE_WORK, 1)
+
+
 class EndlessAnswerTests(unittest.TestCase):
     def peak_bytes(self, run, head, piece, limit_bytes=16 * MIB):
         """Return the most memory that a call needed, which has to fail."""
@@ -91,6 +95,18 @@
         for piece in (chunk(b"x" * 8_192), chunk(b"xy" * 8)):
             self.assertLess(self.peak_bytes(run_engine, head, piece, 8 * MIB), 4 * MIB)
 
+    def test_an_endless_answer_to_an_order_or_a_health_check_ends_it(self):
+        """Such an answer is a few hundred bytes long."""
+        for run in (BackendClient.start_id, lambda client: client.load("a@1", 1)):
+            for head, piece in ((CHUNKED, chunk(b"x" * 8_192)), (OK + b"\r\n", b"x")):
+                self.assertLess(self.peak_bytes(run, head, piece, 8 * MIB), MIB)
+
+    def test_a_body_in_tiny_chunks_takes_as_much_memory_as_its_bytes(self):
+        """An object for each chunk weighs many times its bytes."""
+        head, piece, limit_bytes = CHUNKED, chunk(b"xy"), 700_000
+        peak_bytes = self.peak_bytes(run_service, head, piece, limit_bytes)
+        self.assertLess(peak_bytes, MIB)
+
 
 if __name__ == "__main__":
     unittest.main()
