A chunk of negative size is no longer read to the end of the connection

Callers saw: an answer with a chunk of size -1 grew in the agent without a bound, whatever the limits. With another negative size, the request ended as an internal error.

Cause: the standard library and urllib3 parse a chunk's size as any integer, and read -1 bytes as all bytes until the connection ends.

Fix: the reader below them refuses to read a number of bytes that is not stated.

Evidence: test_a_chunk_of_negative_size_is_not_read_to_the_end failed before with a peak of 16.9 MB for 8 MiB sent, bound 1 MiB.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
@@ -14,7 +14,15 @@
 
 
 class _WholeLineReader(io.BufferedReader):
-    """Raises :class:`http.client.RemoteDisconnected` for a line without its end."""
+    """Raises :class:`http.client.RemoteDisconnected` for a line without its end.
+
+    Reads no number of bytes that is not stated: a chunk of negative size has no end.
+    """
+
+    def read(self, size: int | None = -1, /) -> bytes:
+        if size is None or size < 0:
+            raise http.client.HTTPException("a size in the framing is negative")
+        return super().read(size)
 
     def readline(self, size: int | None = -1, /) -> bytes:
         line = super().readline(size)
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_endless_answers.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_endless_answers.py
@@ -107,6 +107,13 @@
         peak_bytes = self.peak_bytes(run_service, head, piece, limit_bytes)
         self.assertLess(peak_bytes, MIB)
 
+    def test_a_chunk_of_negative_size_is_not_read_to_the_end(self):
+        """The standard library reads -1 bytes as all bytes, whatever the limit."""
+        for run in (run_service, run_engine, BackendClient.start_id):
+            for size in (b"-1", b"-5"):
+                head = CHUNKED + size + b"\r\n"
+                self.assertLess(self.peak_bytes(run, head, b"x", 8 * MIB), MIB)
+
 
 if __name__ == "__main__":
     unittest.main()
