All answers that an agent holds share one memory limit

Callers saw: several answers without end at the same time took the agent to the limit of its memory, although each of them was within its own.

Cause: 32 MiB of each answer are allowed, and nothing limited all of them together.

Fix: the answers of an agent share a buffer budget of 48 MiB, as in the gateway. What is kept of an answer counts until its entry host has received it: a body, and the unfinished line of a stream. An answer beyond the budget ends its attempt. The budget moves to where the agent imports it without the HTTP server, and has a lock, because the agent answers in threads.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_backend_client.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_backend_client.py
@@ -12,7 +12,12 @@
 import urllib3
 
 from damaskvalve_agent._strict_http import StrictConnectionPool
-from damaskvalve_core import DamaskvalveError
+from damaskvalve_core import (
+    BufferBudget,
+    BufferBudgetExceededError,
+    BufferReservation,
+    DamaskvalveError,
+)
 from damaskvalve_core.messages import WorkRequest
 
 FENCE_HEADER = "X-Fencing-Number"
@@ -103,6 +108,8 @@
         self._pool = StrictConnectionPool(
             host, int(port), maxsize=max_connections, block=False, retries=False
         )
+        # The memory limit of all answers until their entry hosts have them.
+        self.answer_budget = BufferBudget()
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -151,7 +158,9 @@
         """Return the status and the body of the answer to an order."""
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
         with self._open(method, path, body, headers, timeout) as response:
-            return response.status, _read_body(response, MAX_ORDER_RESPONSE_BYTES)
+            with self.answer_budget.reserve() as buffer:
+                answer = _read_body(response, MAX_ORDER_RESPONSE_BYTES, buffer)
+            return response.status, answer
 
     @contextlib.contextmanager
     def _open(
@@ -181,13 +190,18 @@
             raise
         response.release_conn()
 
-    def run_service(self, work: WorkRequest, fence_number: int) -> BackendResult:
-        """Forward a call to a plain service and return its complete answer."""
+    def run_service(
+        self, work: WorkRequest, fence_number: int, buffer: BufferReservation
+    ) -> BackendResult:
+        """Forward a call to a plain service and return its complete answer.
+
+        ``buffer`` counts the answer in :attr:`answer_budget`.
+        """
         headers = _headers(work, fence_number)
         with self._open(
             work.method, work.target, work.body, headers, self._timeout
         ) as response:
-            body = _read_body(response, MAX_RESPONSE_BYTES)
+            body = _read_body(response, MAX_RESPONSE_BYTES, buffer)
             echoed = response.headers.get(REQUEST_ID_HEADER)
             if echoed is not None and echoed != work.request_id:
                 raise BackendError(
@@ -197,9 +211,12 @@
         return BackendResult(response.status, content_type, body)
 
     def run_engine(
-        self, work: WorkRequest, fence_number: int
+        self, work: WorkRequest, fence_number: int, buffer: BufferReservation
     ) -> Iterator[TextChunk | BackendResult]:
-        """Yield the text chunks of a completion and, last, its checked result."""
+        """Yield the text chunks of a completion and, last, its checked result.
+
+        ``buffer`` counts in :attr:`answer_budget` what is kept of the answer.
+        """
         name = adapter_name(work.adapter, work.version) or work.model
         payload = json.loads(work.body)
         payload.update(
@@ -213,9 +230,9 @@
         body = json.dumps(payload).encode()
         with self._open("POST", work.target, body, headers, self._timeout) as response:
             if response.status != 200:
-                yield _engine_refusal(response)
+                yield _engine_refusal(response, buffer)
             else:
-                yield from _read_stream(response, work.request_id, name)
+                yield from _read_stream(response, work.request_id, name, buffer)
 
 
 def _backend_error(error: urllib3.exceptions.HTTPError) -> BackendError:
@@ -234,11 +251,22 @@
     return headers
 
 
-def _read_body(response: urllib3.BaseHTTPResponse, max_bytes: int) -> bytes:
+def _note_buffered(buffer: BufferReservation, size_bytes: int) -> None:
+    """Count what is kept of an answer; raise if it is too much for all of them."""
+    try:
+        buffer.resize(size_bytes)
+    except BufferBudgetExceededError as error:
+        raise BackendError(str(error), sent=True) from error
+
+
+def _read_body(
+    response: urllib3.BaseHTTPResponse, max_bytes: int, buffer: BufferReservation
+) -> bytes:
     body = bytearray()
     try:
         for block in response.stream(_READ_BYTES):
             body += block
+            _note_buffered(buffer, len(body))
             if len(body) > max_bytes:
                 raise BackendError(f"the answer exceeds {max_bytes} bytes", sent=True)
     except urllib3.exceptions.HTTPError as error:
@@ -251,8 +279,10 @@
     return bytes(body)
 
 
-def _engine_refusal(response: urllib3.BaseHTTPResponse) -> BackendResult:
-    body = _read_body(response, MAX_RESPONSE_BYTES)
+def _engine_refusal(
+    response: urllib3.BaseHTTPResponse, buffer: BufferReservation
+) -> BackendResult:
+    body = _read_body(response, MAX_RESPONSE_BYTES, buffer)
     text = body.decode("utf-8", "replace")
     if response.status == 409:
         raise FencedError(text, sent=False)
@@ -264,7 +294,9 @@
     return BackendResult(response.status, content_type, body)
 
 
-def _read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[list[str]]:
+def _read_lines(
+    response: urllib3.BaseHTTPResponse, buffer: BufferReservation
+) -> Iterator[list[str]]:
     """Yield the complete lines of each read, so that their texts can be merged."""
     partial = bytearray()
     try:
@@ -275,6 +307,7 @@
                 partial.clear()
                 yield [line.decode("utf-8", "replace") for line in lines]
             partial += rest
+            _note_buffered(buffer, len(partial))
             if len(partial) > MAX_LINE_BYTES:
                 raise BackendError(
                     f"a line of the stream exceeds {MAX_LINE_BYTES} bytes", sent=True
@@ -284,10 +317,13 @@
 
 
 def _read_stream(
-    response: urllib3.BaseHTTPResponse, request_id: str, name: str
+    response: urllib3.BaseHTTPResponse,
+    request_id: str,
+    name: str,
+    buffer: BufferReservation,
 ) -> Iterator[TextChunk | BackendResult]:
     result = BackendResult(200)
-    for lines in _read_lines(response):
+    for lines in _read_lines(response, buffer):
         texts: list[str] = []
         done = False
         for line in lines:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -20,7 +20,14 @@
 from damaskvalve_agent._fence import Fence
 from damaskvalve_agent._scheduler_actor import Outcome, SchedulerHandle
 from damaskvalve_agent._settings import BackendSettings
-from damaskvalve_core import NOT_RUN, UNKNOWN, Connection, Recorder, boot_clock_s
+from damaskvalve_core import (
+    NOT_RUN,
+    UNKNOWN,
+    BufferReservation,
+    Connection,
+    Recorder,
+    boot_clock_s,
+)
 from damaskvalve_core.messages import (
     Problem,
     WorkChunk,
@@ -135,11 +142,14 @@
             return
         self._counters.enter()
         try:
-            yield from self._handle_work(request, connection)
+            with self._backend.answer_budget.reserve() as buffer:
+                yield from self._handle_work(request, connection, buffer)
         finally:
             self._counters.leave()
 
-    def _handle_work(self, work: WorkRequest, connection: Connection) -> Iterator[Any]:
+    def _handle_work(
+        self, work: WorkRequest, connection: Connection, buffer: BufferReservation
+    ) -> Iterator[Any]:
         for _ in range(MAX_RUN_ATTEMPTS):
             refusal = self._early_refusal(work)
             if refusal is not None:
@@ -153,7 +163,7 @@
             if not outcome.started:
                 yield _make_refusal(work, outcome.code, NOT_RUN, outcome.retry_after_s)
                 return
-            if (yield from self._run(work, ticket, outcome)):
+            if (yield from self._run(work, ticket, outcome, buffer)):
                 return
         yield _make_refusal(work, "adapter_lost", NOT_RUN, 1.0)
 
@@ -211,7 +221,11 @@
                     raise
 
     def _run(
-        self, work: WorkRequest, ticket: Ticket, outcome: Outcome
+        self,
+        work: WorkRequest,
+        ticket: Ticket,
+        outcome: Outcome,
+        buffer: BufferReservation,
     ) -> Generator[Any, None, bool]:
         """Run a started request; return False if it has to be queued again."""
         delivered = False
@@ -232,7 +246,7 @@
                 yield _make_refusal(work, "not_fenced", NOT_RUN, 1.0)
                 return True
             yield WorkStarted(work.request_id, queued_s, outcome.load_s)
-            for item in self._run_on_backend(work, number):
+            for item in self._run_on_backend(work, number, buffer):
                 if isinstance(item, TextChunk):
                     delivered_tokens += item.tokens
                     yield WorkChunk(work.request_id, item.text, item.tokens)
@@ -284,12 +298,12 @@
                 return
 
     def _run_on_backend(
-        self, work: WorkRequest, number: int
+        self, work: WorkRequest, number: int, buffer: BufferReservation
     ) -> Iterator[TextChunk | BackendResult]:
         if self._settings.kind == "engine":
-            yield from self._backend.run_engine(work, number)
+            yield from self._backend.run_engine(work, number, buffer)
         else:
-            yield self._backend.run_service(work, number)
+            yield self._backend.run_service(work, number, buffer)
 
     def _make_failure(
         self,
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_cut_answers.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_cut_answers.py
@@ -35,11 +35,13 @@
 
 
 def run_service(client):
-    return client.run_service(SERVICE_WORK, 1)
+    with client.answer_budget.reserve() as buffer:
+        return client.run_service(SERVICE_WORK, 1, buffer)
 
 
 def run_engine(client):
-    return list(client.run_engine(ENGINE_WORK, 1))
+    with client.answer_budget.reserve() as buffer:
+        return list(client.run_engine(ENGINE_WORK, 1, buffer))
 
 
 def load(client):
@@ -100,7 +102,7 @@
         client = BackendClient(self.server.address, 1, 5.0)
         try:
             for _ in self.server.earlier_answers:
-                client.run_service(SERVICE_WORK, 1)
+                run_service(client)
             return run(client)
         finally:
             client.close()
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_endless_answers.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_endless_answers.py
@@ -1,19 +1,24 @@
 """Answers of a backend server that do not end, or that are framed to use memory."""
 
+import concurrent.futures
 import contextlib
 import socket
 import threading
 import tracemalloc
 import unittest
+from unittest import mock
 
 from damaskvalve_agent._backend_client import BackendClient, BackendError
+from damaskvalve_agent._scheduler_actor import Outcome
+from damaskvalve_agent._service import Counters, WorkService
 from damaskvalve_agent.tests.test_cut_answers import (
     CHUNKED,
-    ENGINE_WORK,
     OK,
-    SERVICE_WORK,
     chunk,
+    run_engine,
+    run_service,
 )
+from damaskvalve_core.messages import WorkEnd, WorkRequest
 
 MIB = 1024 * 1024
 
@@ -67,15 +72,6 @@
         server.close()
 
 
-def run_engine(client):
-    for _ in client.run_engine(ENGINE_WORK, 1):
-        pass
-
-
-def run_service(client):
-    client.run_service(SERVICE_WORK, 1)
-
-
 class EndlessAnswerTests(unittest.TestCase):
     def peak_bytes(self, run, head, piece, limit_bytes=16 * MIB):
         """Return the most memory that a call needed, which has to fail."""
@@ -114,6 +110,61 @@
                 head = CHUNKED + size + b"\r\n"
                 self.assertLess(self.peak_bytes(run, head, b"x", 8 * MIB), MIB)
 
+    def test_many_endless_answers_at_once_stay_within_the_buffer_budget(self):
+        """Each of them is within its own limit for long."""
+
+        def failure(client):
+            # The error itself would keep the answer in its traceback.
+            try:
+                run_service(client)
+            except BackendError as error:
+                return str(error)
+
+        def run_all(client):
+            with concurrent.futures.ThreadPoolExecutor(8) as executor:
+                calls = [executor.submit(failure, client) for _ in range(8)]
+            failures = [call.result() for call in calls]
+            self.assertNotIn(None, failures)
+            raise BackendError(failures[0], sent=True)
+
+        piece, limit_bytes = chunk(b"x" * 16_384), 40 * MIB
+        peak_bytes = self.peak_bytes(run_all, CHUNKED, piece, limit_bytes)
+        self.assertLess(peak_bytes, 100 * MIB)
+
+    def test_an_answer_counts_until_its_entry_host_has_received_it(self):
+        """Many answers that wait for slow callers would exceed the limit."""
+        body = b"b" * 300_000
+        head = OK + b"content-length: %d\r\n\r\n" % len(body)
+        work = WorkRequest(
+            request_id="r-1",
+            workspace="w",
+            share=1.0,
+            kind="service",
+            model="m",
+            method="GET",
+            target="/x",
+            headers=[],
+            body=b"",
+            cost_units=1.0,
+            deadline_s=5.0,
+        )
+        with calling(head, body, len(body)) as client:
+            settings = mock.Mock(kind="service", serves="m")
+            scheduler, fence, record = mock.Mock(), mock.Mock(), mock.Mock()
+            scheduler.submit().get.return_value = Outcome(True, "", 0.0, 0.0)
+            fence.number.return_value = 1
+            service = WorkService(
+                settings, scheduler, client, fence, Counters(), record
+            )
+            service.backend_up = True
+            used_bytes = [
+                client.answer_budget.used_bytes
+                for message in service.handle(work, mock.Mock())
+                if isinstance(message, WorkEnd)
+            ]
+            self.assertEqual(used_bytes, [len(body)])
+            self.assertEqual(client.answer_budget.used_bytes, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -2,6 +2,11 @@
 
 from damaskvalve_core._background import running_periodically
 from damaskvalve_core._boot_clock import boot_clock_s
+from damaskvalve_core._buffer_budget import (
+    BufferBudget,
+    BufferBudgetExceededError,
+    BufferReservation,
+)
 from damaskvalve_core._channel import (
     Connection,
     Dialer,
@@ -54,6 +59,9 @@
     "RAN",
     "TIME_LINE_FILE",
     "UNKNOWN",
+    "BufferBudget",
+    "BufferBudgetExceededError",
+    "BufferReservation",
     "ChannelError",
     "Connection",
     "CorruptJournalError",
--- a/packages/damaskvalve-core/damaskvalve_core/http/_buffer_budget.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_buffer_budget.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import threading
 from collections.abc import Iterator
 
 from damaskvalve_core._exceptions import DamaskvalveError
@@ -39,12 +40,14 @@
 
         The bytes are counted in either case.
         """
-        self.size_bytes += size_bytes
-        self._budget.used_bytes += size_bytes
+        with self._budget.lock:
+            self.size_bytes += size_bytes
+            self._budget.used_bytes += size_bytes
+            used_bytes = self._budget.used_bytes
         limit_bytes = self._budget.limit_bytes
         if self.size_bytes <= EXEMPT_MESSAGE_BYTES:
             limit_bytes += MAX_EXEMPT_BYTES
-        if size_bytes > 0 and self._budget.used_bytes > limit_bytes:
+        if size_bytes > 0 and used_bytes > limit_bytes:
             raise BufferBudgetExceededError(
                 f"buffered messages exceed {limit_bytes} bytes in total; "
                 f"discarding one of {self.size_bytes} bytes"
@@ -56,15 +59,17 @@
 
 
 class BufferBudget:
-    """The memory limit of all buffered messages of one kind.
+    """The memory limit of all buffered messages of one kind; threads may share it.
 
     Messages up to :data:`EXEMPT_MESSAGE_BYTES` may exceed it, within
     :data:`MAX_EXEMPT_BYTES`.
     """
 
-    __slots__ = ("limit_bytes", "used_bytes")
+    __slots__ = ("limit_bytes", "used_bytes", "lock")
 
     def __init__(self, limit_bytes: int = MAX_BUFFERED_BYTES) -> None:
+        # Guards the sizes of the budget and of its reservations.
+        self.lock = threading.Lock()
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
 
@@ -75,4 +80,4 @@
         try:
             yield reservation
         finally:
-            self.used_bytes -= reservation.size_bytes
+            reservation.resize(0)
--- a/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client and server over asyncio; h11 parses and frames the messages."""
 
-from damaskvalve_core.http._buffer_budget import (
+from damaskvalve_core._buffer_budget import (
     BufferBudget,
     BufferBudgetExceededError,
     BufferReservation,
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -8,10 +8,10 @@
 import h11
 
 from damaskvalve_core import ChannelError, NotSentError, enable_keepalive, split_address
+from damaskvalve_core._buffer_budget import FIELD_BYTES, BufferBudget
 from damaskvalve_core._channel import CONNECT_TIMEOUT_S
 from damaskvalve_core._turn_limit import TurnLimit
 from damaskvalve_core.http._bounded_reader import BoundedReader
-from damaskvalve_core.http._buffer_budget import FIELD_BYTES, BufferBudget
 from damaskvalve_core.http._request import Headers
 
 # Maximum number of idle connections from one host to one backend server. A backend
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -21,15 +21,15 @@
     enable_keepalive,
     split_address,
 )
-from damaskvalve_core._listen import open_server
-from damaskvalve_core._turn_limit import TurnLimit
-from damaskvalve_core.http._bounded_reader import BoundedReader
-from damaskvalve_core.http._buffer_budget import (
+from damaskvalve_core._buffer_budget import (
     FIELD_BYTES,
     BufferBudget,
     BufferBudgetExceededError,
     BufferReservation,
 )
+from damaskvalve_core._listen import open_server
+from damaskvalve_core._turn_limit import TurnLimit
+from damaskvalve_core.http._bounded_reader import BoundedReader
 from damaskvalve_core.http._request import Headers, IncomingRequest, ServerLimits
 from damaskvalve_core.http._request_validation import (
     check_framing,
