Unfinished frames between processes share a memory limit, and end

Callers saw: a peer that announced large frames on several connections, and sent them slowly or in part, filled the memory of a host or an agent and kept it for good.

Cause: the limit of 64 MiB is that of one frame. Nothing limited the unfinished frames of all connections together. A listener reads without a timeout, and a dialer's timeout starts again with each byte, so that such a frame never ended.

Fix: the unfinished frames of a listener, and those of a dialer, share a buffer budget of 80 MiB, in threads and in tasks; one frame of the largest size still fits. A frame has to be complete 30 s after its first byte. A connection that exceeds either is closed with a log line. A connection without a frame stays open as before.

--- a/packages/damaskvalve-core/damaskvalve_core/_channel.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_channel.py
@@ -21,6 +21,12 @@
 
 import logbook
 
+from damaskvalve_core._boot_clock import boot_clock_s
+from damaskvalve_core._buffer_budget import (
+    BufferBudget,
+    BufferBudgetExceededError,
+    BufferReservation,
+)
 from damaskvalve_core._codec import decode_message, encode_message
 from damaskvalve_core._exceptions import (
     ChannelError,
@@ -33,6 +39,11 @@
 from damaskvalve_core._messages import Problem
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+# Maximum size of all unfinished frames of a listener or of a dialer together: one of
+# the largest size, and others beside it.
+MAX_UNFINISHED_BYTES = MAX_FRAME_BYTES + 16 * 1024 * 1024
+# Maximum time from the first byte of a frame to its last one.
+FRAME_TIMEOUT_S = 30.0
 # TCP retransmits a lost SYN only after one second. The timeout is shorter, because a
 # new attempt is faster than the retransmission. It is longer than a round trip between
 # regions.
@@ -108,13 +119,18 @@
 class Connection:
     """One connection that sends and receives whole messages."""
 
-    def __init__(self, sock: socket.socket, peer: str) -> None:
+    def __init__(self, sock: socket.socket, peer: str, budget: BufferBudget) -> None:
         self._sock = sock
+        self._timeout_s = sock.gettimeout()
         self._buffer = bytearray()
+        self._reservation = BufferReservation(budget)
+        # When the frame whose beginning has arrived must be complete.
+        self._frame_deadline_s: float | None = None
         self.peer = peer
 
     def set_timeout(self, timeout_s: float | None) -> None:
         """Set the timeout of all later sends and receives."""
+        self._timeout_s = timeout_s
         self._sock.settimeout(timeout_s)
 
     def send(self, message: Any) -> None:
@@ -136,8 +152,9 @@
     def receive(self) -> Any:
         """Return the next message.
 
-        Raise :class:`ChannelError` if the connection fails or is closed, and
-        :class:`ProtocolError` for an invalid message.
+        Raise :class:`ChannelError` if the connection fails or is closed, or if a frame
+        is not complete in time or too large beside others, and :class:`ProtocolError`
+        for an invalid message.
 
         After a :class:`ReceiveTimeoutError`, ``receive`` can be called again: data that
         has already arrived is kept.
@@ -148,25 +165,65 @@
             raise ProtocolError(f"frame of {length} bytes exceeds the frame size limit")
         end = _HEADER.size + length
         self._fill_buffer(end)
-        frame = bytes(self._buffer[_HEADER.size : end])
+        with memoryview(self._buffer) as view:
+            frame = bytes(view[_HEADER.size : end])
         del self._buffer[:end]
+        self._end_frame()
         return decode_message(frame)
 
     def _fill_buffer(self, size_bytes: int) -> None:
         while len(self._buffer) < size_bytes:
+            if self._buffer and self._frame_deadline_s is None:
+                self._frame_deadline_s = boot_clock_s() + FRAME_TIMEOUT_S
+            self._buffer += self._receive_bytes()
             try:
-                data = self._sock.recv(_READ_BYTES)
-            except TimeoutError as error:
-                raise ReceiveTimeoutError(
-                    f"no data from {self.peer} within the timeout"
-                ) from error
-            except (OSError, ValueError) as error:
+                self._reservation.resize(len(self._buffer))
+            except BufferBudgetExceededError as error:
+                _log.warning("closing the connection of {}: {}", self.peer, error)
                 raise ChannelError(
                     f"receiving from {self.peer} failed: {error}"
                 ) from error
-            if not data:
-                raise ChannelError(f"{self.peer} closed the connection")
-            self._buffer += data
+
+    def _receive_bytes(self) -> bytes:
+        try:
+            self._limit_read_time()
+            data = self._sock.recv(_READ_BYTES)
+        except TimeoutError as error:
+            self._check_frame_time()
+            raise ReceiveTimeoutError(
+                f"no data from {self.peer} within the timeout"
+            ) from error
+        except (OSError, ValueError) as error:
+            raise ChannelError(f"receiving from {self.peer} failed: {error}") from error
+        if not data:
+            raise ChannelError(f"{self.peer} closed the connection")
+        return data
+
+    def _limit_read_time(self) -> None:
+        """Let the next read end when the frame that has begun must be complete."""
+        left_s = self._check_frame_time()
+        if left_s is not None:
+            if self._timeout_s is not None:
+                left_s = min(left_s, self._timeout_s)
+            self._sock.settimeout(left_s)
+
+    def _check_frame_time(self) -> float | None:
+        """Return the time left for the frame that has begun; raise if it is over."""
+        if self._frame_deadline_s is None:
+            return None
+        left_s = self._frame_deadline_s - boot_clock_s()
+        if left_s <= 0:
+            _log.warning("frame timeout; closing the connection of {}", self.peer)
+            raise ChannelError(
+                f"a frame of {self.peer} was not complete within {FRAME_TIMEOUT_S} s"
+            )
+        return left_s
+
+    def _end_frame(self) -> None:
+        if self._frame_deadline_s is not None:
+            self._frame_deadline_s = None
+            self.set_timeout(self._timeout_s)
+        self._reservation.resize(len(self._buffer))
 
     def peer_gone(self) -> bool:
         """Return whether the peer has closed the connection or sent unexpected data."""
@@ -182,6 +239,7 @@
         """Close the connection; closing it again has no effect."""
         with contextlib.suppress(OSError):
             self._sock.close()
+        self._reservation.resize(0)
 
 
 class Dialer:
@@ -192,6 +250,7 @@
         self._source_address = (source_ip, 0) if source_ip else None
         self._lock = threading.Lock()
         self._idle: dict[str, list[Connection]] = {}
+        self._frame_budget = BufferBudget(MAX_UNFINISHED_BYTES)
         self._closed = False
 
     def _connect(self, address: str, timeout_s: float) -> Connection:
@@ -205,7 +264,7 @@
             raw.settimeout(min(timeout_s, HANDSHAKE_TIMEOUT_S))
             if self._context is not None:
                 raw = self._context.wrap_socket(raw)
-            return Connection(raw, address)
+            return Connection(raw, address, self._frame_budget)
         except (OSError, ValueError, OverflowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
 
@@ -285,6 +344,7 @@
         self._connection_slots = threading.BoundedSemaphore(max_connections)
         self._lock = threading.Lock()
         self._open_connections: set[Connection] = set()
+        self._frame_budget = BufferBudget(MAX_UNFINISHED_BYTES)
         self._stopping = False
         self._sock = open_listener(
             lambda: socket.create_server(split_address(address), backlog=256), address
@@ -344,7 +404,7 @@
             raw.close()
             return None
         wrapped.settimeout(None)
-        return Connection(wrapped, peer_name)
+        return Connection(wrapped, peer_name, self._frame_budget)
 
     def _handle_requests(self, connection: Connection) -> None:
         with self._lock:
--- a/packages/damaskvalve-core/damaskvalve_core/rpc.py
+++ b/packages/damaskvalve-core/damaskvalve_core/rpc.py
@@ -12,10 +12,13 @@
 
 import logbook
 
+from damaskvalve_core._buffer_budget import BufferBudget, BufferBudgetExceededError
 from damaskvalve_core._channel import (
     CONNECT_TIMEOUT_S,
+    FRAME_TIMEOUT_S,
     HANDSHAKE_TIMEOUT_S,
     MAX_FRAME_BYTES,
+    MAX_UNFINISHED_BYTES,
     Identity,
     enable_keepalive,
     split_address,
@@ -35,6 +38,7 @@
 MAX_IDLE_CONNECTIONS = 64
 BACKLOG = 256
 _HEADER = struct.Struct(">I")
+_READ_BYTES = 64 * 1024
 
 _log = logbook.Logger("calls")
 
@@ -43,10 +47,16 @@
     """One connection, for the duration of one call."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, peer: str
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: str,
+        budget: BufferBudget,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        # The memory limit of the unfinished frames of all connections beside this one.
+        self._budget = budget
         self._turn = TurnLimit()
         self.peer = peer
 
@@ -61,8 +71,9 @@
     async def receive(self) -> Any:
         """Return the next message.
 
-        Raise :class:`ChannelError` if the connection fails or is closed, and
-        :class:`ProtocolError` for an invalid message.
+        Raise :class:`ChannelError` if the connection fails or is closed, or if a frame
+        is not complete in time or too large beside others, and :class:`ProtocolError`
+        for an invalid message.
         """
         await self._turn.step()
         try:
@@ -72,9 +83,31 @@
                 raise ProtocolError(
                     f"frame of {length} bytes exceeds the frame size limit"
                 )
-            return decode_message(await self._reader.readexactly(length))
+            async with asyncio.timeout(FRAME_TIMEOUT_S):
+                frame = await self._read_payload(length)
+        except TimeoutError as error:
+            _log.warning("frame timeout; closing the connection of {}", self.peer)
+            raise ChannelError(
+                f"a frame of {self.peer} was not complete within {FRAME_TIMEOUT_S} s"
+            ) from error
+        except BufferBudgetExceededError as error:
+            _log.warning("closing the connection of {}: {}", self.peer, error)
+            raise ChannelError(f"receiving from {self.peer} failed: {error}") from error
         except (OSError, EOFError) as error:
             raise ChannelError(f"receiving from {self.peer} failed: {error}") from error
+        return decode_message(frame)
+
+    async def _read_payload(self, size_bytes: int) -> bytes:
+        payload = bytearray()
+        with self._budget.reserve() as reservation:
+            while len(payload) < size_bytes:
+                left_bytes = size_bytes - len(payload)
+                data = await self._reader.read(min(left_bytes, _READ_BYTES))
+                if not data:
+                    raise EOFError("the connection ended within a frame")
+                payload += data
+                reservation.resize(len(payload))
+            return bytes(payload)
 
     def is_open(self) -> bool:
         """Return whether both ends of the connection are open."""
@@ -107,6 +140,7 @@
         self._context = identity.ssl_context(server=False) if identity else None
         self._source_address = (source_ip, 0) if source_ip else None
         self._idle: dict[str, list[RpcCall]] = {}
+        self._frame_budget = BufferBudget(MAX_UNFINISHED_BYTES)
 
     async def _connect(self, address: str) -> RpcCall:
         timeout_s = CONNECT_TIMEOUT_S
@@ -123,7 +157,7 @@
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
         enable_keepalive(writer.get_extra_info("socket"))
-        return _ClientCall(reader, writer, address)
+        return _ClientCall(reader, writer, address, self._frame_budget)
 
     @contextlib.asynccontextmanager
     async def open(self, address: str, request: Any) -> AsyncIterator[RpcCall]:
@@ -181,10 +215,11 @@
     """Serve calls on an address until the context ends."""
     ip, port = split_address(address)
     open_calls: set[RpcCall] = set()
+    budget = BufferBudget(MAX_UNFINISHED_BYTES)
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         peer = writer.get_extra_info("peername") or ("?", 0)
-        call = RpcCall(reader, writer, f"{peer[0]}:{peer[1]}")
+        call = RpcCall(reader, writer, f"{peer[0]}:{peer[1]}", budget)
         open_calls.add(call)
         try:
             enable_keepalive(writer.get_extra_info("socket"))
--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_turn_limit.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_turn_limit.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from damaskvalve_core import rpc
+from damaskvalve_core import BufferBudget, rpc
 from damaskvalve_core._codec import encode_message
 from damaskvalve_core._messages import ConfirmRequest
 from damaskvalve_core._turn_limit import MAX_STEPS_PER_TURN, TurnLimit
@@ -123,7 +123,9 @@
         payload = encode_message(ConfirmRequest())
         reader = asyncio.StreamReader()
         reader.feed_data((len(payload).to_bytes(4) + payload) * COUNT)
-        call = rpc.RpcCall(reader, mock.Mock(spec=asyncio.StreamWriter), "peer")
+        call = rpc.RpcCall(
+            reader, mock.Mock(spec=asyncio.StreamWriter), "peer", BufferBudget()
+        )
         async with counting_turns() as turns:
             for _ in range(COUNT):
                 await call.receive()
