--- a/packages/damaskvalve-state/damaskvalve_state/_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_journal.py
@@ -15,6 +15,8 @@
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 
+import logbook
+
 from damaskvalve_core import (
     CorruptJournalError,
     ProtocolError,
@@ -29,6 +31,8 @@
 )
 from damaskvalve_state._log import Log
 
+_log = logbook.Logger("journal")
+
 _LENGTHS = struct.Struct(">II")
 _HEADER_CRC = struct.Struct(">I")
 _HEADER_BYTES = _LENGTHS.size + _HEADER_CRC.size
@@ -79,8 +83,12 @@
     if not folder.parent.exists():
         make_folder(folder.parent)
     folder.mkdir(exist_ok=True)
-    # A process that was killed may have created the folder without a sync.
-    sync_folder(folder.parent)
+    try:
+        # A process that was killed may have created the folder without a sync.
+        sync_folder(folder.parent)
+    except PermissionError as error:
+        # Whoever owns the folder above has created this one.
+        _log.warning("cannot sync the folder above {}: {}", folder, error)
 
 
 def write_atomically(path: Path, data: bytes) -> None:
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
@@ -152,6 +152,20 @@
                 self.assertEqual(recovered.log.last_index, 3)
                 self.assertEqual(sizes.bytes_by_path.get(self.path), len(written))
 
+    def test_a_folder_below_one_of_another_user_is_used(self):
+        """The member cannot sync the folder above, and does not wait for it."""
+        folder = self.folder / "data"
+        folder.mkdir()
+        open_file = os.open
+
+        def open_own_only(path, flags, *mode, **options):
+            if Path(path) == self.folder:
+                raise PermissionError("not readable")
+            return open_file(path, flags, *mode, **options)
+
+        with mock.patch.object(os, "open", open_own_only):
+            self.assertTrue(read_or_make_member_id(folder))
+
     def test_the_name_of_a_new_folder_is_synced_before_its_member_id_is_used(self):
         """Otherwise a loss of power takes the folder with all that is synced in it."""
         folder = self.folder / "data" / "group"
