An answer's framing no longer goes on without end, nor adds up to megabytes

Callers saw: a request whose answer was followed by trailers without end, or preceded by informational answers without end, did not end before the server stopped.

Cause: the standard library limits each line to 64 KiB and a head to 100 of them, but not the head as a whole, the number of informational answers, nor the trailers.

Fix: the reader below it counts the lines between two parts of a body, and ends the attempt beyond 64 KiB, which is the gateway's limit, too.

Evidence: test_endless_framing_ends_the_attempt failed before: informational answers and trailers were read until the server closed after 4 MiB, a head of 4.8 MB was accepted, and one that does not end was held with 4.9 MB, bound 1 MiB.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
@@ -12,16 +12,26 @@
 import urllib3.connection
 from urllib3.util.response import assert_header_parsing
 
+# Maximum size of the lines of an answer that are no part of its body, up to the next
+# bytes that are: heads, the sizes of chunks, trailers.
+MAX_FRAMING_BYTES = 64 * 1024
+
 
 class _WholeLineReader(io.BufferedReader):
     """Raises :class:`http.client.RemoteDisconnected` for a line without its end.
 
     Reads no number of bytes that is not stated: a chunk of negative size has no end.
+    Lines without a part of a body between them are limited to ``MAX_FRAMING_BYTES``.
     """
 
+    def __init__(self, raw: io.RawIOBase) -> None:
+        super().__init__(raw)
+        self._framing_bytes = 0
+
     def read(self, size: int | None = -1, /) -> bytes:
         if size is None or size < 0:
             raise http.client.HTTPException("a size in the framing is negative")
+        self._framing_bytes = 0
         return super().read(size)
 
     def readline(self, size: int | None = -1, /) -> bytes:
@@ -31,6 +41,11 @@
             raise http.client.RemoteDisconnected(
                 f"the connection ended within a line of the framing: {line[:80]!r}"
             )
+        self._framing_bytes += len(line)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            raise http.client.HTTPException(
+                f"the framing exceeds {MAX_FRAMING_BYTES} bytes"
+            )
         return line
 
 
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_endless_answers.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_endless_answers.py
@@ -110,6 +110,22 @@
                 head = CHUNKED + size + b"\r\n"
                 self.assertLess(self.peak_bytes(run, head, b"x", 8 * MIB), MIB)
 
+    def test_endless_framing_ends_the_attempt(self):
+        """Informational answers, trailers, and headers that are large together."""
+        header = b"X-Note: " + b"n" * 60_000 + b"\r\n"
+        cases = (
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            (OK, b"X-Note: " + b"n" * 1_000 + b"\r\n"),
+            (CHUNKED + chunk(b"x") + b"0\r\n", b"X-Note: 1\r\n"),
+            (OK + header * 80 + b"\r\n", b"x"),
+        )
+        for head, piece in cases:
+            with self.subTest(head[:60]), calling(head, piece, 4 * MIB) as client:
+                with self.assertRaisesRegex(BackendError, "framing exceeds"):
+                    run_service(client)
+        peak_bytes = self.peak_bytes(run_service, OK + header * 80, header, 1)
+        self.assertLess(peak_bytes, MIB)
+
     def test_many_endless_answers_at_once_stay_within_the_buffer_budget(self):
         """Each of them is within its own limit for long."""
 
