--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
@@ -443,7 +443,7 @@
         it started shows a restart only by its count of orders. After a restart with the
         clock set back, the earlier reports cease and the later ones are believed.
         """
-        if not self.has_report or not self._started_at_ms:
+        if not self.has_report or not report.started_at_ms:
             return False
         newest = (self._started_at_ms, self.order_count)
         is_earlier = (report.started_at_ms, report.order_count) < newest
