The test of a port that a connection holds uses an address of its own

Connections of other programs from 127.0.0.1 may share the local port of the connection that the test holds; 9,503 closed ones still held theirs.

--- a/packages/damaskvalve-core/damaskvalve_core/tests/test_listen.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tests/test_listen.py
@@ -12,6 +12,8 @@
 from damaskvalve_core.rpc import serving_rpc
 
 HELD_S = 0.5
+# Connections of other programs from 127.0.0.1 may hold the same port.
+HELD_IP = "127.0.21.69"
 
 
 async def open_http(address):
@@ -39,12 +41,15 @@
     def holding_port(self):
         """Hold the local port of an outgoing connection for a while."""
         with socket.create_server(("127.0.0.1", 0)) as peer:
-            held = socket.create_connection(peer.getsockname())
+            held = socket.create_connection(
+                peer.getsockname(), source_address=(HELD_IP, 0)
+            )
             accepted, _ = peer.accept()
 
             def release():
-                # The side that closes first holds its port for a minute.
+                # The peer closes first, so that the port is free at once.
                 accepted.close()
+                held.recv(1)
                 held.close()
 
             timer = threading.Timer(HELD_S, release)
