What an entry host collects of one answer is limited

Callers saw: an engine that generated text without end, whatever the output limit of the request, filled the memory of the entry host until the deadline of the request.

Cause: the whole text is kept to resume an interrupted answer, without a bound. For a caller that gets it at once, each piece was kept as an object besides.

Fix: an answer of more than 8 Mi characters is refused with 502, outcome unknown, and its attempt is closed; a stream ends with the error. The text for a caller grows in one string.

Evidence: test_an_answer_that_does_not_end_is_given_up failed before, all of 64 million characters were collected; test_text_in_small_pieces_takes_as_much_memory_as_its_length failed before with 6.2 MB for 500 KB, bound 2 MB.

--- a/packages/damaskvalve/damaskvalve/_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/_dispatch.py
@@ -40,6 +40,8 @@
 FORWARDED_HEADERS = ("accept", "accept-language", "content-type", "traceparent")
 RETURN_POLL_S = 0.2
 REPORT_TIMEOUT_S = 2.0
+# Maximum length of the text of one answer, all its attempts together.
+MAX_ANSWER_CHARACTERS = 8 * 1024 * 1024
 
 _log = logbook.Logger("dispatch")
 
@@ -166,6 +168,7 @@
                     if isinstance(message, WorkChunk):
                         text += message.text
                         tokens += message.tokens
+                        _check_length(text)
                     yield message
                 self._clear_suspect(exchange)
                 return
@@ -325,6 +328,16 @@
         )
 
 
+def _check_length(text: str) -> None:
+    if len(text) > MAX_ANSWER_CHARACTERS:
+        raise RefusedError(
+            502,
+            "answer_too_large",
+            f"the answer exceeds {MAX_ANSWER_CHARACTERS} characters",
+            ran=UNKNOWN,
+        )
+
+
 def _quarantine_error(ran: str) -> RefusedError:
     message = "this request has crashed several backend servers"
     return RefusedError(422, "quarantined", message, ran=ran)
--- a/packages/damaskvalve/damaskvalve/_replies.py
+++ b/packages/damaskvalve/damaskvalve/_replies.py
@@ -57,11 +57,11 @@
 def _buffered_reply(
     exchange: Exchange, events: Events, formatter: CompletionFormatter
 ) -> Reply:
-    texts = []
+    text = ""
     tokens = 0
     for event in events:
         if isinstance(event, WorkChunk):
-            texts.append(event.text)
+            text += event.text
             tokens += event.tokens
             continue
         if event.status != 200:
@@ -69,7 +69,7 @@
             return Reply(event.status, event.content_type, event.body)
         _record_usage(exchange, event, tokens)
         body = formatter.completion(
-            "".join(texts), event.finish_reason, event.prompt_tokens or 0, tokens
+            text, event.finish_reason, event.prompt_tokens or 0, tokens
         )
         return Reply(200, JSON, body)
     raise RefusedError(502, "no_answer", "the engine did not answer", ran=UNKNOWN)
--- a/packages/damaskvalve/damaskvalve/tests/test_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/tests/test_dispatch.py
@@ -1,12 +1,18 @@
 """Tests of retries: when a failed request is retried, resumed or refused."""
 
 import json
+import tracemalloc
 import unittest
+from unittest import mock
 
 from damaskvalve._agent_client import AttemptError
 from damaskvalve._attempts import RETURN_WAIT_S, Attempts
 from damaskvalve._completion import continuation_body
+from damaskvalve._dispatch import Dispatcher
+from damaskvalve._replies import _buffered_reply
 from damaskvalve._retry_budget import MAX_SAVED_RETRIES, RetryBudget
+from damaskvalve_core import UNKNOWN, RefusedError, boot_clock_s
+from damaskvalve_core.messages import WorkChunk
 
 
 def failure(ran, code="backend_failed"):
@@ -72,5 +78,44 @@
         self.assertTrue(resumed["continue_final_message"])
 
 
+class EndlessAnswerTests(unittest.TestCase):
+    def test_an_answer_that_does_not_end_is_given_up(self):
+        """Its text is kept to resume it, and to answer a caller at once."""
+        unused = mock.Mock()
+        view = mock.Mock()
+        view.suspect.return_value = None
+        dispatcher = Dispatcher(view, unused, unused, "dc", unused, unused)
+        closed = []
+
+        def send_endlessly(exchange, backend, work):
+            try:
+                for _ in range(64):
+                    yield WorkChunk("r-1", "t" * 1_000_000, 1)
+            finally:
+                closed.append(True)
+
+        with mock.patch.multiple(
+            dispatcher,
+            create=True,
+            choose_backend=mock.Mock(),
+            _make_work_request=mock.Mock(),
+            _run_attempt=send_endlessly,
+        ):
+            exchange = mock.Mock(deadline_s=boot_clock_s() + 60, body=b"{}")
+            with self.assertRaises(RefusedError) as caught:
+                for _ in dispatcher.events(exchange):
+                    pass
+        self.assertEqual((caught.exception.ran, closed), (UNKNOWN, [True]))
+
+    def test_text_in_small_pieces_takes_as_much_memory_as_its_length(self):
+        """An object for each piece weighs many times its length."""
+        pieces = (WorkChunk("r-1", f"{number:05}", 1) for number in range(100_000))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        with self.assertRaises(RefusedError):
+            _buffered_reply(mock.Mock(), pieces, mock.Mock())
+        self.assertLess(tracemalloc.get_traced_memory()[1], 2_000_000)
+
+
 if __name__ == "__main__":
     unittest.main()
