--- a/packages/damaskvalve-core/damaskvalve_core/_codec.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_codec.py
@@ -9,7 +9,13 @@
 from damaskvalve_core import _messages
 from damaskvalve_core._exceptions import EncodingError, ProtocolError
 
-_FACTORY = TCompactProtocolAcceleratedFactory(fallback=True)
+# Maximum size of one field, that of a frame: a snapshot is a single field. The default
+# of the library is lower, and applies to reading only.
+MAX_FIELD_BYTES = 64 * 1024 * 1024
+
+_FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_FIELD_BYTES, fallback=True
+)
 
 # The number of a message type on the wire is its index here: append only.
 _WIRE_ORDER = (
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_journal.py
@@ -81,6 +81,15 @@
                 with self.assertRaises(CorruptJournalError):
                     recover(self.folder)
 
+    def test_a_large_snapshot_is_not_taken_for_damage_at_the_next_start(self):
+        """One of 17 MB could be written, and neither read again nor sent."""
+        snapshot = empty_snapshot()
+        snapshot.data = bytes(17_000_000)
+        with open_journal(self.folder) as journal:
+            journal.install(snapshot, [], HardState(0, ""))
+        recovered = recover(self.folder)
+        self.assertEqual(len(recovered.log.snapshot.data), len(snapshot.data))
+
     def test_torn_tail_is_truncated_and_earlier_records_kept(self):
         """A cut at any byte of the last record keeps the records before it."""
         write_entries(self.folder, 3)
