--- a/packages/damaskvalve-core/damaskvalve_core/http/_bounded_reader.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_bounded_reader.py
@@ -9,11 +9,11 @@
 import threading
 
 # Maximum number of bytes of one read from the socket.
-READ_BYTES = 16 * 1024
+READ_BYTES = 64 * 1024
 # Number of unread bytes at which reading from the socket stops.
 READ_AHEAD_BYTES = 16 * 1024
 # Maximum number of bytes that a parser gets at a time.
-PARSE_BYTES = 16 * 1024
+PARSE_BYTES = 64 * 1024
 
 _shared = threading.local()
 
