A stopping host takes late requests only if they are certain to end

Cause: since a connection is kept for one more response if the last one could not say that it closes, a request may arrive until the end of the stop. It was served if nine in ten similar requests had ended in the time left.

Fix: a request that arrives after the load balancer has removed the host is judged as one that may not be repeated: 1.25 times the longest of the kept times has to fit.

Evidence: the new test of StopAdmission has the late stream admitted before, refused now.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -279,6 +279,10 @@
         """Serve only requests that can be expected to end before the given time."""
         self._stop.begin(end_s)
 
+    def note_removed(self, now_s: float) -> None:
+        """Record that the load balancer sends callers to other hosts from now on."""
+        self._stop.note_removed(now_s)
+
     def refuse_waiting(self, now_s: float) -> None:
         """Refuse the requests that have not run and would now be sent too late."""
         for exchange in list(self._open):
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -400,6 +400,7 @@
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     caller_server.stop_accepting()
     caller_server.close_after_response()
+    gateway.note_removed(boot_clock_s())
     while caller_server.is_open() and boot_clock_s() < end_s:
         caller_server.close_idle(boot_clock_s(), MIN_IDLE_S)
         gateway.refuse_waiting(boot_clock_s())
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
@@ -99,11 +99,21 @@
         self.times = ServingTimes()
         # When the requests that still run are ended; None while the host serves.
         self._end_s: float | None = None
+        # When the load balancer had removed this host; None before.
+        self._removed_s: float | None = None
 
     def begin(self, end_s: float) -> None:
         """Begin the stop; requests that still run at the given time are ended."""
         self._end_s = end_s
 
+    def note_removed(self, now_s: float) -> None:
+        """Record that callers reach other hosts from now on.
+
+        A request that a kept connection brings all the same is better served there than
+        cut off, so it has to be as certain to end as one that may not be repeated.
+        """
+        self._removed_s = now_s
+
     def is_stopping(self) -> bool:
         """Return whether the host stops."""
         return self._end_s is not None
@@ -112,12 +122,13 @@
         """Return whether a request that has not run may be sent now."""
         if self._end_s is None:
             return True
+        is_late = self._removed_s is not None and exchange.arrived_s > self._removed_s
         return may_finish(
             exchange.deadline_s,
             self.times.times_s(exchange),
             self._end_s,
             now_s,
-            repeatable=exchange.route.is_repeatable(),
+            repeatable=exchange.route.is_repeatable() and not is_late,
         )
 
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stopping.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stopping.py
@@ -27,6 +27,7 @@
     MAX_KINDS,
     MAX_TIMES,
     ServingTimes,
+    StopAdmission,
     may_finish,
 )
 from damaskvalve_gateway._stream_versions import StreamVersions
@@ -120,6 +121,22 @@
         self.assertEqual(self.times_s(5, name="r0"), [1.0])
 
 
+class StopAdmissionTests(unittest.TestCase):
+    def test_a_stream_that_a_kept_connection_brought_late_was_cut_off(self):
+        """Nine in ten end in time; by then, callers reach hosts where all do."""
+        stop = StopAdmission()
+        exchange = make_exchange(resumable=True)
+        arrived_s = exchange.arrived_s
+        for took_s in (0.5,) * 29 + (9.0,) * 3:
+            stop.times.note(exchange, arrived_s + took_s)
+        stop.begin(arrived_s + 4.0)
+        self.assertTrue(stop.admits(exchange, arrived_s))
+        stop.note_removed(arrived_s)
+        self.assertTrue(stop.admits(exchange, arrived_s))
+        stop.note_removed(arrived_s - 1.0)
+        self.assertFalse(stop.admits(exchange, arrived_s))
+
+
 class StopResponder(RecordingResponder):
     """Also records how the connection ends."""
 
