Logs tell how each request of a planned stop ended, and what held its end

During a stop each request gets its line, with what was left of the stop as it arrived and the longest of the similar times; a stop names the requests that it is about to end; its steps and its last line say how long after the signal they come, and the first one how late the event loop was told of it. The time is taken in the signal handler (StopRequest). No decision changes.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_serve.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_serve.py
@@ -14,7 +14,7 @@
     decision_log,
     dialing,
     log_reloads,
-    set_on_stop_signals,
+    watch_stop_signals,
 )
 from damaskvalve_core.http import (
     Headers,
@@ -37,9 +37,9 @@
 
 async def _serve(
     settings: PermitSettings, dialect: EngineDialect, log: DecisionLog
-) -> None:
-    stopping = asyncio.Event()
-    set_on_stop_signals(stopping)
+) -> float:
+    """Serve until the signal to stop; return when it came."""
+    stop_request = watch_stop_signals()
     log_reloads(log)
     async with open_backend_pool() as pool:
         server = PermitServer(settings, dialect, pool, log)
@@ -60,7 +60,7 @@
                     server.send_orders,
                 )
                 with background_tasks(runs, log):
-                    await stopping.wait()
+                    return await stop_request.wait()
 
 
 def run_permits(settings: PermitSettings, dialect: EngineDialect) -> None:
@@ -71,8 +71,8 @@
     """
     with decision_log(settings.name, boot_clock_s) as log:
         log.line("start", engine=settings.engine_address)
-        asyncio.run(_serve(settings, dialect, log))
-        log.line("stop")
+        signalled_s = asyncio.run(_serve(settings, dialect, log))
+        log.line("stop", after_s=round(boot_clock_s() - signalled_s, 2))
 
 
 __all__ = ["run_permits"]
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -46,7 +46,7 @@
 from damaskvalve_core._logs import logging_to
 from damaskvalve_core._process import run_from_settings
 from damaskvalve_core._reload_signal import log_reloads
-from damaskvalve_core._stop_signals import set_on_stop_signals
+from damaskvalve_core._stop_signals import StopRequest, watch_stop_signals
 from damaskvalve_core._time_line import (
     TIME_LINE_FILE,
     Recorder,
@@ -82,6 +82,7 @@
     "RefusedError",
     "RetryLaterError",
     "SettingsError",
+    "StopRequest",
     "boot_clock_s",
     "copy_struct",
     "decision_log",
@@ -99,8 +100,8 @@
     "open_time_line",
     "run_from_settings",
     "running_periodically",
-    "set_on_stop_signals",
     "split_address",
     "stamp_to_wall_s",
     "wall_s_to_stamp",
+    "watch_stop_signals",
 ]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -66,6 +66,8 @@
 LEADER_CONTACT_TIMEOUT_S = 2.5
 # A request is refused once this many of its attempts have ended as not run.
 MAX_NOT_RUN_ATTEMPTS = 3
+# Maximum number of requests that the line of those unfinished at a stop names.
+MAX_UNFINISHED_LOGGED = 50
 
 
 def _of_version(
@@ -293,6 +295,11 @@
 
     def end_unfinished(self) -> None:
         """End all requests: each is answered, or its stream is aborted."""
+        if self._open:
+            ids = [exchange.request.request_id for exchange in self._open]
+            self._log.line(
+                "unfinished", count=len(ids), requests=ids[:MAX_UNFINISHED_LOGGED]
+            )
         for exchange in list(self._open):
             self._end(exchange)
 
@@ -619,11 +626,14 @@
             or exchange.attempts != 1
             or request.last_event_id is not None
         )
-        if not is_unusual and not is_sampled(request.request_id):
+        # The process may end before anything else tells of a request.
+        is_logged = is_unusual or self._stop.is_stopping()
+        if not is_logged and not is_sampled(request.request_id):
             return
         self._log.line(
             "request" if is_unusual else "request_sample",
             **request_fields(exchange, now_s),
+            **self._stop.log_fields(exchange),
             version=getattr(self._view.configuration, "version", 0),
         )
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -8,13 +8,13 @@
 
 from damaskvalve_core import (
     DecisionLog,
-    RetryLaterError,
+    StopRequest,
     boot_clock_s,
     decision_log,
     dialing,
     listening,
     log_reloads,
-    set_on_stop_signals,
+    watch_stop_signals,
 )
 from damaskvalve_core.http import (
     BackendPool,
@@ -43,6 +43,7 @@
 from damaskvalve_gateway._metrics import GatewayMetrics
 from damaskvalve_gateway._model import ReplyMetadata
 from damaskvalve_gateway._permits import PermitClient
+from damaskvalve_gateway._planned_stop import log_step, stop_serving
 from damaskvalve_gateway._quota import HostQuota
 from damaskvalve_gateway._rate import RateFilter
 from damaskvalve_gateway._reply_fields import IneffectiveReplyFields
@@ -50,7 +51,6 @@
 from damaskvalve_gateway._send_gate import SendGate
 from damaskvalve_gateway._settings import GatewaySettings
 from damaskvalve_gateway._state_client import StateClient
-from damaskvalve_gateway._stopping import stopping_refusal
 from damaskvalve_gateway._stream_versions import StreamVersions
 from damaskvalve_gateway._sync import SyncController
 from damaskvalve_state import (
@@ -70,23 +70,6 @@
 # vote of a lost host to its successor.
 REPAIR_ELECTION_TIMEOUTS = 4
 PEER_REPLY_TIMEOUT_S = 2.0
-# The load balancer checks the ready address every second and removes a host after two
-# failed checks.
-BALANCER_REMOVAL_S = 2.6
-# Callers are told with their responses that their connections close, for this long
-# before idle connections are closed. By then, new connections go to other hosts.
-CLOSE_NOTICE_S = 0.6
-# A connection is closed as idle after this time. A caller that goes on sending, and was
-# not told that its connection closes, sends the next request by then.
-MIN_IDLE_S = 0.25
-# The same notice for operators and backend servers, which are served until the end.
-CONTROL_CLOSE_NOTICE_S = 0.4
-# Part of the grace period that is reserved for closing open connections.
-CLOSE_MARGIN_S = 0.4
-# Part of that in which the requests that were ended get their answers.
-LAST_ANSWERS_S = 0.2
-LAST_ANSWERS_POLL_INTERVAL_S = 0.01
-STOP_POLL_INTERVAL_S = 0.05
 # The metrics library is imported this long after the start, because the host joins its
 # group in the first seconds.
 METRICS_LOAD_DELAY_S = 5.0
@@ -169,10 +152,11 @@
         )
         _wait_for_folder(settings, log)
         with _running_member(settings, log) as group:
-            asyncio.run(
+            signalled_s = asyncio.run(
                 _serve(settings, dialect, make_control, group, log, started_at_s)
             )
-        log.line("stop")
+            log_step(log, "event_loop_closed", signalled_s, boot_clock_s())
+        log.line("stop", after_s=round(boot_clock_s() - signalled_s, 2))
 
 
 async def _serve(
@@ -182,9 +166,9 @@
     group: Group,
     log: DecisionLog,
     started_at_s: float,
-) -> None:
-    stopping = asyncio.Event()
-    set_on_stop_signals(stopping)
+) -> float:
+    """Serve until the end of a planned stop; return when its signal came."""
+    stop_request = watch_stop_signals()
     log_reloads(log)
     view = ClusterView()
     view.regions = settings.regions
@@ -216,6 +200,7 @@
 
     budget = ConnectionBudget(connection_limits, note_closed)
     async with contextlib.AsyncExitStack() as stack:
+        stack.callback(rpc_client.close_idle)
         pool = await stack.enter_async_context(open_backend_pool(settings.bind_ip))
         pool.reply_budget = budget.message_budget()
         gateway = Gateway(
@@ -265,7 +250,7 @@
             settings.control_address, make_control(control)
         )
         await open_server(settings.metrics_address, _make_metrics_handler(metrics))
-        ready = _make_ready_handler(view, stopping)
+        ready = _make_ready_handler(view, stop_request)
         await open_server(settings.ready_address, ready)
         caller_server = await open_server(
             settings.front_address,
@@ -284,10 +269,18 @@
             functools.partial(_watch_suspension, pool, rpc_client, log),
         )
         with background_tasks(runs, log):
-            await stopping.wait()
-            await _stop(
-                settings.grace_s, group, caller_server, control_server, gateway, log
+            signalled_s = await stop_request.wait()
+            await stop_serving(
+                signalled_s,
+                settings.grace_s,
+                group,
+                caller_server,
+                control_server,
+                gateway,
+                log,
             )
+        log_step(log, "served", signalled_s, boot_clock_s())
+    return signalled_s
 
 
 def make_reply_observer(
@@ -321,13 +314,13 @@
     return INITIAL_LIMITS if configuration is None else configuration.limits
 
 
-def _make_ready_handler(view: ClusterView, stopping: asyncio.Event) -> ControlHandler:
+def _make_ready_handler(view: ClusterView, stop_request: StopRequest) -> ControlHandler:
     """Return the handler of the load balancer's readiness check."""
 
     async def ready(incoming: IncomingRequest, responder: Responder) -> None:
         # Backend servers are known only after the first exchange with a leader.
         has_state = view.configuration is not None and view.leader_contact_s > 0
-        is_ready = has_state and not stopping.is_set()
+        is_ready = has_state and not stop_request.is_set()
         await responder.send(200 if is_ready else 503, [], b"")
 
     return ready
@@ -349,118 +342,6 @@
     await asyncio.to_thread(metrics.load)
 
 
-async def _stop(
-    grace_s: float,
-    group: Group,
-    caller_server: HttpServer,
-    control_server: HttpServer,
-    gateway: Gateway,
-    log: DecisionLog,
-) -> None:
-    """Give up leadership and vote, and finish the requests within the grace period.
-
-    The announcement takes up to its timeout if the group member waits for its disk, so
-    it is not waited for first. Operators and backend servers are served until the rest
-    is done, or the grace period is about to end.
-    """
-    end_s = boot_clock_s() + grace_s - CLOSE_MARGIN_S
-    finished = asyncio.Event()
-
-    async def finish() -> None:
-        await asyncio.gather(
-            _announce_stop(group, log),
-            _drain(grace_s, caller_server, gateway, log),
-        )
-        await _give_up_vote(group, end_s, log)
-        finished.set()
-
-    await asyncio.gather(finish(), _drain_control(control_server, finished, end_s))
-
-
-async def _drain_control(
-    server: HttpServer, finished: asyncio.Event, end_s: float
-) -> None:
-    """Answer the calls of operators and backend servers, then close.
-
-    The clients are told with their responses that their connections close.
-    """
-    notice_s = end_s - CONTROL_CLOSE_NOTICE_S
-    while not finished.is_set() and boot_clock_s() < notice_s:
-        await asyncio.sleep(STOP_POLL_INTERVAL_S)
-    server.close_after_response()
-    await asyncio.sleep(CONTROL_CLOSE_NOTICE_S)
-    server.stop_accepting()
-    await _close_when_answered(server, end_s, MIN_IDLE_S)
-    server.refuse_all(stopping_refusal())
-    await _close_when_answered(server, end_s + LAST_ANSWERS_S)
-
-
-async def _close_when_answered(
-    server: HttpServer, end_s: float, min_idle_s: float = 0.0
-) -> None:
-    """Close each connection once it is idle; wait for the others until a given time."""
-    while server.is_open() and boot_clock_s() < end_s:
-        server.close_idle(boot_clock_s(), min_idle_s)
-        await asyncio.sleep(LAST_ANSWERS_POLL_INTERVAL_S)
-
-
-async def _drain(
-    grace_s: float, caller_server: HttpServer, gateway: Gateway, log: DecisionLog
-) -> None:
-    """Wait for the removal from the load balancer, finish requests, then close.
-
-    Requests that would not end in time are refused at once. Those that still run near
-    the end of the grace period are ended, each with an answer unless it has begun, and
-    those that are not read completely are refused.
-    """
-    started_at_s = boot_clock_s()
-    end_s = started_at_s + grace_s - CLOSE_MARGIN_S
-    gateway.begin_stop(end_s)
-    log.line("stopping", active=caller_server.active)
-    removed_s = started_at_s + BALANCER_REMOVAL_S
-    while boot_clock_s() < removed_s:
-        if boot_clock_s() >= removed_s - CLOSE_NOTICE_S:
-            caller_server.close_after_response()
-        gateway.refuse_waiting(boot_clock_s())
-        await asyncio.sleep(STOP_POLL_INTERVAL_S)
-    caller_server.stop_accepting()
-    caller_server.close_after_response()
-    gateway.note_removed(boot_clock_s())
-    while caller_server.is_open() and boot_clock_s() < end_s:
-        caller_server.close_idle(boot_clock_s(), MIN_IDLE_S)
-        gateway.refuse_waiting(boot_clock_s())
-        await asyncio.sleep(STOP_POLL_INTERVAL_S)
-    unfinished = caller_server.active
-    gateway.end_unfinished()
-    caller_server.refuse_unread(stopping_refusal())
-    await _close_when_answered(caller_server, end_s + LAST_ANSWERS_S)
-    log.line(
-        "stopped",
-        active=unfinished,
-        took_s=round(boot_clock_s() - started_at_s, 2),
-    )
-
-
-async def _announce_stop(group: Group, log: DecisionLog) -> None:
-    """Let the other hosts do without this one's leadership and vote."""
-    try:
-        await asyncio.to_thread(group.announce_stop)
-    except RetryLaterError as error:
-        log.line("stop_not_announced", reason=str(error))
-
-
-async def _give_up_vote(group: Group, end_s: float, log: DecisionLog) -> None:
-    """Wait until the group has removed a vote that it can spare, or the grace ends.
-
-    This host may never start again; the others would go on counting its vote.
-    """
-    while group.status().has_spare_vote:
-        if boot_clock_s() >= end_s:
-            log.line("vote_kept", reason="the group did not remove it in time")
-            return
-        await asyncio.sleep(STOP_POLL_INTERVAL_S)
-
-
 async def _watch_suspension(
     pool: BackendPool, rpc_client: RpcClient, log: DecisionLog
 ) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from damaskvalve_core import RefusedError
 from damaskvalve_gateway._exchange import Exchange
@@ -118,6 +118,20 @@
         """Return whether the host stops."""
         return self._end_s is not None
 
+    def log_fields(self, exchange: Exchange) -> Mapping[str, object]:
+        """Return what the log line of a request says of the stop, if there is one.
+
+        These are what was left of the stop as the request arrived, and the longest of
+        the times that similar requests took.
+        """
+        if self._end_s is None:
+            return {}
+        times_s = self.times.times_s(exchange)
+        return {
+            "left_of_stop_s": round(self._end_s - exchange.arrived_s, 3),
+            "similar_s": round(max(times_s), 3) if times_s else "",
+        }
+
     def admits(self, exchange: Exchange, now_s: float) -> bool:
         """Return whether a request that has not run may be sent now."""
         if self._end_s is None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_planned_stop.py
@@ -9,7 +9,7 @@
 
 from damaskvalve_core import boot_clock_s
 from damaskvalve_core.http import ServerLimits, serving_http
-from damaskvalve_gateway import _run
+from damaskvalve_gateway import _planned_stop
 
 GRACE_S = 1.0
 IP, PORT = "127.0.0.1", 21_695
@@ -54,9 +54,9 @@
             ended_s.append(boot_clock_s() - started_s)
 
         gateway.end_unfinished = end_unfinished
-        with mock.patch.object(_run, "BALANCER_REMOVAL_S", 0.2):
-            await _run._stop(
-                GRACE_S, group, server, ClosedServer(), gateway, mock.Mock()
+        with mock.patch.object(_planned_stop, "BALANCER_REMOVAL_S", 0.2):
+            await _planned_stop.stop_serving(
+                started_s, GRACE_S, group, server, ClosedServer(), gateway, mock.Mock()
             )
         self.assertLess(ended_s[0], GRACE_S)
         (end_s,), _ = gateway.begin_stop.call_args
@@ -82,14 +82,20 @@
                 await asyncio.to_thread(answered.wait, 5.0)
                 group = mock.Mock()
                 group.status.return_value.has_spare_vote = False
-                await _run._stop(
-                    2.0, group, server, ClosedServer(), mock.Mock(), mock.Mock()
+                await _planned_stop.stop_serving(
+                    boot_clock_s(),
+                    2.0,
+                    group,
+                    server,
+                    ClosedServer(),
+                    mock.Mock(),
+                    mock.Mock(),
                 )
 
         host = threading.Thread(target=lambda: asyncio.run(serve_and_stop()))
         received = b""
         with (
-            mock.patch.object(_run, "BALANCER_REMOVAL_S", 0.2),
+            mock.patch.object(_planned_stop, "BALANCER_REMOVAL_S", 0.2),
             socket.socket() as caller,
         ):
             host.start()
