A planned stop ends its requests an eighth of its grace before it is killed

Cause: of 8 s of grace 0.4 were left for the last answers, the control address, the group, the disk and the log, counted from the turn of the event loop that was told of the signal. On a machine with other work that is too little, and what is unsent or unlogged when the platform kills the process is lost.

Change: StopTimes counts all parts of a stop from the signal, and reserves an eighth of the grace (1 s of 8), half of it for the answers.

Tried and dropped before it was committed: ending sooner the later the event loop is; users accept no cut before the last sixth, which leaves 0.3 s to gain. Price: streams that would have ended in the 0.6 s before 7.6 s are cut, or refused sooner.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_planned_stop.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_planned_stop.py
@@ -19,14 +19,37 @@
 MIN_IDLE_S = 0.25
 # The same notice for operators and backend servers, which are served until the end.
 CONTROL_CLOSE_NOTICE_S = 0.4
-# Part of the grace period that is reserved for closing open connections.
-CLOSE_MARGIN_S = 0.4
-# Part of that in which the requests that were ended get their answers.
-LAST_ANSWERS_S = 0.2
+# Share of the grace period, and the least part of it, that is reserved for what follows
+# the last requests: their answers, open connections, the group, the log.
+RESERVE_SHARE = 0.125
+MIN_RESERVE_S = 0.4
+# Share of the reserve in which the requests that were ended get their answers.
+LAST_ANSWERS_SHARE = 0.5
 LAST_ANSWERS_POLL_INTERVAL_S = 0.01
 STOP_POLL_INTERVAL_S = 0.05
 
 
+class StopTimes:
+    """When the parts of a stop end, counted from its signal.
+
+    The platform kills the process when the grace period ends, however late the event
+    loop was told of the signal.
+    """
+
+    __slots__ = ("signalled_s", "removed_s", "end_s", "answered_s")
+
+    def __init__(self, signalled_s: float, grace_s: float, now_s: float) -> None:
+        reserve_s = max(MIN_RESERVE_S, RESERVE_SHARE * grace_s)
+        self.signalled_s = signalled_s
+        # The load balancer has removed the host, and callers were told that their
+        # connections close.
+        self.removed_s = max(signalled_s + BALANCER_REMOVAL_S, now_s + CLOSE_NOTICE_S)
+        # The requests that still run are ended.
+        self.end_s = signalled_s + grace_s - reserve_s
+        # They have had the time to get their answers.
+        self.answered_s = self.end_s + LAST_ANSWERS_SHARE * reserve_s
+
+
 def log_step(log: DecisionLog, step: str, signalled_s: float, now_s: float) -> None:
     """Log that a step of a stop is done; the last step is the line ``stop``."""
     log.line("stop_step", step=step, after_s=round(now_s - signalled_s, 2))
@@ -47,36 +70,36 @@
     it is not waited for first. Operators and backend servers are served until the rest
     is done, or the grace period is about to end.
     """
-    end_s = boot_clock_s() + grace_s - CLOSE_MARGIN_S
+    times = StopTimes(signalled_s, grace_s, boot_clock_s())
     finished = asyncio.Event()
 
     async def finish() -> None:
         await asyncio.gather(
             _announce_stop(group, log),
-            _drain(signalled_s, grace_s, caller_server, gateway, log),
+            _drain(times, caller_server, gateway, log),
         )
-        await _give_up_vote(group, end_s, log)
+        await _give_up_vote(group, times.end_s, log)
         finished.set()
 
-    await asyncio.gather(finish(), _drain_control(control_server, finished, end_s))
+    await asyncio.gather(finish(), _drain_control(control_server, finished, times))
 
 
 async def _drain_control(
-    server: HttpServer, finished: asyncio.Event, end_s: float
+    server: HttpServer, finished: asyncio.Event, times: StopTimes
 ) -> None:
     """Answer the calls of operators and backend servers, then close.
 
     The clients are told with their responses that their connections close.
     """
-    notice_s = end_s - CONTROL_CLOSE_NOTICE_S
+    notice_s = times.end_s - CONTROL_CLOSE_NOTICE_S
     while not finished.is_set() and boot_clock_s() < notice_s:
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     server.close_after_response()
     await asyncio.sleep(CONTROL_CLOSE_NOTICE_S)
     server.stop_accepting()
-    await _close_when_answered(server, end_s, MIN_IDLE_S)
+    await _close_when_answered(server, times.end_s, MIN_IDLE_S)
     server.refuse_all(stopping_refusal())
-    await _close_when_answered(server, end_s + LAST_ANSWERS_S)
+    await _close_when_answered(server, times.answered_s)
 
 
 async def _close_when_answered(
@@ -89,11 +112,7 @@
 
 
 async def _drain(
-    signalled_s: float,
-    grace_s: float,
-    caller_server: HttpServer,
-    gateway: Gateway,
-    log: DecisionLog,
+    times: StopTimes, caller_server: HttpServer, gateway: Gateway, log: DecisionLog
 ) -> None:
     """Wait for the removal from the load balancer, finish requests, then close.
 
@@ -101,35 +120,32 @@
     the end of the grace period are ended, each with an answer unless it has begun, and
     those that are not read completely are refused.
     """
-    started_at_s = boot_clock_s()
-    end_s = started_at_s + grace_s - CLOSE_MARGIN_S
-    gateway.begin_stop(end_s)
+    gateway.begin_stop(times.end_s)
     log.line(
         "stopping",
         active=caller_server.active,
-        signalled_ago_s=round(started_at_s - signalled_s, 3),
+        signalled_ago_s=round(boot_clock_s() - times.signalled_s, 3),
     )
-    removed_s = started_at_s + BALANCER_REMOVAL_S
-    while boot_clock_s() < removed_s:
-        if boot_clock_s() >= removed_s - CLOSE_NOTICE_S:
+    while boot_clock_s() < times.removed_s:
+        if boot_clock_s() >= times.removed_s - CLOSE_NOTICE_S:
             caller_server.close_after_response()
         gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     caller_server.stop_accepting()
     caller_server.close_after_response()
     gateway.note_removed(boot_clock_s())
-    while caller_server.is_open() and boot_clock_s() < end_s:
+    while caller_server.is_open() and boot_clock_s() < times.end_s:
         caller_server.close_idle(boot_clock_s(), MIN_IDLE_S)
         gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     unfinished = caller_server.active
     gateway.end_unfinished()
     caller_server.refuse_unread(stopping_refusal())
-    await _close_when_answered(caller_server, end_s + LAST_ANSWERS_S)
+    await _close_when_answered(caller_server, times.answered_s)
     log.line(
         "stopped",
         active=unfinished,
-        took_s=round(boot_clock_s() - started_at_s, 2),
+        took_s=round(boot_clock_s() - times.signalled_s, 2),
     )
 
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_planned_stop.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_planned_stop.py
@@ -10,6 +10,7 @@
 from damaskvalve_core import boot_clock_s
 from damaskvalve_core.http import ServerLimits, serving_http
 from damaskvalve_gateway import _planned_stop
+from damaskvalve_gateway._planned_stop import StopTimes
 
 GRACE_S = 1.0
 IP, PORT = "127.0.0.1", 21_695
@@ -41,6 +42,25 @@
         self.refuse_all = mock.Mock()
 
 
+class StopTimesTests(unittest.TestCase):
+    def test_a_stop_that_began_late_outlasted_its_grace_period(self):
+        """The time from the signal until the event loop was told of it counts."""
+        for late_s in (0.0, 0.5, 2.0):
+            with self.subTest(late_s):
+                times = StopTimes(100.0, 8.0, 100.0 + late_s)
+                self.assertEqual((times.end_s, times.answered_s), (107.0, 107.5))
+        # Callers are told of the close of their connections all the same.
+        self.assertEqual(StopTimes(100.0, 8.0, 100.5).removed_s, 102.6)
+        self.assertEqual(round(StopTimes(100.0, 8.0, 102.5).removed_s, 3), 103.1)
+
+    def test_requests_are_not_ended_before_the_last_sixth_of_the_grace_period(self):
+        """Users accept a cut only then; the reserve for the rest lies in it."""
+        for grace_s in (4.0, 8.0, 30.0):
+            times = StopTimes(0.0, grace_s, 0.0)
+            self.assertGreaterEqual(times.end_s, grace_s * 5 / 6)
+            self.assertLess(times.answered_s, grace_s)
+
+
 class StopTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_slow_transfer_of_leadership_took_its_time_from_the_requests(self):
         """Requests are ended when the grace period ends, not later by the transfer."""
