No thread that waits for the group or the leader holds the end of a process

Cause: asyncio.run waits for the threads of its executor, and the interpreter for them once more. A change that a leader commits waits up to 2.9 s for its group, an agent's request for a fence up to some seconds for hosts that do not answer, so a stop in that moment ended that much later; its log may be cut by the kill. A call that waits for the group member is awaited without a thread now (LoopFuture); the three calls that need a thread get one that nothing waits for (run_in_thread).

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -51,6 +51,7 @@
 )
 from damaskvalve_core.metrics import CONTENT_TYPE
 from damaskvalve_core.rpc import RpcCall
+from damaskvalve_core.tasks import run_in_thread
 
 # While a load is in transit, the engine is polled often, because a request waits for
 # the load; otherwise only to detect a restart.
@@ -266,7 +267,7 @@
         self, incoming: IncomingRequest, responder: Responder
     ) -> None:
         """Answer any HTTP request with the metrics."""
-        text = await asyncio.to_thread(self._metrics.render)
+        text = await run_in_thread(self._metrics.render)
         headers = [(b"content-type", CONTENT_TYPE.encode())]
         await responder.send(200, headers, text)
 
@@ -385,9 +386,7 @@
             for address in self._settings.rpc_addresses(self._host_ips):
                 leader.learn(address)
             try:
-                result = await asyncio.to_thread(
-                    leader.commit, command, FENCE_TIMEOUT_S
-                )
+                result = await run_in_thread(leader.commit, command, FENCE_TIMEOUT_S)
                 self._fence_number = result.fence.number
                 self._log.line("fence", number=self._fence_number, holder=self._holder)
                 self._changed.set()
--- a/packages/damaskvalve-core/damaskvalve_core/tasks.py
+++ b/packages/damaskvalve-core/damaskvalve_core/tasks.py
@@ -1,9 +1,11 @@
-"""Background tasks of asyncio."""
+"""Background tasks and blocking calls of asyncio."""
 
 import asyncio
 import contextlib
 import functools
+import threading
 from collections.abc import Awaitable, Callable, Iterator, Sequence
+from typing import Any, TypeVar
 
 from damaskvalve_core._decision_log import DecisionLog
 
@@ -11,6 +13,8 @@
 RESTART_S = 1.0
 MAX_REASON_CHARACTERS = 500
 
+_T = TypeVar("_T")
+
 
 def _name(run: Callable[[], Awaitable[None]]) -> str:
     if isinstance(run, functools.partial):
@@ -47,4 +51,36 @@
             task.cancel()
 
 
-__all__ = ["background_tasks", "run_restarting"]
+async def run_in_thread(function: Callable[..., _T], *arguments: Any) -> _T:
+    """Run a blocking function in a thread of its own and return its result.
+
+    Unlike for :func:`asyncio.to_thread`, neither the end of the event loop nor that of
+    the process waits for a function that is still blocked. So this is for functions
+    that may be abandoned.
+    """
+    loop = asyncio.get_running_loop()
+    future: asyncio.Future[_T] = loop.create_future()
+
+    def finish(result: _T | None, error: BaseException | None) -> None:
+        if future.cancelled():
+            return
+        if error is not None:
+            future.set_exception(error)
+        else:
+            future.set_result(result)  # type: ignore[arg-type]
+
+    def run() -> None:
+        result, failure = None, None
+        try:
+            result = function(*arguments)
+        except Exception as error:
+            failure = error
+        # The event loop may have been closed meanwhile.
+        with contextlib.suppress(RuntimeError):
+            loop.call_soon_threadsafe(finish, result, failure)
+
+    threading.Thread(target=run, daemon=True).start()
+    return await future
+
+
+__all__ = ["background_tasks", "run_in_thread", "run_restarting"]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_planned_stop.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_planned_stop.py
@@ -152,7 +152,7 @@
 async def _announce_stop(group: Group, log: DecisionLog) -> None:
     """Let the other hosts do without this one's leadership and vote."""
     try:
-        await asyncio.to_thread(group.announce_stop)
+        await group.announce_stop()
     except RetryLaterError as error:
         log.line("stop_not_announced", reason=str(error))
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_run.py
@@ -28,7 +28,7 @@
 )
 from damaskvalve_core.metrics import CONTENT_TYPE
 from damaskvalve_core.rpc import RpcClient, serving_rpc
-from damaskvalve_core.tasks import background_tasks
+from damaskvalve_core.tasks import background_tasks, run_in_thread
 from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._backend_attempt import ReplyCallback
 from damaskvalve_gateway._base_versions import BaseVersionController
@@ -339,7 +339,7 @@
 async def _load_metrics(metrics: GatewayMetrics) -> None:
     """Load the metrics library once the host is serving."""
     await asyncio.sleep(METRICS_LOAD_DELAY_S)
-    await asyncio.to_thread(metrics.load)
+    await run_in_thread(metrics.load)
 
 
 async def _watch_suspension(
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_state_client.py
@@ -127,7 +127,7 @@
 
         while True:
             try:
-                await asyncio.to_thread(self._group.run, start)
+                await self._group.run_async(start)
                 return
             except RetryLaterError as error:
                 self._log.line("state_unwatched", reason=str(error))
@@ -256,9 +256,7 @@
     async def commit(self, command: Command) -> CommandResult:
         """Commit a command; on :class:`RetryLaterError` its outcome is unknown."""
         if self.leads(boot_clock_s()):
-            result = await asyncio.to_thread(
-                self._group.propose, command, COMMIT_TIMEOUT_S
-            )
+            result = await self._group.propose_async(command, COMMIT_TIMEOUT_S)
             if result is None:
                 raise RetryLaterError("this host is no longer the leader")
             return result
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_planned_stop.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_planned_stop.py
@@ -66,7 +66,7 @@
         """Requests are ended when the grace period ends, not later by the transfer."""
         started_s = boot_clock_s()
         server, group, gateway = BusyServer(), mock.Mock(), mock.Mock()
-        group.announce_stop = lambda: time.sleep(1.5)
+        group.announce_stop = lambda: asyncio.sleep(1.5)
         ended_s = []
 
         def end_unfinished():
@@ -100,7 +100,7 @@
             async with serving as server:
                 listening.set()
                 await asyncio.to_thread(answered.wait, 5.0)
-                group = mock.Mock()
+                group = mock.Mock(announce_stop=mock.AsyncMock())
                 group.status.return_value.has_spare_vote = False
                 await _planned_stop.stop_serving(
                     boot_clock_s(),
--- a/packages/damaskvalve-state/damaskvalve_state/_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_group.py
@@ -11,6 +11,7 @@
 from damaskvalve_core.messages import Command, CommandResult
 from damaskvalve_state._group_reporter import GroupObserver, ignore_event
 from damaskvalve_state._journal import make_folder
+from damaskvalve_state._loop_future import LoopFuture
 from damaskvalve_state._node import GroupNode
 from damaskvalve_state._node_messages import PeerRequest, RunInActor, Tick
 from damaskvalve_state._node_settings import NodeSettings, NodeStatus, PublishedStatus
@@ -60,19 +61,39 @@
 
         if not self.run(start):
             return None
-        result = _wait(future, timeout_s)
-        if result is None:
-            raise RetryLaterError(
-                "the leader changed; the outcome of the command is unknown"
-            )
-        return result
-
-    def announce_stop(self) -> None:
+        return _known(_wait(future, timeout_s))
+
+    async def run_async(
+        self, function: Callable[[GroupNode, float], T], timeout_s: float = 2.0
+    ) -> T:
+        """Do the same as :meth:`run`; the event loop goes on meanwhile."""
+        future: LoopFuture[T] = LoopFuture()
+        self._tell(RunInActor(function, future))
+        return await future.wait(timeout_s)
+
+    async def propose_async(
+        self, command: Command, timeout_s: float
+    ) -> CommandResult | None:
+        """Do the same as :meth:`propose`; the event loop goes on meanwhile.
+
+        No thread waits for the outcome, which may take longer than a stop of the
+        process.
+        """
+        future: LoopFuture[CommandResult | None] = LoopFuture()
+
+        def start(node: GroupNode, now_s: float) -> bool:
+            return node.propose(command, future.set, now_s)
+
+        if not await self.run_async(start):
+            return None
+        return _known(await future.wait(timeout_s))
+
+    async def announce_stop(self) -> None:
         """Give up leadership and, if the others can spare it, the vote.
 
         To be called some seconds before the member stops.
         """
-        self.run(lambda node, now_s: node.announce_stop(now_s))
+        await self.run_async(lambda node, now_s: node.announce_stop(now_s))
 
     def status(self) -> NodeStatus:
         """Return the last published status without waiting for the actor."""
@@ -83,6 +104,14 @@
         self._tell(Tick())
 
 
+def _known(result: CommandResult | None) -> CommandResult:
+    if result is None:
+        raise RetryLaterError(
+            "the leader changed; the outcome of the command is unknown"
+        )
+    return result
+
+
 def _wait(future: "pykka.ThreadingFuture[T]", timeout_s: float) -> T:
     try:
         return future.get(timeout=timeout_s)
--- a/packages/damaskvalve-state/damaskvalve_state/_node_messages.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node_messages.py
@@ -1,13 +1,14 @@
 """Messages in the mailbox of a control host's actor."""
 
 from collections.abc import Callable
-from typing import Any, Generic, TypeVar
+from typing import Any, Generic, Protocol, TypeVar
 
 import pykka
 
 from damaskvalve_core.messages import Member
 
 T = TypeVar("T")
+T_contra = TypeVar("T_contra", contravariant=True)
 
 
 class Tick:
@@ -42,6 +43,16 @@
         self.reply = reply
 
 
+class ResultFuture(Protocol[T_contra]):
+    """What receives the result of a function that runs in the actor's thread."""
+
+    def set(self, value: T_contra) -> Any:
+        """Complete it with a result."""
+
+    def set_exception(self) -> None:
+        """Complete it with the exception that is being handled."""
+
+
 class RunInActor(Generic[T]):
     """A function to run in the actor's thread."""
 
@@ -50,7 +61,7 @@
     def __init__(
         self,
         function: Callable[[Any, float], T],
-        future: "pykka.ThreadingFuture[T]",
+        future: ResultFuture[T],
     ) -> None:
         self.function = function
         self.future = future
--- a/packages/damaskvalve-state/damaskvalve_state/tests/open_fleet.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/open_fleet.py
@@ -1,5 +1,6 @@
 """Members of an open group, connected over loopback."""
 
+import asyncio
 import contextlib
 import shutil
 import time
@@ -51,7 +52,7 @@
 
     def stop_gracefully(self, number):
         """Stop a member as a host does at a planned stop."""
-        self.groups[number].announce_stop()
+        asyncio.run(self.groups[number].announce_stop())
         time.sleep(DRAIN_S)
         self.stop(number)
 
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_group.py
@@ -1,5 +1,6 @@
 """A running member: group commit, restart and disk failures."""
 
+import asyncio
 import errno
 import signal
 import tempfile
@@ -9,7 +10,7 @@
 from pathlib import Path
 from unittest import mock
 
-from damaskvalve_core import ChannelError, RetryLaterError
+from damaskvalve_core import ChannelError, RetryLaterError, boot_clock_s
 from damaskvalve_core.messages import ClaimOnce, Command
 from damaskvalve_state import (
     Journal,
@@ -21,6 +22,9 @@
 
 ADDRESS = "127.0.0.1:1"
 
+# What is left for the member of 8 s of grace once the last answers are sent.
+STOP_RESERVE_S = 0.5
+
 
 class NoPeers:
     """A dialer without reachable peers."""
@@ -116,6 +120,26 @@
         self.assertEqual(sum(syncs), 60)
         self.assertLess(len(syncs), 30)
 
+    def test_a_proposal_that_the_disk_holds_held_the_end_of_an_event_loop(self):
+        """No thread waits for its outcome, which comes after the loop has closed."""
+        release = threading.Event()
+        self.addCleanup(release.set)
+
+        async def propose(group):
+            result = await group.propose_async(claim("second"), 5.0)
+            self.assertTrue(result.accepted)
+            with mock.patch.object(Journal, "append", lambda *_: release.wait(3.0)):
+                call = asyncio.ensure_future(group.propose_async(claim("third"), 9.0))
+                await asyncio.sleep(0.1)
+                call.cancel()
+            return boot_clock_s()
+
+        with running_group(self.settings, NoPeers()) as group:
+            self.commit(group, "first")
+            cancelled_s = asyncio.run(propose(group))
+            self.assertLess(boot_clock_s() - cancelled_s, STOP_RESERVE_S)
+            release.set()
+
     def test_disk_failure_ends_the_process_without_acknowledging(self):
         """The proposer is told that the outcome is unknown.
 
