A member that its disk holds is abandoned at the end of a stop

Cause: the end of a host waited without a limit for its member, and the interpreter for the member's thread; one whose disk stalls for seconds held the process until it was killed. It is abandoned after 0.3 s now, as by a loss of power: nothing that is not synced has been acknowledged.

--- a/packages/damaskvalve-state/damaskvalve_state/_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_group.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, TypeVar
 
+import logbook
 import pykka
 
 from damaskvalve_core import Dialer, RetryLaterError
@@ -17,6 +18,10 @@
 from damaskvalve_state._node_settings import NodeSettings, NodeStatus, PublishedStatus
 
 TICK_INTERVAL_S = 0.03
+# How long the end of a member may take; what it has to write is a few kilobytes.
+STOP_TIMEOUT_S = 0.3
+
+_log = logbook.Logger("group")
 T = TypeVar("T")
 
 
@@ -135,6 +140,10 @@
 ) -> Iterator[Group]:
     """Run a member of the group; stop it on exit.
 
+    A member that waits for its disk is abandoned after a timeout: nothing of what it
+    still writes has been acknowledged, and a process that is asked to stop is killed
+    soon.
+
     The observer is called in the member's thread with each change of the voters, of
     their contact with the leader, and of the leader.
     """
@@ -152,4 +161,9 @@
         stop.set()
         published.stop_requested.set()
         ticker.join()
-        actor.stop()
+        try:
+            actor.stop(timeout=STOP_TIMEOUT_S)
+        except pykka.Timeout:
+            _log.warning(
+                "the disk holds the member; it is abandoned as by the loss of power"
+            )
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -72,6 +72,9 @@
     before the data that it acknowledges is on disk.
     """
 
+    # The process does not wait for a member that its disk holds.
+    use_daemon_thread = True
+
     # ---- mailbox ----
 
     def on_receive(self, message: Any) -> None:
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_group.py
@@ -140,6 +140,24 @@
             self.assertLess(boot_clock_s() - cancelled_s, STOP_RESERVE_S)
             release.set()
 
+    def test_a_disk_that_stalls_held_the_stop_of_a_process(self):
+        """The member is abandoned; the process does not wait for its thread either."""
+        release, stalled = threading.Event(), threading.Event()
+        self.addCleanup(release.set)
+
+        def stall(*_):
+            stalled.set()
+            release.wait(10.0)
+
+        with mock.patch.object(Journal, "append", stall):
+            with running_group(self.settings, NoPeers()) as group:
+                group.tick()
+                self.assertTrue(stalled.wait(5.0))
+                stopped_s = time.monotonic()
+            self.assertLess(time.monotonic() - stopped_s, STOP_RESERVE_S)
+            threads = [item for item in threading.enumerate() if not item.daemon]
+            self.assertEqual(threads, [threading.main_thread()])
+
     def test_disk_failure_ends_the_process_without_acknowledging(self):
         """The proposer is told that the outcome is unknown.
 
