--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
@@ -9,6 +9,7 @@
 
 from damaskvalve_core import RefusedError
 from damaskvalve_gateway._exchange import Exchange
+from damaskvalve_gateway._model import STREAMING
 
 # Outcome of an exchange, and code of a refusal, because the host stops.
 STOPPING = "stopping"
@@ -116,8 +117,10 @@
         """Record that callers reach other hosts from now on.
 
         A request that a kept connection brings all the same is better served there than
-        cut off, so it is admitted only if it ends in time whatever it takes: engines
-        may slow down while hosts stop, and what earlier requests took is no bound.
+        ended here. A stream is admitted only if it ends in time whatever it takes: once
+        it has begun it cannot be answered otherwise, engines may slow down while hosts
+        stop, and what earlier ones took is no bound. Any other request has to be as
+        certain to end as one that may not be repeated.
         """
         self._removed_s = now_s
 
@@ -143,14 +146,15 @@
         """Return whether a request that has not run may be sent now."""
         if self._end_s is None:
             return True
-        if self._removed_s is not None and exchange.arrived_s > self._removed_s:
+        is_late = self._removed_s is not None and exchange.arrived_s > self._removed_s
+        if is_late and exchange.route.kind == STREAMING:
             return certainly_ends(exchange.deadline_s, self._end_s, now_s)
         return may_finish(
             exchange.deadline_s,
             self.times.times_s(exchange),
             self._end_s,
             now_s,
-            repeatable=exchange.route.is_repeatable(),
+            repeatable=exchange.route.is_repeatable() and not is_late,
         )
 
 
