The end of admission by estimates does not depend on a turn of the event loop

Callers' streams that are sent up to 3 s after SIGTERM may be cut at the end; the moment from which they have to be certain to end was when the event loop got to it, and later still if the signal was noticed late: told 2.5 s late it was 3.1 s, blocked from 2.5 to 3.4 s it was 3.42 s. It is 2.6 s after the signal now, set as the stop begins (StopTimes.removed_s); when idle connections are closed is a time of its own (closing_s), which does not lie beyond the end of requests either.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -279,13 +279,12 @@
 
     # ---- planned stop ----
 
-    def begin_stop(self, end_s: float) -> None:
-        """Serve only requests that can be expected to end before the given time."""
-        self._stop.begin(end_s)
+    def begin_stop(self, removed_s: float, end_s: float) -> None:
+        """Serve only requests that can be expected to end before a given time.
 
-    def note_removed(self, now_s: float) -> None:
-        """Record that the load balancer sends callers to other hosts from now on."""
-        self._stop.note_removed(now_s)
+        Callers reach other hosts from ``removed_s`` on.
+        """
+        self._stop.begin(removed_s, end_s)
 
     def refuse_waiting(self, now_s: float) -> None:
         """Refuse the requests that have not run and would now be sent too late."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_planned_stop.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_planned_stop.py
@@ -36,16 +36,18 @@
     loop was told of the signal.
     """
 
-    __slots__ = ("signalled_s", "removed_s", "end_s", "answered_s")
+    __slots__ = ("signalled_s", "removed_s", "closing_s", "end_s", "answered_s")
 
     def __init__(self, signalled_s: float, grace_s: float, now_s: float) -> None:
         reserve_s = max(MIN_RESERVE_S, RESERVE_SHARE * grace_s)
         self.signalled_s = signalled_s
-        # The load balancer has removed the host, and callers were told that their
-        # connections close.
-        self.removed_s = max(signalled_s + BALANCER_REMOVAL_S, now_s + CLOSE_NOTICE_S)
+        # The load balancer has removed the host.
+        self.removed_s = signalled_s + BALANCER_REMOVAL_S
         # The requests that still run are ended.
         self.end_s = signalled_s + grace_s - reserve_s
+        # Idle connections are closed, once callers were told that their connections
+        # close.
+        self.closing_s = min(self.end_s, max(self.removed_s, now_s + CLOSE_NOTICE_S))
         # They have had the time to get their answers.
         self.answered_s = self.end_s + LAST_ANSWERS_SHARE * reserve_s
 
@@ -120,20 +122,19 @@
     the end of the grace period are ended, each with an answer unless it has begun, and
     those that are not read completely are refused.
     """
-    gateway.begin_stop(times.end_s)
+    gateway.begin_stop(times.removed_s, times.end_s)
     log.line(
         "stopping",
         active=caller_server.active,
         signalled_ago_s=round(boot_clock_s() - times.signalled_s, 3),
     )
-    while boot_clock_s() < times.removed_s:
-        if boot_clock_s() >= times.removed_s - CLOSE_NOTICE_S:
+    while boot_clock_s() < times.closing_s:
+        if boot_clock_s() >= times.closing_s - CLOSE_NOTICE_S:
             caller_server.close_after_response()
         gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
     caller_server.stop_accepting()
     caller_server.close_after_response()
-    gateway.note_removed(boot_clock_s())
     while caller_server.is_open() and boot_clock_s() < times.end_s:
         caller_server.close_idle(boot_clock_s(), MIN_IDLE_S)
         gateway.refuse_waiting(boot_clock_s())
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
@@ -106,23 +106,20 @@
         self.times = ServingTimes()
         # When the requests that still run are ended; None while the host serves.
         self._end_s: float | None = None
-        # When the load balancer had removed this host; None before.
-        self._removed_s: float | None = None
-
-    def begin(self, end_s: float) -> None:
-        """Begin the stop; requests that still run at the given time are ended."""
-        self._end_s = end_s
-
-    def note_removed(self, now_s: float) -> None:
-        """Record that callers reach other hosts from now on.
-
-        A request that a kept connection brings all the same is better served there than
-        ended here. A stream is admitted only if it ends in time whatever it takes: once
-        it has begun it cannot be answered otherwise, engines may slow down while hosts
-        stop, and what earlier ones took is no bound. Any other request has to be as
-        certain to end as one that may not be repeated.
+        # When the load balancer has removed this host; unused while it serves.
+        self._removed_s = 0.0
+
+    def begin(self, removed_s: float, end_s: float) -> None:
+        """Begin the stop; requests that still run at ``end_s`` are ended.
+
+        From ``removed_s`` on, when the load balancer has removed this host, a request
+        that a kept connection brings is better served at another host than ended here.
+        A stream is admitted then only if it ends in time whatever it takes: once it has
+        begun it cannot be answered otherwise, engines may slow down while hosts stop,
+        and what earlier ones took is no bound. Any other request has to be as certain
+        to end as one that may not be repeated.
         """
-        self._removed_s = now_s
+        self._removed_s, self._end_s = removed_s, end_s
 
     def is_stopping(self) -> bool:
         """Return whether the host stops."""
@@ -146,7 +143,7 @@
         """Return whether a request that has not run may be sent now."""
         if self._end_s is None:
             return True
-        is_late = self._removed_s is not None and exchange.arrived_s > self._removed_s
+        is_late = exchange.arrived_s > self._removed_s
         if is_late and exchange.route.kind == STREAMING:
             return certainly_ends(exchange.deadline_s, self._end_s, now_s)
         return may_finish(
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_planned_stop.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_planned_stop.py
@@ -13,6 +13,9 @@
 from damaskvalve_gateway._planned_stop import StopTimes
 
 GRACE_S = 1.0
+# The grace period of the users' deployments, and the time after SIGTERM until which
+# they accept the cut of a request that is sent.
+GIVEN_GRACE_S, LATEST_SENT_S = 8.0, 3.0
 IP, PORT = "127.0.0.1", 21_695
 REQUEST = b"GET /p HTTP/1.1\r\nHost: h\r\n\r\n"
 # Fits into the write buffer of a connection.
@@ -50,8 +53,21 @@
                 times = StopTimes(100.0, 8.0, 100.0 + late_s)
                 self.assertEqual((times.end_s, times.answered_s), (107.0, 107.5))
         # Callers are told of the close of their connections all the same.
-        self.assertEqual(StopTimes(100.0, 8.0, 100.5).removed_s, 102.6)
-        self.assertEqual(round(StopTimes(100.0, 8.0, 102.5).removed_s, 3), 103.1)
+        self.assertEqual(StopTimes(100.0, 8.0, 100.5).closing_s, 102.6)
+        self.assertEqual(round(StopTimes(100.0, 8.0, 102.5).closing_s, 3), 103.1)
+
+    def test_a_late_signal_moved_the_end_of_admission_by_estimates(self):
+        """Users accept the cut of a request only if it was sent within 3 s."""
+        for late_s in (0.0, 2.0, 2.5, 3.5):
+            with self.subTest(late_s):
+                removed_s = StopTimes(0.0, GIVEN_GRACE_S, late_s).removed_s
+                self.assertLessEqual(removed_s, LATEST_SENT_S)
+
+    def test_a_late_signal_moved_the_close_of_connections_beyond_the_end(self):
+        """Requests are ended at the end of the stop, however late it began."""
+        for grace_s, late_s in ((GIVEN_GRACE_S, 6.9), (2.0, 0.0)):
+            times = StopTimes(0.0, grace_s, late_s)
+            self.assertLessEqual(times.closing_s, times.end_s)
 
     def test_requests_are_not_ended_before_the_last_sixth_of_the_grace_period(self):
         """Users accept a cut only then; the reserve for the rest lies in it."""
@@ -61,6 +77,19 @@
             self.assertLess(times.answered_s, grace_s)
 
 
+class LateTurnTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_late_turn_moved_the_end_of_admission_by_estimates(self):
+        """The event loop is blocked as the removal from the load balancer is due."""
+        gateway, signalled_s = mock.Mock(), boot_clock_s() - 2.5
+        times = StopTimes(signalled_s, GIVEN_GRACE_S, signalled_s)
+        asyncio.get_running_loop().call_later(0.02, time.sleep, 0.9)
+        await _planned_stop._drain(times, ClosedServer(), gateway, mock.Mock())
+        (removed_s, _), _ = gateway.begin_stop.call_args
+        self.assertLessEqual(removed_s - signalled_s, LATEST_SENT_S)
+        named = {name for name, _, _ in gateway.method_calls}
+        self.assertEqual(named, {"begin_stop", "refuse_waiting", "end_unfinished"})
+
+
 class StopTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_slow_transfer_of_leadership_took_its_time_from_the_requests(self):
         """Requests are ended when the grace period ends, not later by the transfer."""
@@ -79,7 +108,7 @@
                 started_s, GRACE_S, group, server, ClosedServer(), gateway, mock.Mock()
             )
         self.assertLess(ended_s[0], GRACE_S)
-        (end_s,), _ = gateway.begin_stop.call_args
+        (_, end_s), _ = gateway.begin_stop.call_args
         self.assertLess(end_s - started_s, GRACE_S)
 
     def test_a_reply_that_the_caller_read_slowly_was_cut_at_the_end_of_a_stop(self):
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stopping.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stopping.py
@@ -132,8 +132,7 @@
         arrived_s = exchange.arrived_s
         for _ in range(MAX_TIMES):
             stop.times.note(exchange, arrived_s + 0.05)
-        stop.begin(arrived_s + 4.0)
-        stop.note_removed(arrived_s - 1.0)
+        stop.begin(arrived_s - 1.0, arrived_s + 4.0)
         for left_s, is_admitted in ((30.0, False), (4.1, False), (3.9, True)):
             with self.subTest(left_s):
                 exchange.deadline_s = arrived_s + left_s
@@ -149,11 +148,11 @@
         arrived_s = exchange.arrived_s
         for took_s in (0.5,) * 29 + (9.0,) * 3:
             stop.times.note(exchange, arrived_s + took_s)
-        stop.begin(arrived_s + 4.0)
+        stop.begin(arrived_s + 1.0, arrived_s + 4.0)
         self.assertTrue(stop.admits(exchange, arrived_s))
-        stop.note_removed(arrived_s)
+        stop.begin(arrived_s, arrived_s + 4.0)
         self.assertTrue(stop.admits(exchange, arrived_s))
-        stop.note_removed(arrived_s - 1.0)
+        stop.begin(arrived_s - 1.0, arrived_s + 4.0)
         self.assertFalse(stop.admits(exchange, arrived_s))
 
 
@@ -244,20 +243,20 @@
             gateway = self.make_gateway(UNSAFE)
             self.announce(address)
             # How long requests of the route take is not known yet.
-            gateway.begin_stop(boot_clock_s() + 5.0)
+            gateway.begin_stop(boot_clock_s() + 5.0, boot_clock_s() + 5.0)
             responder = StopResponder()
             await self.handle(gateway, responder)
             self.assertEqual(responder.body, b"stopping not-run")
             self.assertEqual((responder.status, responder.closes), (503, True))
             self.assertEqual(server.requests, 0)
             # It is known once some were served, here before the stop.
-            gateway.begin_stop(boot_clock_s() + 40.0)
+            gateway.begin_stop(boot_clock_s() + 40.0, boot_clock_s() + 40.0)
             await self.handle(gateway, StopResponder())
-            gateway.begin_stop(boot_clock_s() + 5.0)
+            gateway.begin_stop(boot_clock_s() + 5.0, boot_clock_s() + 5.0)
             responder = StopResponder()
             await self.handle(gateway, responder)
             self.assertEqual((responder.status, server.requests), (200, 2))
-            gateway.begin_stop(boot_clock_s())
+            gateway.begin_stop(boot_clock_s(), boot_clock_s())
             responder = StopResponder()
             await self.handle(gateway, responder)
             self.assertEqual((responder.status, server.requests), (503, 2))
@@ -272,7 +271,7 @@
         gateway.refuse_waiting(boot_clock_s())
         await asyncio.sleep(0.05)
         self.assertFalse(handling.done())
-        gateway.begin_stop(boot_clock_s() + 5.0)
+        gateway.begin_stop(boot_clock_s() + 5.0, boot_clock_s() + 5.0)
         gateway.refuse_waiting(boot_clock_s())
         await asyncio.wait_for(handling, 1.0)
         self.assertEqual(
@@ -289,7 +288,7 @@
             responder = StopResponder()
             handling = asyncio.create_task(self.handle(gateway, responder))
             await asyncio.sleep(0.1)
-            gateway.begin_stop(boot_clock_s() + 0.1)
+            gateway.begin_stop(boot_clock_s() + 0.1, boot_clock_s() + 0.1)
             gateway.refuse_waiting(boot_clock_s())
             await asyncio.sleep(0.05)
             self.assertFalse(handling.done())
@@ -314,7 +313,7 @@
             handling = asyncio.create_task(self.handle(gateway, responder))
             await asyncio.sleep(0.1)
             self.assertTrue(responder.started)
-            gateway.begin_stop(boot_clock_s())
+            gateway.begin_stop(boot_clock_s(), boot_clock_s())
             gateway.end_unfinished()
             await asyncio.wait_for(handling, 1.0)
             self.assertEqual((responder.finished, responder.aborted), (False, True))
