--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -289,7 +289,8 @@
             busy = self._admission.is_busy() and is_reachable
             pause_s = BUSY_REPORT_INTERVAL_S if busy else IDLE_REPORT_INTERVAL_S
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._report_due.wait(), pause_s)
+                async with asyncio.timeout(pause_s):
+                    await self._report_due.wait()
             self._report_due.clear()
 
     async def _fetch_report(self) -> None:
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -240,15 +240,13 @@
         loop = asyncio.get_running_loop()
         try:
             ip, port = split_address(address)
-            _, new_connection = await asyncio.wait_for(
-                loop.create_connection(
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, new_connection = await loop.create_connection(
                     lambda: BackendConnection(address),
                     ip,
                     port,
                     local_addr=self._source_address,
-                ),
-                CONNECT_TIMEOUT_S,
-            )
+                )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
         self.opened_count += 1
--- a/packages/damaskvalve-core/damaskvalve_core/rpc.py
+++ b/packages/damaskvalve-core/damaskvalve_core/rpc.py
@@ -148,12 +148,10 @@
             timeout_s += HANDSHAKE_TIMEOUT_S
         try:
             ip, port = split_address(address)
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(
                     ip, port, ssl=self._context, local_addr=self._source_address
-                ),
-                timeout_s,
-            )
+                )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
         enable_keepalive(writer.get_extra_info("socket"))
--- a/packages/damaskvalve-state/damaskvalve_state/_loop_future.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_loop_future.py
@@ -43,7 +43,8 @@
     async def wait(self, timeout_s: float) -> T:
         """Return the result; raise :class:`RetryLaterError` after the timeout."""
         try:
-            return await asyncio.wait_for(self._future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await self._future
         except TimeoutError as error:
             raise RetryLaterError(
                 "the control host did not answer within the timeout"
