--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -66,8 +66,8 @@
 LEADER_CONTACT_TIMEOUT_S = 2.5
 # A request is refused once this many of its attempts have ended as not run.
 MAX_NOT_RUN_ATTEMPTS = 3
-# Maximum number of requests that the line of those unfinished at a stop names.
-MAX_UNFINISHED_LOGGED = 50
+# Number of requests that one line of those unfinished at a stop names.
+UNFINISHED_PER_LINE = 50
 
 
 def _of_version(
@@ -294,11 +294,10 @@
 
     def end_unfinished(self) -> None:
         """End all requests: each is answered, or its stream is aborted."""
-        if self._open:
-            ids = [exchange.request.request_id for exchange in self._open]
-            self._log.line(
-                "unfinished", count=len(ids), requests=ids[:MAX_UNFINISHED_LOGGED]
-            )
+        ids = [exchange.request.request_id for exchange in self._open]
+        for first in range(0, len(ids), UNFINISHED_PER_LINE):
+            some = ids[first : first + UNFINISHED_PER_LINE]
+            self._log.line("unfinished", count=len(ids), requests=some)
         for exchange in list(self._open):
             self._end(exchange)
 
