--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -116,6 +116,8 @@
         self._stop = StopAdmission()
         # The requests being served, each with its deadline.
         self._open: dict[Exchange, asyncio.Timeout] = {}
+        # The requests that wait for a confirmation before they are denied.
+        self._confirming: set[asyncio.Timeout] = set()
         self._started_at_s = boot_clock_s()
         self._plain = PlainChoice(data_centre)
         self._log = log
@@ -184,10 +186,25 @@
         except RefusedError as error:
             if error.code not in DENIALS or self._confirmations.is_fresh():
                 raise
-        await self._confirmations.confirm(request.deadline_s)
+        await self._confirm(request)
         # A newer configuration may have come in force meanwhile.
         return self._admit(request, responder, arrived_s)
 
+    async def _confirm(self, request: CallerRequest) -> None:
+        """Wait until the configuration is confirmed, or the end of a stop."""
+        try:
+            async with asyncio.timeout(None) as timeout:
+                self._confirming.add(timeout)
+                try:
+                    await self._confirmations.confirm(request.deadline_s)
+                finally:
+                    self._confirming.discard(timeout)
+        except TimeoutError as error:
+            raise stopping_refusal() from error
+        except asyncio.CancelledError:
+            self._log.line("unconfirmed", request=request.request_id)
+            raise
+
     def _admit(
         self, request: CallerRequest, responder: Responder, arrived_s: float
     ) -> Exchange:
@@ -300,6 +317,8 @@
             self._log.line("unfinished", count=len(ids), requests=some)
         for exchange in list(self._open):
             self._end(exchange)
+        for timeout in self._confirming:
+            timeout.reschedule(asyncio.get_running_loop().time())
 
     def _end(self, exchange: Exchange) -> None:
         timeout = self._open[exchange]
