The log of a stop tells of answers that callers have not taken

It says how many connections are cut and how many bytes are unsent. The test counts one cut connection (there was no such field before); a caller that reads 0.8 s late still gets all of it, and no connection counts as cut.

--- a/packages/damaskvalve-core/damaskvalve_core/http/_server.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 
 from damaskvalve_core import RefusedError, boot_clock_s, split_address
 from damaskvalve_core._listen import open_server
@@ -153,6 +153,10 @@
         """Return whether a connection is open, or closes but has unsent bytes."""
         return bool(self.connections)
 
+    def unsent_bytes(self) -> Sequence[int]:
+        """Return, for each open connection, how much of its responses is unsent."""
+        return [connection.unsent_bytes() for connection in self.connections]
+
     def stop_accepting(self) -> None:
         """Close the listening socket."""
         if self._listener is not None:
--- a/packages/damaskvalve-core/damaskvalve_core/http/_server_connection.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_server_connection.py
@@ -163,8 +163,12 @@
     def _note_unread(self) -> None:
         self._server.budget.set_unread(self.holding, len(self._unread))
 
+    def unsent_bytes(self) -> int:
+        """Return how much of its responses is not sent yet."""
+        return self._transport.get_write_buffer_size() + self.pending_bytes
+
     def _note_unsent(self, written_bytes: int = 0) -> None:
-        unsent_bytes = self._transport.get_write_buffer_size() + self.pending_bytes
+        unsent_bytes = self.unsent_bytes()
         if unsent_bytes or self.holding.unsent_bytes:
             self._server.budget.set_unsent(
                 self.holding, unsent_bytes, written_bytes, boot_clock_s()
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_planned_stop.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_planned_stop.py
@@ -143,9 +143,12 @@
     gateway.end_unfinished()
     caller_server.refuse_unread(stopping_refusal())
     await _close_when_answered(caller_server, times.answered_s)
+    unsent_bytes = caller_server.unsent_bytes()
     log.line(
         "stopped",
         active=unfinished,
+        cut=len(unsent_bytes),
+        unsent_bytes=sum(unsent_bytes),
         took_s=round(boot_clock_s() - times.signalled_s, 2),
     )
 
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_planned_stop.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_planned_stop.py
@@ -1,6 +1,7 @@
 """The sequence of a planned stop."""
 
 import asyncio
+import contextlib
 import socket
 import threading
 import time
@@ -35,6 +36,9 @@
     def is_open(self):
         return self.active > 0
 
+    def unsent_bytes(self):
+        return [0] * self.active
+
 
 class ClosedServer(BusyServer):
     """A server without connections."""
@@ -130,7 +134,24 @@
 
     def test_a_reply_that_the_caller_read_slowly_was_cut_at_the_end_of_a_stop(self):
         """The host waits for what it has not sent yet, within the grace period."""
-        listening, answered = threading.Event(), threading.Event()
+        received, log = self.stop_amid_a_reply(reads_after_s=0.8)
+        self.assertEqual(len(received), REPLY_BYTES)
+        self.assertEqual(self.stopped_fields(log), {"active": 0, "cut": 0})
+
+    def test_a_reply_that_was_unsent_at_the_end_of_a_stop_counted_as_sent(self):
+        """The log tells of a reply that is complete here, but not at its caller."""
+        received, log = self.stop_amid_a_reply(reads_after_s=2.5)
+        self.assertLess(len(received), REPLY_BYTES)
+        self.assertEqual(self.stopped_fields(log), {"active": 0, "cut": 1})
+
+    @staticmethod
+    def stopped_fields(log):
+        lines = {call.args[0]: call.kwargs for call in log.line.call_args_list}
+        return {name: lines["stopped"][name] for name in ("active", "cut")}
+
+    def stop_amid_a_reply(self, reads_after_s):
+        """Stop with a caller that reads its reply late; return reply and log."""
+        listening, answered, log = threading.Event(), threading.Event(), mock.Mock()
 
         async def answer(_, responder):
             transport = responder._connection._transport
@@ -155,7 +176,7 @@
                     server,
                     ClosedServer(),
                     mock.Mock(),
-                    mock.Mock(),
+                    log,
                 )
 
         host = threading.Thread(target=lambda: asyncio.run(serve_and_stop()))
@@ -167,13 +188,13 @@
             host.start()
             listening.wait(5.0)
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
-            caller.settimeout(5.0)
+            caller.settimeout(2.0)
             caller.connect((IP, PORT))
             caller.sendall(REQUEST)
             answered.wait(5.0)
-            time.sleep(0.8)
-            while piece := caller.recv(SOCKET_BYTES):
-                received += piece
+            time.sleep(reads_after_s)
+            with contextlib.suppress(OSError):
+                while piece := caller.recv(SOCKET_BYTES):
+                    received += piece
             host.join()
-        body = received.partition(b"\r\n\r\n")[2]
-        self.assertEqual(len(body), REPLY_BYTES)
+        return received.partition(b"\r\n\r\n")[2], log
