A stream whose server is silent is ended early only if another one can go on with it

What callers saw: a resumable stream that had begun was cut 2.2 s after its last event although its caller waits for 4 s, when no other backend server could take it (all tried, overloaded, or of another version), also amid a planned stop, where users accept no end for a server's silence. Cause: the limit after which a stalled stream is sent elsewhere was applied without asking whether there is an elsewhere. Now it is asked when the limit passes and every 0.5 s from then on, up to the time that callers wait; while the host stops, the other server also needs the time to begin before the end.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend_attempt.py
@@ -27,6 +27,7 @@
 from damaskvalve_gateway._model import STREAMING, ReplyMetadata
 from damaskvalve_gateway._stall import (
     StallWatch,
+    caller_timeout_s,
     first_event_limit_s,
     pause_limit_s,
 )
@@ -91,6 +92,7 @@
         on_reply: ReplyCallback,
         may_send: Callable[[float], bool],
         await_recorded: Callable[[], Awaitable[None]] | None = None,
+        can_go_on_elsewhere: Callable[[], bool] = lambda: True,
     ) -> None:
         self._exchange = exchange
         self._backend = backend
@@ -106,6 +108,9 @@
         # Called before the first event of a stream is relayed; None if the stream needs
         # no record of the software version that begins it.
         self._await_recorded = await_recorded
+        # Called when a stream has stalled; False if it is kept for as long as its
+        # caller waits.
+        self._can_go_on_elsewhere = can_go_on_elsewhere
         # The outcome and its reason, set by run(). The reason is empty if the outcome
         # is ANSWERED.
         self.outcome = ""
@@ -310,7 +315,7 @@
         if self._exchange.route.kind != STREAMING:
             return await connection.read_head()
         watch = StallWatch(first_event_limit_s(self._exchange), started_at_s)
-        return await _await_until_stalled(connection.read_head, watch)
+        return await self._await_until_stalled(connection.read_head, watch)
 
     async def _read_body(
         self,
@@ -377,7 +382,7 @@
         # an event that never ends keep a stream alive.
         watch = StallWatch(first_event_limit_s(exchange), started_at_s)
         while True:
-            piece = await _await_until_stalled(connection.read_chunk, watch)
+            piece = await self._await_until_stalled(connection.read_chunk, watch)
             if piece is None:
                 break
             events = splitter.feed(piece)
@@ -388,7 +393,7 @@
             if line is not None:
                 raise BackendFailedError(f"got {line[:80]!r} in place of an event")
             if not has_event(events):
-                if watch.is_stalled(boot_clock_s()):
+                if self._is_given_up(watch, boot_clock_s()):
                     raise BackendTimeoutError(f"no event for {watch.limit_s:.2f} s")
                 if responder.started and events:
                     await responder.write(events)
@@ -430,6 +435,33 @@
         await responder.finish()
         return ANSWERED
 
+    async def _await_until_stalled(
+        self, operation: Callable[[], Awaitable[_T]], watch: StallWatch
+    ) -> _T:
+        """Await an operation of a stream until the stream is given up.
+
+        If the timeout passed because this process was suspended, or the stream is kept,
+        the operation is started again. Raise :class:`BackendTimeoutError` if the stream
+        is given up.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(watch.left_s(boot_clock_s())):
+                    return await operation()
+            except TimeoutError as error:
+                if self._is_given_up(watch, boot_clock_s()):
+                    raise BackendTimeoutError(
+                        f"no event for {watch.limit_s:.2f} s"
+                    ) from error
+
+    def _is_given_up(self, watch: StallWatch, now_s: float) -> bool:
+        """Return whether a stream has stalled and is not kept."""
+        if not watch.is_stalled(now_s):
+            return False
+        if self._can_go_on_elsewhere():
+            return True
+        return not watch.extend(caller_timeout_s(self._exchange))
+
     def _check_content_type(self, head: ReplyHead) -> None:
         """Raise :class:`BackendFailedError` if a stream would go on with other data."""
         content_type = head.header_value(b"content-type").strip().lower()
@@ -447,25 +479,6 @@
             raise BackendFailedError(f"got event {first} after event {last}")
 
 
-async def _await_until_stalled(
-    operation: Callable[[], Awaitable[_T]], watch: StallWatch
-) -> _T:
-    """Await an operation of a stream until the stream stalls.
-
-    If the timeout passed because this process was suspended, the operation is started
-    again. Raise :class:`BackendTimeoutError` if the stream stalls.
-    """
-    while True:
-        try:
-            async with asyncio.timeout(watch.left_s(boot_clock_s())):
-                return await operation()
-        except TimeoutError as error:
-            if watch.is_stalled(boot_clock_s()):
-                raise BackendTimeoutError(
-                    f"no event for {watch.limit_s:.2f} s"
-                ) from error
-
-
 def reply_headers(head: ReplyHead) -> list[tuple[bytes, bytes]]:
     """Return the headers of a reply without the hop-by-hop ones."""
     return [(name, value) for name, value in head.headers if name not in _HOP_HEADERS]
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -56,6 +56,7 @@
 from damaskvalve_gateway._request_log import request_fields, request_outcome
 from damaskvalve_gateway._retries import RetryBudget
 from damaskvalve_gateway._send_gate import SendGate
+from damaskvalve_gateway._stall import caller_timeout_s
 from damaskvalve_gateway._starting import startup_retry_after_s
 from damaskvalve_gateway._stopping import STOPPING, StopAdmission, stopping_refusal
 from damaskvalve_gateway._stream_versions import StreamVersions
@@ -561,6 +562,7 @@
             and self._may_begin(exchange, now_s)
             and permit.grant.spend(now_s),
             self._record_stream(exchange),
+            lambda: self._can_go_on_elsewhere(exchange, boot_clock_s()),
         )
         self._check_quarantine(
             exchange.fingerprint, exchange.request.prompt_parts, before_send=True
@@ -593,6 +595,18 @@
         instance_id = backend.announcement.instance_id
         return self._view.backends.find(instance_id) is backend
 
+    def _can_go_on_elsewhere(self, exchange: Exchange, now_s: float) -> bool:
+        """Return whether another backend server can go on with a stream that stalls.
+
+        While this host stops, the other one must have the time to begin.
+        """
+        if not self._stop.has_time(now_s, caller_timeout_s(exchange)):
+            return False
+        try:
+            return bool(self._candidates(exchange))
+        except RefusedError:
+            return False
+
     def _record_stream(
         self, exchange: Exchange
     ) -> Callable[[], Awaitable[None]] | None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_stall.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_stall.py
@@ -2,8 +2,8 @@
 
 All limits follow from the settings of the route, so that streams with long pauses or
 long prompts are not cut by a limit for quick ones. A stalled stream that may run again
-is restarted on another backend server while its caller still waits. Any other stream is
-kept open for as long as callers wait.
+is restarted on another backend server while its caller still waits, if there is one.
+Any other stream is kept open for as long as callers wait.
 """
 
 from damaskvalve_gateway._exchange import Exchange
@@ -24,6 +24,8 @@
 # If a limit is noticed this much too late, this process was suspended, not the backend
 # server.
 PROCESS_PAUSE_S = 0.3
+# Interval between checks whether a stream that has stalled can go on elsewhere.
+STALLED_CHECK_INTERVAL_S = 0.5
 
 
 class StallWatch:
@@ -39,6 +41,15 @@
         """Return how long until the stream counts as stalled."""
         return max(0.0, self._until_s - now_s)
 
+    def extend(self, longest_s: float) -> bool:
+        """Wait for one more interval, or return False if the limit is the longest."""
+        longer_s = min(STALLED_CHECK_INTERVAL_S, longest_s - self.limit_s)
+        if longer_s <= 0:
+            return False
+        self.limit_s += longer_s
+        self._until_s += longer_s
+        return True
+
     def is_stalled(self, now_s: float) -> bool:
         """Return whether the stream stalled; restart the wait after a suspension."""
         if now_s - self._until_s > PROCESS_PAUSE_S:
@@ -49,7 +60,7 @@
 def first_event_limit_s(exchange: Exchange) -> float:
     """Return how long after the start of an attempt its first event may arrive."""
     if not exchange.may_run_again():
-        return _caller_timeout_s(exchange)
+        return caller_timeout_s(exchange)
     if exchange.first_event_s is not None:
         return pause_limit_s(exchange)
     objective_s = FIRST_EVENT_OBJECTIVES * exchange.route.objective_s
@@ -60,16 +71,16 @@
 def pause_limit_s(exchange: Exchange) -> float:
     """Return how long a stream may pause between two events."""
     if not exchange.may_run_again():
-        return _caller_timeout_s(exchange)
+        return caller_timeout_s(exchange)
     pause_s = exchange.route.pause_s
     if pause_s is None:
-        return _caller_timeout_s(exchange)
+        return caller_timeout_s(exchange)
     return CALLER_TIMEOUT_MARGIN * max(
         CALLER_TIMEOUT_S, CALLER_TIMEOUT_PAUSES * pause_s
     )
 
 
-def _caller_timeout_s(exchange: Exchange) -> float:
+def caller_timeout_s(exchange: Exchange) -> float:
     """Return how long callers wait for the next event."""
     route = exchange.route
     longest_s = max(
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_stopping.py
@@ -125,6 +125,10 @@
         """Return whether the host stops."""
         return self._end_s is not None
 
+    def has_time(self, now_s: float, needed_s: float) -> bool:
+        """Return whether what takes a given time can end before the host does."""
+        return self._end_s is None or now_s + needed_s <= self._end_s
+
     def log_fields(self, exchange: Exchange) -> Mapping[str, object]:
         """Return what the log line of a request says of the stop, if there is one.
 
