An interrupted request is not reported as not run by its last refusal

Callers saw X-Ran: not-run for a request that an agent had started before it stopped or was lost, if a later attempt at another agent was refused for good (its deadline, too many refusals): they may then run it twice, and the tokens that it had used were refunded.

Cause: the refusal took over what the last attempt knew of itself. An interruption earlier on makes it "unknown" now, as it does already if no backend server is left.

Evidence: test_a_request_that_an_agent_had_started_was_reported_as_not_run failed with (504, 'not-run') and passes; the 66 tests of the package pass.

--- a/packages/damaskvalve/damaskvalve/_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/_dispatch.py
@@ -239,11 +239,11 @@
         if error.crashed:
             self._report_crash(exchange, attempts.failure_count())
         if not attempts.may_retry(error, boot_clock_s()):
-            raise _final_error(error)
+            raise _final_error(error, attempts)
         if error.ran == NOT_RUN:
             return
         if exchange.require_route().kind == ONCE or not self._budget.take():
-            raise _final_error(error)
+            raise _final_error(error, attempts)
         self._metrics.record_retry()
 
     # ---- requests that crash backend servers ----
@@ -370,10 +370,12 @@
     )
 
 
-def _final_error(error: AttemptError) -> RefusedError:
+def _final_error(error: AttemptError, attempts: Attempts) -> RefusedError:
+    """Return the refusal after the last attempt; an earlier one may have run."""
     status = 504 if error.code == "deadline" else 503
+    ran = UNKNOWN if attempts.was_interrupted() else error.ran
     return RefusedError(
-        status, error.code, str(error), ran=error.ran, retry_after_s=error.retry_after_s
+        status, error.code, str(error), ran=ran, retry_after_s=error.retry_after_s
     )
 
 
--- a/packages/damaskvalve/damaskvalve/tests/test_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/tests/test_dispatch.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from damaskvalve._agent_client import AttemptError
-from damaskvalve._attempts import RETURN_WAIT_S, Attempts
+from damaskvalve._attempts import MAX_REFUSALS, RETURN_WAIT_S, Attempts
 from damaskvalve._completion import continuation_body
 from damaskvalve._dispatch import Dispatcher
 from damaskvalve._replies import _buffered_reply
@@ -78,6 +78,38 @@
         self.assertTrue(resumed["continue_final_message"])
 
 
+class InterruptedRequestTests(unittest.TestCase):
+    def final_refusal(self, failures, deadline_s):
+        unused = mock.Mock()
+        view = mock.Mock()
+        view.suspect.return_value = None
+        dispatcher = Dispatcher(view, unused, unused, "dc", unused, unused)
+        with mock.patch.multiple(
+            dispatcher,
+            create=True,
+            choose_backend=mock.Mock(),
+            _make_work_request=mock.Mock(),
+            _run_attempt=mock.Mock(side_effect=failures),
+        ):
+            exchange = mock.Mock(deadline_s=deadline_s, body=b"{}")
+            with self.assertRaises(RefusedError) as caught:
+                for _ in dispatcher.events(exchange):
+                    pass
+        return caught.exception
+
+    def test_a_request_that_an_agent_had_started_was_reported_as_not_run(self):
+        """The refusal of the last attempt says nothing of the attempts before it."""
+        failures = [failure(UNKNOWN), failure("not-run", "deadline")]
+        refusal = self.final_refusal(failures, boot_clock_s() + 60)
+        self.assertEqual((refusal.status, refusal.ran), (504, UNKNOWN))
+
+    def test_a_request_that_no_agent_started_is_reported_as_not_run(self):
+        """Its caller may send it again, whatever it does."""
+        failures = [failure("not-run", "queue_full") for _ in range(MAX_REFUSALS)]
+        refusal = self.final_refusal(failures, boot_clock_s() + 60)
+        self.assertEqual((refusal.code, refusal.ran), ("queue_full", "not-run"))
+
+
 class EndlessAnswerTests(unittest.TestCase):
     def test_an_answer_that_does_not_end_is_given_up(self):
         """Its text is kept to resume it, and to answer a caller at once."""
