A failed or slow report to a control host does not disturb the stop of an agent

Callers saw their streams cut by a planned stop of an agent whose scheduler was busy for 2 s, or to whom a control host sent an invalid reply: the error of the report at the stop ended the process at once, with every request. Control hosts that answered slowly were told one after the other, up to 2 s for each, before the time of the stop was counted at all.

Cause: the stop sent its reports itself. Each is sent in a thread of its own now that nobody waits for; a failure is logged, and the periodic reports go on.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -74,13 +74,21 @@
         ref.stop()
 
 
+def _report_leaving(report: Callable[[], None]) -> None:
+    """Report once; a failure changes nothing, as the periodic reports go on."""
+    try:
+        report()
+    except Exception as error:
+        _log.warning("a control host was not told of the stop: {!r}", error)
+
+
 def _drain(
     service: WorkService, counters: Counters, reports: Sequence[Callable[[], None]]
 ) -> None:
     """Report that the backend server is leaving, then wait for running requests."""
     service.leaving = True
     for report in reports:
-        report()
+        threading.Thread(target=_report_leaving, args=(report,), daemon=True).start()
     drain_deadline_s = boot_clock_s() + DRAIN_TIMEOUT_S
     announced_s = boot_clock_s()
     while boot_clock_s() < drain_deadline_s:
