The stop of an agent has one bound, counted from its signal, that operators set

A planned stop of an agent had no bound: it waited 120 s for its requests, counted from the end of its reports, and then for a leader that accepts the release of its fence, up to 2 s at each control host and each redirect. Supervisors kill after 10 to 90 s by default, and what was then running was cut without a log line.

Change: grace_s (default 120, 12 to 3,600) bounds the whole stop, counted from the signal. The requests that still run are named in the log and ended an eighth before its end (2 to 5 s); the release runs in a thread that is not waited for longer. PlannedStop in damaskvalve-core holds the times, which the host program is to share, and the second signal takes no lock that the main thread may hold.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -1,15 +1,14 @@
 """Assembles one agent and runs it until it receives a stop signal."""
 
 import contextlib
-import signal
-import threading
 import time
 import uuid
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import logbook
 
+from damaskvalve_agent._agent_stop import drain, release_fence
 from damaskvalve_agent._backend_client import BackendClient
 from damaskvalve_agent._control import ControlClient
 from damaskvalve_agent._fair_queue import FairQueue
@@ -32,17 +31,13 @@
 from damaskvalve_core import (
     HybridClock,
     Recorder,
-    boot_clock_s,
     dialing,
     listening,
     open_time_line,
     running_periodically,
+    watch_planned_stop,
 )
 
-DRAIN_TIMEOUT_S = 120.0
-# Time for hosts to learn that the backend server is leaving before the agent stops.
-LEAVING_NOTICE_S = 1.0
-
 _log = logbook.Logger("agent")
 
 
@@ -74,37 +69,9 @@
         ref.stop()
 
 
-def _report_leaving(report: Callable[[], None]) -> None:
-    """Report once; a failure changes nothing, as the periodic reports go on."""
-    try:
-        report()
-    except Exception as error:
-        _log.warning("a control host was not told of the stop: {!r}", error)
-
-
-def _drain(
-    service: WorkService, counters: Counters, reports: Sequence[Callable[[], None]]
-) -> None:
-    """Report that the backend server is leaving, then wait for running requests."""
-    service.leaving = True
-    for report in reports:
-        threading.Thread(target=_report_leaving, args=(report,), daemon=True).start()
-    drain_deadline_s = boot_clock_s() + DRAIN_TIMEOUT_S
-    announced_s = boot_clock_s()
-    while boot_clock_s() < drain_deadline_s:
-        if counters.active() == 0 and boot_clock_s() - announced_s > LEAVING_NOTICE_S:
-            return
-        time.sleep(TICK_INTERVAL_S)
-    _log.error(
-        "drain timed out; stopping with {} requests unfinished", counters.active()
-    )
-
-
 def run_agent(settings: AgentSettings) -> None:
-    """Serve until SIGTERM or SIGINT, then drain and stop."""
-    stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda number, frame: stop.set())
-    signal.signal(signal.SIGINT, lambda number, frame: stop.set())
+    """Serve until SIGTERM or SIGINT, then drain and stop within the grace period."""
+    stop = watch_planned_stop(settings.grace_s)
     incarnation = f"{settings.name}-{uuid.uuid4().hex[:12]}"
     fence = Fence(incarnation)
     counters = Counters()
@@ -157,8 +124,8 @@
         stop.wait()
         _log.info("stop signal received; draining")
         record("agent-leaving", backend_server=settings.name)
-        _drain(service, counters, reports)
-        registration.release_fence()
+        if drain(stop, service, counters, reports):
+            release_fence(stop, registration)
 
 
 def _report_step(registration: Registration, host: str) -> Callable[[], None]:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -297,6 +297,11 @@
             if start_id != self.start_id and not self.report_crash(work):
                 return
 
+    def running_ids(self) -> list[str]:
+        """Return the ids of the requests that the backend server runs."""
+        with self._running_lock:
+            return [work.request_id for work, _ in self._running.values()]
+
     def _run_on_backend(
         self, work: WorkRequest, number: int, buffer: BufferReservation
     ) -> Iterator[TextChunk | BackendResult]:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_settings.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_settings.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from damaskvalve_core import Identity
+from damaskvalve_core import DEFAULT_GRACE_S, MAX_GRACE_S, MIN_GRACE_S, Identity
 from damaskvalve_core.settings import (
     Document,
     Field,
@@ -35,6 +35,11 @@
     "backend": Field(settings_table, required=True, help="the backend server"),
     "queue": Field(settings_table, default={}, help="bounds of the queue"),
     "log": Field(settings_table, default={}, help="level, style, destination"),
+    "grace_s": Field(
+        number(MIN_GRACE_S, MAX_GRACE_S),
+        default=DEFAULT_GRACE_S,
+        help="longest planned stop, counted from SIGTERM",
+    ),
 }
 _BACKEND = {
     "address": Field(address, required=True, help="the backend server's IP:port"),
@@ -99,6 +104,7 @@
         "max_debt_units",
         "max_loads",
         "log",
+        "grace_s",
     )
 
     def __init__(
@@ -114,6 +120,7 @@
         max_debt_units: float,
         max_loads: int,
         log: LogSettings,
+        grace_s: float,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -126,6 +133,7 @@
         self.max_debt_units = max_debt_units
         self.max_loads = max_loads
         self.log = log
+        self.grace_s = grace_s
 
 
 def check_settings(document: Document) -> AgentSettings:
@@ -150,6 +158,7 @@
         queue["max_debt_units"],
         queue["max_loads"],
         log,
+        top["grace_s"],
     )
 
 
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -44,6 +44,13 @@
 )
 from damaskvalve_core._leader_client import MAX_LEARNED_ADDRESSES, LeaderClient
 from damaskvalve_core._logs import logging_to
+from damaskvalve_core._planned_stop import (
+    DEFAULT_GRACE_S,
+    MAX_GRACE_S,
+    MIN_GRACE_S,
+    PlannedStop,
+    watch_planned_stop,
+)
 from damaskvalve_core._process import run_from_settings
 from damaskvalve_core._reload_signal import log_reloads
 from damaskvalve_core._stop_signals import StopRequest, watch_stop_signals
@@ -55,6 +62,9 @@
 )
 
 __all__ = [
+    "DEFAULT_GRACE_S",
+    "MAX_GRACE_S",
+    "MIN_GRACE_S",
     "NOT_RUN",
     "RAN",
     "TIME_LINE_FILE",
@@ -76,6 +86,7 @@
     "MAX_LEARNED_ADDRESSES",
     "NotSentError",
     "OperatorError",
+    "PlannedStop",
     "ProtocolError",
     "ReceiveTimeoutError",
     "Recorder",
@@ -103,5 +114,6 @@
     "split_address",
     "stamp_to_wall_s",
     "wall_s_to_stamp",
+    "watch_planned_stop",
     "watch_stop_signals",
 ]
