The fence of an agent is not released while an order is on its way

An agent that stopped released its fence once no request was left, though a load whose request had gone (its caller left, its deadline passed) could still be on its way. The next agent of this engine sends its orders at once after a release, so an engine that does not check fencing numbers could get orders of both; callers would see an adapter evicted under their requests.

Change: the drain waits for threads that send orders, too. If anything is left at the end of the grace period, the fence is not released, and the successor waits for its lease.

Evidence: test_the_fence_was_released_while_an_order_was_on_its_way failed while the drain did not ask for orders (the load took 1.5 s and had not ended), and passes.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -124,7 +124,7 @@
         stop.wait()
         _log.info("stop signal received; draining")
         record("agent-leaving", backend_server=settings.name)
-        if drain(stop, service, counters, reports):
+        if drain(stop, service, counters, scheduler_handle.is_ordering, reports):
             release_fence(stop, registration)
 
 
--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent_stop.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent_stop.py
@@ -31,26 +31,30 @@
     stop: PlannedStop,
     service: WorkService,
     counters: Counters,
+    is_ordering: Callable[[], bool],
     reports: Sequence[Callable[[], None]],
 ) -> bool:
-    """Report that the backend server is leaving, then wait for running requests.
+    """Report that the backend server is leaving, then wait for requests and orders.
 
-    Return whether all of them ended in time.
+    Return whether all of them ended in time. An order may outlast its request, and a
+    successor sends its own as soon as the fence is released.
     """
     service.leaving = True
     for report in reports:
         threading.Thread(target=_report_leaving, args=(report,), daemon=True).start()
     announced_s = boot_clock_s()
     while boot_clock_s() < stop.end_s():
-        if counters.active() == 0 and boot_clock_s() - announced_s > LEAVING_NOTICE_S:
+        is_idle = counters.active() == 0 and not is_ordering()
+        if is_idle and boot_clock_s() - announced_s > LEAVING_NOTICE_S:
             return True
         time.sleep(TICK_INTERVAL_S)
     unfinished = service.running_ids()
     _log.error(
         "the grace period ends; {} of {} unfinished requests run at the backend "
-        "server: {}",
+        "server, orders are {}: {}",
         len(unfinished),
         counters.active(),
+        "on their way" if is_ordering() else "not on their way",
         ", ".join(unfinished[:MAX_UNFINISHED_LOGGED]),
     )
     return False
--- a/packages/damaskvalve-agent/damaskvalve_agent/_scheduler_actor.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_scheduler_actor.py
@@ -82,6 +82,8 @@
         self._fence = fence
         self._agent_id = agent_id
         self._record = record
+        self._orders_lock = threading.Lock()
+        self._order_threads = 0
 
     def on_receive(self, message: _SchedulerCall) -> None:
         """Run one call, then perform the actions that the scheduler decides on."""
@@ -128,13 +130,24 @@
         if permit_id is None:
             self._tell(lambda scheduler, now_s: scheduler.permit_refused(adapter))
             return
+        self._count_order_threads(1)
         try:
             load = self._begin_load(adapter)
             if load is not None:
                 self._perform_load(load)
         finally:
+            self._count_order_threads(-1)
             self._finish_permit(permit_id)
 
+    def _count_order_threads(self, change: int) -> None:
+        with self._orders_lock:
+            self._order_threads += change
+
+    def is_ordering(self) -> bool:
+        """Return whether orders are on their way, or may be soon; thread-safe."""
+        with self._orders_lock:
+            return self._order_threads > 0
+
     def _request_permit(self, action: RequestLoadPermit) -> str | None:
         waited_s = max(0.0, boot_clock_s() - action.waiting_since_s)
         request = PermitRequest(
@@ -265,6 +278,10 @@
         self._ref.tell(_SchedulerCall(function, future))
         return future.get(timeout=timeout_s)
 
+    def is_ordering(self) -> bool:
+        """Return whether orders are on their way to the engine, or may be soon."""
+        return self._actor.is_ordering()
+
     def tick(self) -> None:
         """Let the scheduler act on deadlines and retries that are due."""
         self._tell(lambda scheduler, now_s: None)
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_agent_stop.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_agent_stop.py
@@ -1,5 +1,6 @@
 """The planned stop of an agent."""
 
+import contextlib
 import threading
 import time
 import unittest
@@ -8,15 +9,52 @@
 import pykka
 
 from damaskvalve_agent._agent_stop import LEAVING_NOTICE_S, drain, release_fence
+from damaskvalve_agent._fair_queue import FairQueue, Ticket
 from damaskvalve_agent._fence import Fence
 from damaskvalve_agent._registration import Registration
+from damaskvalve_agent._scheduler import Scheduler, SchedulerLimits
+from damaskvalve_agent._scheduler_actor import SchedulerActor, SchedulerHandle
 from damaskvalve_agent._service import Counters
-from damaskvalve_core import MIN_GRACE_S, PlannedStop, ProtocolError, boot_clock_s
+from damaskvalve_agent._slots import Slots
+from damaskvalve_core import (
+    MIN_GRACE_S,
+    PlannedStop,
+    ProtocolError,
+    boot_clock_s,
+    discard_event,
+)
+from damaskvalve_core.messages import PermitReply
 
 # How long a request still runs at the stop.
 RUNS_S = 1.5
 
 
+class SlowEngine:
+    """An engine whose loads take some time."""
+
+    def __init__(self):
+        self.loading = threading.Event()
+        self.loaded = threading.Event()
+
+    def load(self, name, fence_number):
+        self.loading.set()
+        time.sleep(RUNS_S)
+        self.loaded.set()
+
+
+@contextlib.contextmanager
+def running_scheduler(engine, fence):
+    limits = SchedulerLimits(4, 2)
+    scheduler = Scheduler(FairQueue(8, 100.0), Slots(2), limits, lambda: 0.5)
+    control = mock.Mock()
+    control.request_permit.return_value = PermitReply(True, "", "p-1", 0.0, 0.0)
+    ref = SchedulerActor.start(scheduler, engine, control, fence, "me", discard_event)
+    try:
+        yield SchedulerHandle(ref, ref._actor_weakref())
+    finally:
+        ref.stop()
+
+
 class DrainTests(unittest.TestCase):
     def setUp(self):
         self.service = mock.Mock(leaving=False)
@@ -24,6 +62,7 @@
         self.counters = Counters()
         self.stop = PlannedStop(MIN_GRACE_S)
         self.stop.begin(boot_clock_s())
+        self.is_ordering = lambda: False
 
     def run_request(self):
         """Answer a request for some time; return the event of its end."""
@@ -40,7 +79,7 @@
         return ended
 
     def drain(self, reports):
-        return drain(self.stop, self.service, self.counters, reports)
+        return drain(self.stop, self.service, self.counters, self.is_ordering, reports)
 
     def test_a_report_that_failed_cut_the_requests_of_an_agent_that_stops(self):
         """They are finished, and the other control hosts are told."""
@@ -74,6 +113,20 @@
         self.assertFalse(self.drain([]))
         self.assertLess(time.monotonic() - started_s, 1.0)
 
+    def test_the_fence_was_released_while_an_order_was_on_its_way(self):
+        """A successor sends its orders at once; the request may have gone meanwhile."""
+        engine, fence = SlowEngine(), Fence("me")
+        fence.granted(1, "", boot_clock_s(), boot_clock_s())
+        now_s = boot_clock_s()
+        ticket = Ticket("r-1", "w", 1.0, "ink@1", 1.0, now_s + 60.0, now_s)
+        with running_scheduler(engine, fence) as handle:
+            self.is_ordering = handle.is_ordering
+            handle.submit(ticket)
+            self.assertTrue(engine.loading.wait(5.0))
+            handle.cancel(ticket)
+            self.assertTrue(self.drain([]))
+            self.assertTrue(engine.loaded.is_set())
+
     def test_a_leader_that_does_not_answer_held_the_end_of_an_agent(self):
         """The fence is given up at once, and its release is not waited for too long."""
         unused = [mock.MagicMock() for _ in range(9)]
