The stop of an entry host has one bound, and what it ends is answered and logged

A planned stop of `damaskvalve serve` waited up to 120 s for its requests, then up to 120 s more for its server, then without a limit for each thread that still answered (the server joins it, and it is no daemon), then up to 120 s for each job runner; all counted from the end of the wait before. Job runners leased new jobs until the callers were done. There was no setting for it. A supervisor that kills earlier cut requests without an answer and without a line that names them.

Change: grace_s (default 120, 12 to 3,600) bounds the whole stop, counted from the signal; all waits share its times, and no thread of the server holds the process. Jobs are leased no more from the signal on. An eighth before the end (2 to 5 s) the requests that run are named in the log and refused where they wait for an agent (503 `stopping`, unknown; in streams as their last event), half-read ones and new ones as not run, or unknown if they carry an Idempotency-Key. Jobs run again after their lease.

--- a/packages/damaskvalve/damaskvalve/_dispatch.py
+++ b/packages/damaskvalve/damaskvalve/_dispatch.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Generator, Iterator, Sequence
+from collections.abc import Callable, Generator, Iterator, Sequence
 
 import logbook
 
@@ -46,6 +46,11 @@
 _log = logbook.Logger("dispatch")
 
 
+def _never() -> bool:
+    """Return that this process does not end its requests."""
+    return False
+
+
 class InFlightCounter:
     """Counts this entry host's requests in flight at each backend server."""
 
@@ -84,12 +89,15 @@
         data_centre: str,
         metrics: Metrics,
         record: Recorder,
+        is_ending: Callable[[], bool] = _never,
     ) -> None:
         self._view = view
         self._dialer = dialer
         self._leader = leader
         self._metrics = metrics
         self._record = record
+        # Whether the process stops so soon that it ends the requests that still run.
+        self._is_ending = is_ending
         self._budget = RetryBudget()
         self._placement_cache = PlacementCache(view, data_centre)
         self.in_flight = InFlightCounter()
@@ -124,6 +132,7 @@
         """
         backend = self.choose_backend(exchange, attempts.excluded)
         while backend is None and attempts.may_wait(boot_clock_s()):
+            self._check_ending(attempts)
             time.sleep(RETURN_POLL_S)
             backend = self.choose_backend(exchange, attempts.excluded)
             backend = backend or self.choose_backend(exchange, set())
@@ -149,6 +158,7 @@
         text = ""
         tokens = 0
         while True:
+            self._check_ending(attempts)
             self._check_quarantine(exchange, attempts)
             backend = self._find_backend(exchange, attempts)
             if backend is None:
@@ -193,7 +203,7 @@
                 backend.agent_address,
                 work,
                 exchange.deadline_s,
-                self._make_key_check(exchange),
+                self._make_stop_check(exchange),
             ):
                 if isinstance(message, (WorkChunk, WorkEnd)):
                     self._record_first_token(exchange)
@@ -206,8 +216,15 @@
         if exchange.first_token_s is None:
             exchange.first_token_s = boot_clock_s() - exchange.received_at_s
 
-    def _make_key_check(self, exchange: Exchange) -> StopCheck:
+    def _check_ending(self, attempts: Attempts) -> None:
+        """Refuse a request between its attempts if the process ends them."""
+        if self._is_ending():
+            raise _ending_error(UNKNOWN if attempts.was_interrupted() else NOT_RUN)
+
+    def _make_stop_check(self, exchange: Exchange) -> StopCheck:
         def check() -> None:
+            if self._is_ending():
+                raise _ending_error(UNKNOWN)
             if not exchange.key_digest:
                 return
             leased = self._view.is_leased(boot_clock_s())
@@ -340,6 +357,11 @@
         )
 
 
+def _ending_error(ran: str) -> RefusedError:
+    message = "this host stops, and the request did not end in time"
+    return RefusedError(503, "stopping", message, ran=ran, retry_after_s=1.0)
+
+
 def _quarantine_error(ran: str) -> RefusedError:
     message = "this request has crashed several backend servers"
     return RefusedError(422, "quarantined", message, ran=ran)
--- a/packages/damaskvalve/damaskvalve/_host.py
+++ b/packages/damaskvalve/damaskvalve/_host.py
@@ -1,8 +1,6 @@
 """Runs one host with the roles in its settings."""
 
 import contextlib
-import signal
-import threading
 import time
 from pathlib import Path
 
@@ -12,10 +10,12 @@
 from damaskvalve_core import (
     Dialer,
     HybridClock,
+    PlannedStop,
     Recorder,
     dialing,
     open_time_line,
     run_from_settings,
+    watch_planned_stop,
 )
 
 _log = logbook.Logger("host")
@@ -26,6 +26,7 @@
     settings: HostSettings,
     dialer: Dialer,
     record: Recorder,
+    stop: PlannedStop,
 ) -> None:
     """Start each configured role; import a role's libraries only if it runs."""
     control = None
@@ -36,14 +37,12 @@
     if ENTRY in settings.roles:
         from damaskvalve._entry_role import running_entry
 
-        stack.enter_context(running_entry(settings, dialer, record, control))
+        stack.enter_context(running_entry(settings, dialer, record, control, stop))
 
 
 def run_host(settings: HostSettings) -> None:
-    """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-    stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda number, frame: stop.set())
-    signal.signal(signal.SIGINT, lambda number, frame: stop.set())
+    """Serve until SIGTERM or SIGINT, then stop within the grace period."""
+    stop = watch_planned_stop(settings.grace_s)
     settings.data_folder.mkdir(parents=True, exist_ok=True)
 
     with contextlib.ExitStack() as stack:
@@ -52,7 +51,7 @@
             open_time_line(settings.data_folder, settings.name, clock)
         )
         dialer = stack.enter_context(dialing(settings.identity))
-        _start_roles(stack, settings, dialer, record)
+        _start_roles(stack, settings, dialer, record, stop)
         record("host-start", roles=list(settings.roles))
         stop.wait()
         _log.info("shutting down")
--- a/packages/damaskvalve/damaskvalve/_http.py
+++ b/packages/damaskvalve/damaskvalve/_http.py
@@ -9,17 +9,26 @@
 
 from damaskvalve._admin import ADMIN_PATH, AdminApi
 from damaskvalve._api_key import extract_key
-from damaskvalve._exchange import JSON, Exchange, Handler, Reply, error_reply
+from damaskvalve._exchange import (
+    IDEMPOTENCY_HEADER,
+    JSON,
+    Exchange,
+    Handler,
+    Reply,
+    error_reply,
+)
 from damaskvalve._filters._authorise import require_lease
 from damaskvalve._jobs import JOBS_PATH, JobApi
 from damaskvalve._metrics import Metrics
 from damaskvalve._settings import EntrySettings
 from damaskvalve._subscription import Subscription
 from damaskvalve._view import ConfigurationView
-from damaskvalve_core import UNKNOWN, RefusedError, boot_clock_s
+from damaskvalve_core import NOT_RUN, UNKNOWN, PlannedStop, RefusedError, boot_clock_s
 from damaskvalve_core.messages import ReadRequest
 
 REQUEST_ID_HEADER = "X-Request-Id"
+# The key of the request id in the environment, if the server has set it.
+REQUEST_ID_KEY = "damaskvalve.request_id"
 _READ_BYTES = 64 * 1024
 
 _REASON_PHRASES = {
@@ -63,6 +72,7 @@
         jobs: JobApi,
         admin: AdminApi,
         metrics: Metrics,
+        stop: PlannedStop,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -71,13 +81,13 @@
         self._jobs = jobs
         self._admin = admin
         self._metrics = metrics
-        self.stopping = False
+        self._stop = stop
 
     def __call__(
         self, environ: Mapping[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer one WSGI request."""
-        request_id = new_request_id()
+        request_id = environ.get(REQUEST_ID_KEY) or new_request_id()
         try:
             exchange = self._make_exchange(environ, request_id)
             extract_key(exchange)
@@ -97,7 +107,7 @@
     ) -> Iterable[bytes]:
         reason = _REASON_PHRASES.get(reply.status, "Status")
         headers = [*reply.headers, (REQUEST_ID_HEADER, request_id)]
-        if self.stopping:
+        if self._stop.requested.is_set():
             headers.append(("Connection", "close"))
         if reply.chunks is None:
             headers.append(("Content-Length", str(len(reply.body))))
@@ -149,7 +159,11 @@
         parts = []
         deadline_s = started_at_s + self._settings.caller_timeout_s
         while remaining_bytes > 0:
-            part = self._read_part(environ, min(remaining_bytes, _READ_BYTES))
+            try:
+                part = self._read_part(environ, min(remaining_bytes, _READ_BYTES))
+            except RefusedError:
+                self._refuse_if_ending("HTTP_IDEMPOTENCY_KEY" in environ)
+                raise
             if boot_clock_s() > deadline_s:
                 raise RefusedError(
                     408, "caller_too_slow", "the body was not read in time"
@@ -182,6 +196,7 @@
             return self._check_readiness()
         if path == "/metrics":
             return Reply(200, "text/plain; version=0.0.4", self._metrics.render())
+        self._refuse_if_ending(IDEMPOTENCY_HEADER in exchange.headers)
         if path == "/v1/models":
             return self._list_models(exchange)
         if path.startswith(JOBS_PATH):
@@ -190,8 +205,25 @@
             return self._admin.answer(exchange)
         return self._chain(exchange)
 
+    def _refuse_if_ending(self, may_be_resend: bool) -> None:
+        """Refuse a request that is not started yet as the process ends the others.
+
+        An earlier send of the same request may have run.
+        """
+        if boot_clock_s() < self._stop.end_s():
+            return
+        self._metrics.record_refusal("stopping")
+        raise RefusedError(
+            503,
+            "stopping",
+            "this host stops and starts no more requests",
+            ran=UNKNOWN if may_be_resend else NOT_RUN,
+            retry_after_s=1.0,
+        )
+
     def _check_readiness(self) -> Reply:
-        if self.stopping or not self._view.is_leased(boot_clock_s()):
+        is_stopping = self._stop.requested.is_set()
+        if is_stopping or not self._view.is_leased(boot_clock_s()):
             raise RefusedError(
                 503, "not_ready", "this host is not ready to serve", retry_after_s=1.0
             )
--- a/packages/damaskvalve/damaskvalve/_jobs.py
+++ b/packages/damaskvalve/damaskvalve/_jobs.py
@@ -1,9 +1,10 @@
 """Deferred jobs: accepted once replicated, run later by any entry host."""
 
+import contextlib
 import hashlib
 import json
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import logbook
 
@@ -20,6 +21,7 @@
 from damaskvalve_core import (
     UNKNOWN,
     LeaderClient,
+    PlannedStop,
     Recorder,
     RefusedError,
     RetryLaterError,
@@ -247,3 +249,27 @@
         exchange.workspace = workspace
         exchange.deadline_s = now_s + RUN_DEADLINE_S
         return exchange
+
+
+@contextlib.contextmanager
+def running_jobs(runner: JobRunner, count: int, stop: PlannedStop) -> Iterator[None]:
+    """Run jobs in threads, which lease no more of them once the process stops.
+
+    On exit, wait for the jobs in flight until the time of the stop is over. Those that
+    have not ended by then run again once their leases have expired.
+    """
+    threads = [
+        threading.Thread(target=runner.run_forever, args=(stop.requested,), daemon=True)
+        for _ in range(count)
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        stop.begin(boot_clock_s())
+        for thread in threads:
+            thread.join(max(0.0, stop.answered_s() - boot_clock_s()))
+        running = sum(thread.is_alive() for thread in threads)
+        if running:
+            _log.warning("{} jobs have not ended; they run again elsewhere", running)
--- a/packages/damaskvalve/damaskvalve/_settings.py
+++ b/packages/damaskvalve/damaskvalve/_settings.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Any
 
-from damaskvalve_core import Identity
+from damaskvalve_core import DEFAULT_GRACE_S, MAX_GRACE_S, MIN_GRACE_S, Identity
 from damaskvalve_core.settings import (
     Document,
     Field,
@@ -45,6 +45,11 @@
     "entry": Field(settings_table, default={}, help="the entry role"),
     "control": Field(settings_table, default={}, help="the control role"),
     "log": Field(settings_table, default={}, help="level, style, destination"),
+    "grace_s": Field(
+        number(MIN_GRACE_S, MAX_GRACE_S),
+        default=DEFAULT_GRACE_S,
+        help="longest planned stop, counted from SIGTERM",
+    ),
 }
 _ENTRY_FIELDS = {
     "listen": Field(address, default="127.0.0.1:8080", help="callers' IP:port"),
@@ -129,6 +134,7 @@
         "entry",
         "control",
         "log",
+        "grace_s",
     )
 
     def __init__(
@@ -142,6 +148,7 @@
         entry: EntrySettings,
         control: ControlSettings,
         log: LogSettings,
+        grace_s: float,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -152,6 +159,7 @@
         self.entry = entry
         self.control = control
         self.log = log
+        self.grace_s = grace_s
 
 
 def check_settings(document: Document) -> HostSettings:
@@ -175,6 +183,7 @@
         EntrySettings(**entry),
         ControlSettings(**control),
         log,
+        top["grace_s"],
     )
 
 
--- a/testing/damaskvalve-standins/damaskvalve_standins/fleet.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/fleet.py
@@ -60,6 +60,8 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        # The longest planned stop of the hosts and agents that are started from now on.
+        self.grace_s = 120.0
         self.processes: dict[str, Process] = {}
         self.control_hosts: list[str] = []
         self.entries: dict[str, str] = {}
@@ -136,6 +138,7 @@
                 "identity": self.identity_settings(name),
                 "control": {"listen": addresses[position], **(control or {})},
                 "log": {"level": "debug"},
+                "grace_s": self.grace_s,
             }
             if entry:
                 self.entries[name] = free_address()
@@ -221,6 +224,7 @@
             "identity": self.identity_settings(process),
             "backend": {"address": self.backends[name], **backend},
             "log": {"level": "debug"},
+            "grace_s": self.grace_s,
         }
         path = self.write_settings(f"agent-{process}", document)
         self.start(
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/fleet_case.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/fleet_case.py
@@ -19,6 +19,7 @@
     engine_options: tuple[str, ...] = ("--token-s", "0.005")
     rate = "20000"
     burst = "100000"
+    grace_s = 120.0
 
     @classmethod
     def setUpClass(cls):
@@ -31,6 +32,7 @@
     @classmethod
     def start_all(cls):
         fleet = cls.fleet
+        fleet.grace_s = cls.grace_s
         fleet.start_hosts(3)
         for name in cls.engines:
             fleet.start_engine(name, *cls.engine_options)
