SIGHUP does not end hosts and agents of the product

`damaskvalve serve` and the agent left SIGHUP its default action: a reload by habit, or the end of a terminal, ended the process at once, and callers saw their streams break off. It is logged and ignored now, as on the users' platform; settings are read at a start only.

Evidence: test_a_hang_up_ended_hosts_and_agents_with_their_requests failed with four streams cut in their chunked bodies (IncompleteRead), and passes.

--- a/packages/damaskvalve-core/damaskvalve_core/_planned_stop.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_planned_stop.py
@@ -4,6 +4,8 @@
 import signal
 import threading
 
+import logbook
+
 from damaskvalve_core._boot_clock import boot_clock_s
 
 MIN_GRACE_S = 12.0
@@ -17,6 +19,8 @@
 # Share of the reserve in which the requests that were ended get their answers.
 LAST_ANSWERS_SHARE = 0.75
 
+_log = logbook.Logger("process")
+
 
 class PlannedStop:
     """Whether this process was told to stop, and when the parts of the stop end.
@@ -33,7 +37,8 @@
         self._grace_s = grace_s
         # Boot clock time of the first signal; infinite before it.
         self._signalled_s = float("inf")
-        self._signals: queue.SimpleQueue[None] = queue.SimpleQueue()
+        # Whether each signal asks for the stop.
+        self._signals: queue.SimpleQueue[bool] = queue.SimpleQueue()
 
     def note_signal(self, now_s: float) -> None:
         """Record a signal; only the first one counts.
@@ -41,11 +46,16 @@
         This takes no lock that the main thread may hold as a signal interrupts it.
         """
         self._signalled_s = min(self._signalled_s, now_s)
-        self._signals.put(None)
+        self._signals.put(True)
+
+    def note_hang_up(self) -> None:
+        """Record a SIGHUP, which changes nothing."""
+        self._signals.put(False)
 
     def wait(self) -> None:
         """Wait for the first signal, then begin to stop."""
-        self._signals.get()
+        while not self._signals.get():
+            _log.info("SIGHUP is ignored: settings are read at a start only")
         self.requested.set()
 
     def begin(self, now_s: float) -> None:
@@ -73,8 +83,12 @@
 
 
 def watch_planned_stop(grace_s: float) -> PlannedStop:
-    """Return the stop that SIGTERM or SIGINT begins; later ones are ignored."""
+    """Return the stop that SIGTERM or SIGINT begins; later ones are ignored.
+
+    SIGHUP, whose default action ends a process, is ignored too.
+    """
     stop = PlannedStop(grace_s)
+    signal.signal(signal.SIGHUP, lambda *_: stop.note_hang_up())
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: stop.note_signal(boot_clock_s()))
     return stop
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/test_stops.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/test_stops.py
@@ -1,6 +1,7 @@
 """Planned stops of hosts and agents whose requests outlast the grace period."""
 
 import json
+import signal
 import socket
 import threading
 import time
@@ -45,6 +46,22 @@
         sock.sendall(f"{head}abc".encode())
         return sock
 
+    def test_a_hang_up_ended_hosts_and_agents_with_their_requests(self):
+        """They say in their logs that settings are read at a start only."""
+        names = ["host-1", *self.engines]
+        streams = [self.start_stream("host-1", 60) for _ in range(4)]
+        time.sleep(1.0)
+        for name in names:
+            self.fleet.processes[name].signal(signal.SIGHUP)
+        for thread, collected in streams:
+            thread.join()
+            text = "".join(collected)
+            self.assertEqual(stream_text(text), expected_text("ink@1", 60))
+        for name in names:
+            process = self.fleet.processes[name]
+            self.assertTrue(process.is_running(), name)
+            self.assertIn("SIGHUP", process.log_path.read_text(encoding="utf-8"))
+
     def test_a_host_outlasted_its_grace_period_with_requests_that_did_not_end(self):
         """Each of them gets an answer that says what is known of its run."""
         self.fleet.call_standin("desk", "faults", {"delay_s": 3 * MIN_GRACE_S})
