A permit server that waits for an address at its start heeds the signal to stop

The agent of the users' platform waits up to 75 s for an address that is in use, and asked for SIGTERM only after that; the platform killed it meanwhile, without a `stop` line. Its start is given up at the signal now, as a task that is cancelled.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_serve.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_serve.py
@@ -1,6 +1,7 @@
 """Runs the permit server: its calls, its metrics and its tasks."""
 
 import asyncio
+import contextlib
 import functools
 
 from damaskvalve_agent._permits._engine import EngineDialect
@@ -38,9 +39,24 @@
 async def _serve(
     settings: PermitSettings, dialect: EngineDialect, log: DecisionLog
 ) -> float:
-    """Serve until the signal to stop; return when it came."""
+    """Serve until the signal to stop, also during the start; return when it came."""
     stop_request = watch_stop_signals()
     log_reloads(log)
+    serving = asyncio.ensure_future(_serve_until_cancelled(settings, dialect, log))
+    signalled = asyncio.ensure_future(stop_request.wait())
+    try:
+        await asyncio.wait((serving, signalled), return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        signalled.cancel()
+        serving.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await serving
+    return stop_request.signalled_s
+
+
+async def _serve_until_cancelled(
+    settings: PermitSettings, dialect: EngineDialect, log: DecisionLog
+) -> None:
     async with open_backend_pool() as pool:
         server = PermitServer(settings, dialect, pool, log)
         with dialing(settings.identity) as dialer:
@@ -60,7 +76,7 @@
                     server.send_orders,
                 )
                 with background_tasks(runs, log):
-                    return await stop_request.wait()
+                    await asyncio.get_running_loop().create_future()
 
 
 def run_permits(settings: PermitSettings, dialect: EngineDialect) -> None:
