--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -95,7 +95,12 @@
             settings.backend, scheduler_handle, backend, fence, counters, record
         )
         address = stack.enter_context(
-            listening(settings.listen, settings.identity, service.handle)
+            listening(
+                settings.listen,
+                settings.identity,
+                service.handle,
+                is_stopping=stop.is_signalled,
+            )
         )
         registration = Registration(
             settings,
--- a/packages/damaskvalve-core/damaskvalve_core/_channel.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_channel.py
@@ -337,6 +337,7 @@
         identity: Identity | None,
         handler: Handler,
         max_connections: int,
+        is_stopping: Callable[[], bool],
     ) -> None:
         self._context = identity.ssl_context(server=True) if identity else None
         self._handler = handler
@@ -346,7 +347,9 @@
         self._frame_budget = BufferBudget(MAX_UNFINISHED_BYTES)
         self._stopping = False
         self._sock = open_listener(
-            lambda: socket.create_server(split_address(address), backlog=256), address
+            lambda: socket.create_server(split_address(address), backlog=256),
+            address,
+            is_stopping,
         )
         self.address = "{}:{}".format(*self._sock.getsockname()[:2])
 
@@ -458,9 +461,14 @@
     handler: Handler,
     *,
     max_connections: int = 1024,
+    is_stopping: Callable[[], bool] = lambda: False,
 ) -> Iterator[str]:
-    """Serve calls in threads and yield the bound address; close at the end."""
-    listener = _Listener(address, identity, handler, max_connections)
+    """Serve calls in threads and yield the bound address; close at the end.
+
+    Raise :class:`StartEndedError` if the process is told to stop while the address is
+    in use.
+    """
+    listener = _Listener(address, identity, handler, max_connections, is_stopping)
     thread = threading.Thread(target=listener.accept_forever, daemon=True)
     thread.start()
     try:
--- a/packages/damaskvalve-core/damaskvalve_core/_exceptions.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_exceptions.py
@@ -87,6 +87,10 @@
         self.retry_after_s = retry_after_s
 
 
+class StartEndedError(DamaskvalveError):
+    """The process was told to stop while it started; nothing has to be finished."""
+
+
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 RAN = "ran"
--- a/packages/damaskvalve-core/damaskvalve_core/_listen.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_listen.py
@@ -14,7 +14,7 @@
 import logbook
 
 from damaskvalve_core._boot_clock import boot_clock_s
-from damaskvalve_core._exceptions import OperatorError
+from damaskvalve_core._exceptions import OperatorError, StartEndedError
 
 # A closed connection holds its local port for 60 s.
 MAX_WAIT_S = 75.0
@@ -35,10 +35,18 @@
         _log.warning("{} is in use; waiting for up to {} s", address, MAX_WAIT_S)
 
 
-def open_listener(open_once: Callable[[], _T], address: str) -> _T:
+def _never() -> bool:
+    """Return that the process goes on."""
+    return False
+
+
+def open_listener(
+    open_once: Callable[[], _T], address: str, is_stopping: Callable[[], bool] = _never
+) -> _T:
     """Return what ``open_once`` returns; call it again while the address is in use.
 
-    Raise :class:`OperatorError` if the address cannot be bound.
+    Raise :class:`OperatorError` if the address cannot be bound, and
+    :class:`StartEndedError` if the process is told to stop meanwhile.
     """
     started_at_s = boot_clock_s()
     while True:
@@ -46,6 +54,8 @@
             return open_once()
         except OSError as error:
             _check_retry(error, address, started_at_s, boot_clock_s())
+        if is_stopping():
+            raise StartEndedError(f"told to stop while {address} was in use")
         time.sleep(RETRY_INTERVAL_S)
 
 
--- a/packages/damaskvalve-core/damaskvalve_core/_planned_stop.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_planned_stop.py
@@ -63,6 +63,10 @@
         self.note_signal(now_s)
         self.requested.set()
 
+    def is_signalled(self) -> bool:
+        """Return whether a signal came, also before the process begins to stop."""
+        return self._signalled_s < float("inf")
+
     def signalled_s(self) -> float:
         """Return when the first signal came; infinite before it."""
         return self._signalled_s
--- a/packages/damaskvalve-core/damaskvalve_core/_process.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_process.py
@@ -5,13 +5,21 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Protocol, TypeVar
 
-from damaskvalve_core._exceptions import OperatorError, SettingsError
+import logbook
+
+from damaskvalve_core._exceptions import (
+    OperatorError,
+    SettingsError,
+    StartEndedError,
+)
 from damaskvalve_core._logs import logging_to
 
 if TYPE_CHECKING:
     # Processes whose settings are not YAML do not import the YAML parser.
     from damaskvalve_core._common_settings import LogSettings
 
+_log = logbook.Logger("process")
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 3
@@ -43,6 +51,8 @@
     with logging_to(log.level, log.style, log.destination):
         try:
             run(settings)
+        except StartEndedError as error:
+            _log.info("the start is given up: {}", error)
         except OperatorError as error:
             print(f"error: {error}", file=sys.stderr)
             return EXIT_FAILED
--- a/packages/damaskvalve/damaskvalve/_control_role.py
+++ b/packages/damaskvalve/damaskvalve/_control_role.py
@@ -9,7 +9,7 @@
 from damaskvalve._control_service import CONFIRM_INTERVAL_S, ControlService
 from damaskvalve._settings import HostSettings
 from damaskvalve._view import CONFIGURATION_LEASE_S
-from damaskvalve_core import Dialer, listening, running_periodically
+from damaskvalve_core import Dialer, PlannedStop, listening, running_periodically
 from damaskvalve_state import LoadLimit, NodeSettings, Timing, running_group
 
 GROUP_FOLDER = "group"
@@ -18,7 +18,9 @@
 
 
 @contextlib.contextmanager
-def running_control(settings: HostSettings, dialer: Dialer) -> Iterator[ControlService]:
+def running_control(
+    settings: HostSettings, dialer: Dialer, stop: PlannedStop
+) -> Iterator[ControlService]:
     """Run the control role while the context is active."""
     control = settings.control
     node_settings = NodeSettings(
@@ -42,7 +44,12 @@
             control.retention_s,
         )
         stack.enter_context(
-            listening(control.listen, settings.identity, service.handle)
+            listening(
+                control.listen,
+                settings.identity,
+                service.handle,
+                is_stopping=stop.is_signalled,
+            )
         )
         stack.enter_context(
             running_periodically(CONFIRM_INTERVAL_S, service.confirm_freshness)
--- a/packages/damaskvalve/damaskvalve/_host.py
+++ b/packages/damaskvalve/damaskvalve/_host.py
@@ -33,7 +33,7 @@
     if CONTROL in settings.roles:
         from damaskvalve._control_role import running_control
 
-        control = stack.enter_context(running_control(settings, dialer))
+        control = stack.enter_context(running_control(settings, dialer, stop))
     if ENTRY in settings.roles:
         from damaskvalve._entry_role import running_entry
 
--- a/testing/damaskvalve-standins/damaskvalve_standins/tests/test_stops.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/tests/test_stops.py
@@ -5,8 +5,13 @@
 import socket
 import threading
 import time
+from unittest import mock
+
+import yaml
 
 from damaskvalve_core import MIN_GRACE_S, UNKNOWN, split_address
+from damaskvalve_standins import fleet as fleet_module
+from damaskvalve_standins.fleet import START_TIMEOUT_S, wait_for
 from damaskvalve_standins.tests.fleet_case import (
     FleetTestCase,
     expected_text,
@@ -46,6 +51,30 @@
         sock.sendall(f"{head}abc".encode())
         return sock
 
+    def test_a_stop_during_a_start_waited_for_an_address_in_use(self):
+        """The start of a host or an agent is given up at the signal."""
+        with socket.create_server(("127.0.0.1", 0)) as other:
+            held = "{}:{}".format(*other.getsockname())
+            fleet = self.fleet
+            with mock.patch.object(fleet_module, "free_address", lambda: held):
+                fleet.start_agent("late", "engine-1", {"kind": "engine", "serves": "a"})
+            path = fleet.folder / "host-1.yaml"
+            document = yaml.safe_load(path.read_text(encoding="utf-8"))
+            document.update(name="late-host", data_folder="data-late-host")
+            document.update(control_hosts=[held], control={"listen": held})
+            path = fleet.write_settings("late-host", document)
+            command = ("damaskvalve", "serve", "--settings", str(path))
+            fleet.start("late-host", fleet.python_command(*command))
+            for name in ("late", "late-host"):
+                process = fleet.processes[name]
+                wait_for(
+                    lambda: "is in use" in process.log_path.read_text(encoding="utf-8"),
+                    START_TIMEOUT_S,
+                    "a start that waits for its address",
+                )
+                process.terminate()
+                self.assertEqual(process.wait(5.0), 0)
+
     def test_a_hang_up_ended_hosts_and_agents_with_their_requests(self):
         """They say in their logs that settings are read at a start only."""
         names = ["host-1", *self.engines]
