Requests that wait at an agent as its stop ends are refused as not run

The end of an agent's grace period closed the connections of its waiting requests like those of running ones. Their hosts had to report them as possibly run: a request that may run once got an unknown outcome that an operator has to resolve, though no backend server had seen it.

Change: they are refused as the requests that run are ended, and the agent waits until the refusals are sent.

Evidence: test_a_waiting_request_was_cut_by_the_stop_of_its_agent got no refusal before the change, and passes.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent_stop.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent_stop.py
@@ -36,8 +36,9 @@
 ) -> bool:
     """Report that the backend server is leaving, then wait for requests and orders.
 
-    Return whether all of them ended in time. An order may outlast its request, and a
-    successor sends its own as soon as the fence is released.
+    Return whether all of them ended in time. If not, those that still wait are refused
+    as not run; those that run end with their connections. An order may outlast its
+    request, and a successor sends its own as soon as the fence is released.
     """
     service.leaving = True
     for report in reports:
@@ -57,6 +58,11 @@
         "on their way" if is_ordering() else "not on their way",
         ", ".join(unfinished[:MAX_UNFINISHED_LOGGED]),
     )
+    service.ending = True
+    while counters.active() > len(service.running_ids()):
+        if boot_clock_s() >= stop.answered_s():
+            break
+        time.sleep(TICK_INTERVAL_S)
     return False
 
 
--- a/packages/damaskvalve-agent/damaskvalve_agent/_service.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_service.py
@@ -121,6 +121,8 @@
         self._counters = counters
         self._record = record
         self.leaving = False
+        # Whether the agent is about to end, so that waiting requests are refused.
+        self.ending = False
         # Whether the backend server answered the last health check.
         self.backend_up = False
         # Runs a health check; one broken connection does not mean that it is down.
@@ -212,6 +214,9 @@
                 self._scheduler_handle.cancel(ticket)
                 self._counters.add("cancelled_requests")
                 return None
+            if self.ending:
+                self._scheduler_handle.cancel(ticket)
+                return Outcome(False, "backend_leaving", 0.0, 0.0)
             if now_s - last_progress_s >= PROGRESS_INTERVAL_S:
                 last_progress_s = now_s
                 try:
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_agent_stop.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_agent_stop.py
@@ -14,16 +14,17 @@
 from damaskvalve_agent._registration import Registration
 from damaskvalve_agent._scheduler import Scheduler, SchedulerLimits
 from damaskvalve_agent._scheduler_actor import SchedulerActor, SchedulerHandle
-from damaskvalve_agent._service import Counters
+from damaskvalve_agent._service import Counters, WorkService
 from damaskvalve_agent._slots import Slots
 from damaskvalve_core import (
     MIN_GRACE_S,
+    NOT_RUN,
     PlannedStop,
     ProtocolError,
     boot_clock_s,
     discard_event,
 )
-from damaskvalve_core.messages import PermitReply
+from damaskvalve_core.messages import PermitReply, WorkRefused, WorkRequest
 
 # How long a request still runs at the stop.
 RUNS_S = 1.5
@@ -55,6 +56,49 @@
         ref.stop()
 
 
+class WaitingRequestTests(unittest.TestCase):
+    def test_a_waiting_request_was_cut_by_the_stop_of_its_agent(self):
+        """Its host is told that it has not run; a request that runs is left alone."""
+        handle, fence = mock.Mock(), Fence("me")
+        handle.submit.return_value = pykka.ThreadingFuture()
+        fence.granted(1, "", boot_clock_s(), boot_clock_s())
+        counters, stop = Counters(), PlannedStop(MIN_GRACE_S)
+        settings, backend = mock.Mock(kind="service", serves="desk"), mock.MagicMock()
+        service = WorkService(settings, handle, backend, fence, counters, discard_event)
+        service.backend_up = True
+        service._running[0] = WorkRequest("r-0"), ""
+        counters.enter()
+        work = WorkRequest(
+            "r-1",
+            workspace="w",
+            share=1.0,
+            kind="service",
+            model="desk",
+            cost_units=1.0,
+            deadline_s=60.0,
+        )
+        connection = mock.Mock()
+        connection.peer_gone.return_value = False
+        replies = []
+
+        def answer():
+            for reply in service.handle(work, connection):
+                replies.append(reply)
+                if len(replies) > 20:
+                    return
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        self.addCleanup(thread.join)
+        stop.begin(boot_clock_s() - MIN_GRACE_S + 2.2)
+        self.assertFalse(drain(stop, service, counters, lambda: False, []))
+        self.assertLess(boot_clock_s(), stop.answered_s())
+        refused = replies[-1]
+        self.assertIsInstance(refused, WorkRefused)
+        self.assertEqual((refused.code, refused.ran), ("backend_leaving", NOT_RUN))
+        handle.cancel.assert_called_once()
+
+
 class DrainTests(unittest.TestCase):
     def setUp(self):
         self.service = mock.Mock(leaving=False)
