A disk that stalls does not hold the end of a host or agent of the product

The end wrote its own event to the time line before it began to stop, and closed the file under a lock that an event may hold for as long as the disk stalls.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent.py
@@ -1,6 +1,7 @@
 """Assembles one agent and runs it until it receives a stop signal."""
 
 import contextlib
+import functools
 import time
 import uuid
 from collections.abc import Callable, Iterator
@@ -29,11 +30,13 @@
 from damaskvalve_agent._settings import AgentSettings
 from damaskvalve_agent._slots import Slots
 from damaskvalve_core import (
+    CLOSE_TIMEOUT_S,
     HybridClock,
     Recorder,
     dialing,
     listening,
     open_time_line,
+    run_at_most,
     running_periodically,
     watch_planned_stop,
 )
@@ -128,7 +131,8 @@
         record("agent-start", backend_server=settings.name, incarnation=incarnation)
         stop.wait()
         _log.info("stop signal received; draining")
-        record("agent-leaving", backend_server=settings.name)
+        note = functools.partial(record, "agent-leaving", backend_server=settings.name)
+        run_at_most(CLOSE_TIMEOUT_S, note)
         if drain(stop, service, counters, scheduler_handle.is_ordering, reports):
             release_fence(stop, registration)
 
--- a/packages/damaskvalve-agent/damaskvalve_agent/_agent_stop.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_agent_stop.py
@@ -9,7 +9,7 @@
 from damaskvalve_agent._registration import Registration
 from damaskvalve_agent._scheduler_actor import TICK_INTERVAL_S
 from damaskvalve_agent._service import Counters, WorkService
-from damaskvalve_core import PlannedStop, boot_clock_s
+from damaskvalve_core import PlannedStop, boot_clock_s, run_at_most
 
 # Time for hosts to learn that the backend server is leaving before the agent stops.
 LEAVING_NOTICE_S = 1.0
@@ -71,8 +71,6 @@
 
     Without a release, a successor waits until the lease of the fence has ended.
     """
-    thread = threading.Thread(target=registration.release_fence, daemon=True)
-    thread.start()
-    thread.join(max(0.0, stop.answered_s() - boot_clock_s()))
-    if thread.is_alive():
+    left_s = stop.answered_s() - boot_clock_s()
+    if not run_at_most(left_s, registration.release_fence):
         _log.warning("the fence is not released: no leader answers in time")
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -1,6 +1,6 @@
 """Code shared by hosts and agents: settings, errors, messages, RPC, logs and clocks."""
 
-from damaskvalve_core._background import running_periodically
+from damaskvalve_core._background import run_at_most, running_periodically
 from damaskvalve_core._boot_clock import boot_clock_s
 from damaskvalve_core._buffer_budget import (
     BufferBudget,
@@ -55,6 +55,7 @@
 from damaskvalve_core._reload_signal import log_reloads
 from damaskvalve_core._stop_signals import StopRequest, watch_stop_signals
 from damaskvalve_core._time_line import (
+    CLOSE_TIMEOUT_S,
     TIME_LINE_FILE,
     Recorder,
     discard_event,
@@ -62,6 +63,7 @@
 )
 
 __all__ = [
+    "CLOSE_TIMEOUT_S",
     "DEFAULT_GRACE_S",
     "MAX_GRACE_S",
     "MIN_GRACE_S",
@@ -109,6 +111,7 @@
     "log_reloads",
     "logging_to",
     "open_time_line",
+    "run_at_most",
     "run_from_settings",
     "running_periodically",
     "split_address",
--- a/packages/damaskvalve-core/damaskvalve_core/_background.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_background.py
@@ -30,6 +30,14 @@
         stop.wait(max(0.0, started_s + period_s - boot_clock_s()))
 
 
+def run_at_most(timeout_s: float, function: Callable[[], None]) -> bool:
+    """Run a function that may be abandoned; return whether it ended in time."""
+    thread = threading.Thread(target=function, daemon=True)
+    thread.start()
+    thread.join(max(0.0, timeout_s))
+    return not thread.is_alive()
+
+
 @contextlib.contextmanager
 def running_periodically(period_s: float, step: Callable[[], None]) -> Iterator[None]:
     """Call ``step`` every ``period_s`` in a thread; log the exceptions it raises.
--- a/packages/damaskvalve-core/damaskvalve_core/_time_line.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_time_line.py
@@ -11,6 +11,8 @@
 
 TIME_LINE_FILE = "timeline.jsonl"
 MAX_FILE_BYTES = 64 * 1024 * 1024
+# How long the end of a process waits for an event that is being written.
+CLOSE_TIMEOUT_S = 0.2
 
 #: Records one event, given its name and its fields.
 Recorder = Callable[..., None]
@@ -49,8 +51,12 @@
         self._file = self._path.open("a", encoding="utf-8")
 
     def close(self) -> None:
-        with self._lock:
-            self._file.close()
+        """Close the file, unless the disk holds an event that is being written."""
+        if self._lock.acquire(timeout=CLOSE_TIMEOUT_S):
+            try:
+                self._file.close()
+            finally:
+                self._lock.release()
 
 
 @contextlib.contextmanager
--- a/packages/damaskvalve/damaskvalve/_host.py
+++ b/packages/damaskvalve/damaskvalve/_host.py
@@ -1,6 +1,7 @@
 """Runs one host with the roles in its settings."""
 
 import contextlib
+import functools
 import time
 from pathlib import Path
 
@@ -8,12 +9,14 @@
 
 from damaskvalve._settings import CONTROL, ENTRY, HostSettings, read_settings
 from damaskvalve_core import (
+    CLOSE_TIMEOUT_S,
     Dialer,
     HybridClock,
     PlannedStop,
     Recorder,
     dialing,
     open_time_line,
+    run_at_most,
     run_from_settings,
     watch_planned_stop,
 )
@@ -55,7 +58,7 @@
         record("host-start", roles=list(settings.roles))
         stop.wait()
         _log.info("shutting down")
-        record("host-stop")
+        run_at_most(CLOSE_TIMEOUT_S, functools.partial(record, "host-stop"))
 
 
 def serve_host(path: Path) -> int:
--- a/packages/damaskvalve/damaskvalve/_http_server.py
+++ b/packages/damaskvalve/damaskvalve/_http_server.py
@@ -14,7 +14,7 @@
 
 from damaskvalve._http import REQUEST_ID_KEY, new_request_id
 from damaskvalve._settings import EntrySettings
-from damaskvalve_core import PlannedStop, boot_clock_s, split_address
+from damaskvalve_core import PlannedStop, boot_clock_s, run_at_most, split_address
 
 DRAIN_POLL_INTERVAL_S = 0.05
 # A stopping host closes its server after this time without a request in flight.
@@ -169,8 +169,6 @@
 def _close(server: wsgi.Server, stop: PlannedStop) -> None:
     """Close the server; what it still waits for near the end is abandoned."""
     server.shutdown_timeout = max(0.1, stop.end_s() - boot_clock_s())
-    thread = threading.Thread(target=server.stop, daemon=True)
-    thread.start()
-    thread.join(max(0.0, stop.killed_s() - LAST_RESERVE_S - boot_clock_s()))
-    if thread.is_alive():
+    left_s = stop.killed_s() - LAST_RESERVE_S - boot_clock_s()
+    if not run_at_most(left_s, server.stop):
         _log.warning("the grace period ends; open connections are abandoned")
