--- a/testing/damaskvalve-standins/damaskvalve_standins/fleet.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/fleet.py
@@ -44,6 +44,10 @@
         return f"127.0.0.1:{port}"
 
 
+# The users' bound until a change is in force everywhere, which takes a leader.
+LEADER_TIMEOUT_S = 11.0
+
+
 def wait_for(check: Callable[[], Any], timeout_s: float, what: str) -> Any:
     """Poll a check and return its first true result; fail after the timeout."""
     deadline_s = time.monotonic() + timeout_s
@@ -327,13 +331,20 @@
         )
 
     def leader(self) -> str:
-        """Return the name of the host that is the leader."""
+        """Return the name of the host that is the leader, after an election if need be.
+
+        A group may be without one for a moment, as after its leader was not scheduled.
+        """
+        name: str = wait_for(self._leader, LEADER_TIMEOUT_S, "a leader")
+        return name
+
+    def _leader(self) -> str | None:
         status = json.loads(self.run_operator_command("config", "status", "--json"))
         for row in status["control_hosts"]:
             if row[1] == "leader":
                 position = self.control_hosts.index(row[0])
                 return f"host-{position + 1}"
-        raise AssertionError("there is no leader")
+        return None
 
     def stop(self) -> None:
         """Kill every process of this fleet; print those that had failed before."""
