--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -56,13 +56,17 @@
     return lines[0], {name.strip().lower(): value.strip() for name, _, value in pairs}
 
 
-async def read_body(reader, headers):
-    """Return the whole body; raise IncompleteReadError if it is cut."""
+async def read_body(reader, headers, gap_s=None):
+    """Return the whole body; raise IncompleteReadError if it is cut.
+
+    Raise TimeoutError if no chunk comes for ``gap_s``.
+    """
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
-            size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
-            piece = await reader.readexactly(size + 2)
+            async with asyncio.timeout(gap_s):
+                size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+                piece = await reader.readexactly(size + 2)
             if not size:
                 return body
             body += piece[:-2]
@@ -79,8 +83,13 @@
         self.complete, self.reason = complete, reason
 
 
-async def call(ip, port, method, path, headers=(), body=b"", timeout_s=10.0):
-    """Make one call on a new connection and return its answer."""
+async def call(
+    ip, port, method, path, headers=(), body=b"", timeout_s=10.0, gap_s=None
+):
+    """Make one call on a new connection and return its answer.
+
+    It is given up if nothing comes for ``gap_s``.
+    """
     writer = None
     try:
         async with asyncio.timeout(timeout_s):
@@ -91,12 +100,13 @@
                 lines.append(f"Content-Length: {len(body)}")
             writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
             await writer.drain()
-            head = await read_head(reader)
+            async with asyncio.timeout(gap_s):
+                head = await read_head(reader)
             if head is None:
                 return Answer(reason="closed without an answer")
             status = int(head[0].split(" ")[1])
             try:
-                data = await read_body(reader, head[1])
+                data = await read_body(reader, head[1], gap_s)
             except (asyncio.IncompleteReadError, ConnectionError):
                 return Answer(status, head[1], reason="cut in the answer")
             return Answer(status, head[1], data, complete=True)
@@ -735,9 +745,13 @@
         await asyncio.sleep(3.0)
 
     async def request(
-        self, host, method, path, request_id, deadline_ms, headers=(), body=b""
+        self, host, method, path, request_id, deadline_ms, headers=(), body=b"",
+        gap_s=None,
     ):
-        """Send a client's request to a host and return the answer."""
+        """Send a client's request to a host and return the answer.
+
+        A stream is abandoned if no event comes for ``gap_s``.
+        """
         fields = {
             "Host": HOST_NAME,
             "Request-Id": request_id,
@@ -747,7 +761,7 @@
         self.record.line(f"client sends {request_id} {method} {path} to {host.name}")
         answer = await call(
             host.bound_ip, self.ports["front"], method, path, fields, body,
-            deadline_ms / 1000 + 0.5,
+            deadline_ms / 1000 + 0.5, gap_s,
         )
         self.record.line(
             f"client gets {answer.status or answer.reason} for {request_id}, "
@@ -781,13 +795,20 @@
             "protocol": "h1", "tls": False}
 
 
-def stream_route(timeout_ms=25000, aim_ms=1000, resumable=False, max_attempts=1):
+def gap_s(aim_ms=1000, pause_ms=250):
+    """Return after which time without an event clients abandon a stream."""
+    return max(2.0, 4 * aim_ms / 1000, 8 * pause_ms / 1000)
+
+
+def stream_route(
+    timeout_ms=25000, aim_ms=1000, resumable=False, max_attempts=1, pause_ms=250
+):
     return {
         "name": "r-stream", "host": HOST_NAME, "path_prefix": "/s/",
         "kind": "streaming", "timeout_ms": timeout_ms, "aim_ms": aim_ms,
         "priority": 1, "service": "llm", "max_attempts": max_attempts,
         "public": False, "sticky": True, "resumable": resumable,
-        "gap_target_ms": 250,
+        "gap_target_ms": pause_ms,
     }
 
 
