Replication: failed calls to a peer and members that lag are logged

A failed call to a peer was written at the level debug only, and nothing told how far behind a member is.

--- a/packages/damaskvalve-state/damaskvalve_state/_group_reporter.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_group_reporter.py
@@ -1,4 +1,4 @@
-"""Reports changes of the voters, their silence and the loss of the quorum."""
+"""Reports changes of the voters, their silence, the loss of the quorum and lags."""
 
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -6,9 +6,12 @@
 from damaskvalve_core.messages import Member
 from damaskvalve_state._consensus import Consensus
 from damaskvalve_state._consensus_state import LEADER
+from damaskvalve_state._progress import Progress
 
 # A group without a leader reports this often which voters it lacks.
 NO_QUORUM_INTERVAL_S = 5.0
+# A member that lacks committed entries for this long is reported.
+LAG_REPORT_S = 2.0
 
 #: Receives the kind of an event and its fields.
 GroupObserver = Callable[[str, dict[str, Any]], None]
@@ -27,6 +30,10 @@
         self._leader: tuple[int, str] = (0, "")
         self._silent: dict[str, Member] = {}
         self._learners: dict[str, Member] = {}
+        # When each member that lacks committed entries began to, and those of them
+        # that were reported.
+        self._lagging_since_s: dict[str, float] = {}
+        self._reported_lags: set[str] = set()
         self._leader_known_s = now_s
         self._next_no_quorum_s = now_s + NO_QUORUM_INTERVAL_S
 
@@ -41,9 +48,12 @@
         if consensus.role == LEADER:
             self._observe_silence(consensus, now_s)
             self._observe_learners(consensus)
+            self._observe_lags(consensus, now_s)
         else:
             self._silent = {}
             self._learners = {}
+            self._lagging_since_s = {}
+            self._reported_lags = set()
 
     def _observe_voters(self, consensus: Consensus) -> None:
         members, index = consensus.log.members()
@@ -107,6 +117,42 @@
                 self.report("learner_ready", learner=member.address, member=member_id)
         self._learners = learners
 
+    def _observe_lags(self, consensus: Consensus, now_s: float) -> None:
+        for member_id, item in consensus.progress.items():
+            if item.match_index >= consensus.commit_index:
+                since_s = self._lagging_since_s.pop(member_id, now_s)
+                if member_id in self._reported_lags:
+                    self._reported_lags.discard(member_id)
+                    self._report_lag(
+                        "member_caught_up", item, consensus, since_s, now_s
+                    )
+                continue
+            since_s = self._lagging_since_s.setdefault(member_id, now_s)
+            is_due = now_s - since_s >= LAG_REPORT_S
+            if is_due and member_id not in self._reported_lags:
+                self._reported_lags.add(member_id)
+                self._report_lag("member_lags", item, consensus, since_s, now_s)
+        for member_id in set(self._lagging_since_s) - set(consensus.progress):
+            del self._lagging_since_s[member_id]
+            self._reported_lags.discard(member_id)
+
+    def _report_lag(
+        self,
+        kind: str,
+        item: Progress,
+        consensus: Consensus,
+        since_s: float,
+        now_s: float,
+    ) -> None:
+        self.report(
+            kind,
+            peer=item.member.address,
+            member=item.member.member_id,
+            match_index=item.match_index,
+            lacking_entries=consensus.commit_index - item.match_index,
+            since_s=round(now_s - since_s, 2),
+        )
+
 
 def addresses_text(members: Iterable[Member]) -> str:
     """Return the addresses of members, separated by blanks."""
--- a/packages/damaskvalve-state/damaskvalve_state/_peers.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_peers.py
@@ -7,27 +7,86 @@
 
 import logbook
 
-from damaskvalve_core import Dialer, ProtocolError, RetryLaterError
-from damaskvalve_core.messages import Member
+from damaskvalve_core import Dialer, ProtocolError, RetryLaterError, boot_clock_s
+from damaskvalve_core.messages import AppendRequest, Member, SnapshotRequest
 
 MAX_QUEUED_MESSAGES = 64
+# Calls to a peer that go on failing are reported at this interval.
+FAILURE_REPORT_INTERVAL_S = 5.0
 
 _log = logbook.Logger("peers")
 
 #: Receives the member that a message was sent to, and the reply or None on failure.
 ReplyCallback = Callable[[Member, Any], None]
+#: Receives the fields of a report on calls that failed.
+FailureObserver = Callable[[dict[str, Any]], None]
+
+
+def _payload_fields(message: Any) -> dict[str, Any]:
+    """Return what a message carries of the log, for the report of its failure."""
+    if isinstance(message, AppendRequest):
+        return {
+            "entries": len(message.entries),
+            "payload_bytes": sum(len(item.command) for item in message.entries),
+            "after_index": message.previous_index,
+        }
+    if isinstance(message, SnapshotRequest):
+        return {
+            "payload_bytes": len(message.data),
+            "last_index": message.last_index,
+        }
+    return {}
+
+
+class FailureReports:
+    """Reports the first failed call to a peer, and then at most one an interval."""
+
+    __slots__ = ("_address", "_observer", "_failures", "_next_report_s")
+
+    def __init__(self, address: str, observer: FailureObserver) -> None:
+        self._address = address
+        self._observer = observer
+        # Failures since the last report.
+        self._failures = 0
+        self._next_report_s = 0.0
+
+    def note(
+        self, message: Any, began_s: float, error: Exception, now_s: float
+    ) -> None:
+        """Record a failed call; report it if a report is due."""
+        self._failures += 1
+        if now_s < self._next_report_s:
+            return
+        self._next_report_s = now_s + FAILURE_REPORT_INTERVAL_S
+        self._observer(
+            {
+                "peer": self._address,
+                "message": type(message).__name__,
+                "failures": self._failures,
+                "took_s": round(now_s - began_s, 3),
+                "reason": str(error),
+                **_payload_fields(message),
+            }
+        )
+        self._failures = 0
 
 
 class PeerSender:
     """A bounded queue to one address; messages are dropped while it is full."""
 
     def __init__(
-        self, address: str, dialer: Dialer, timeout_s: float, on_reply: ReplyCallback
+        self,
+        address: str,
+        dialer: Dialer,
+        timeout_s: float,
+        on_reply: ReplyCallback,
+        observer: FailureObserver,
     ) -> None:
         self._address = address
         self._dialer = dialer
         self._timeout_s = timeout_s
         self._on_reply = on_reply
+        self._failure_reports = FailureReports(address, observer)
         self._queue: queue.Queue[tuple[Member, Any] | None] = queue.Queue(
             MAX_QUEUED_MESSAGES
         )
@@ -53,9 +112,10 @@
             if item is None:
                 return
             member, message = item
+            began_s = boot_clock_s()
             try:
                 reply = self._dialer.call(self._address, message, self._timeout_s)
             except (RetryLaterError, ProtocolError) as error:
-                _log.debug("call to {} failed: {}", self._address, error)
+                self._failure_reports.note(message, began_s, error, boot_clock_s())
                 reply = None
             self._on_reply(member, reply)
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -240,7 +240,11 @@
         if sender is None:
             timeout_s = self.settings.timing.election_timeout_s
             sender = PeerSender(
-                member.address, self._dialer, timeout_s, self._enqueue_reply
+                member.address,
+                self._dialer,
+                timeout_s,
+                self._enqueue_reply,
+                lambda fields: self.reporter.report("peer_call_failed", **fields),
             )
             self._senders[member.address] = sender
         sender.send(member, message)
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_group_reporter.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_group_reporter.py
@@ -54,6 +54,21 @@
         regained = [f for _, kind, f in self.events if kind == "voter_regained"]
         self.assertEqual([item["voter"] for item in regained], [lost])
 
+    def test_a_member_that_lags_is_named_once_and_again_when_it_has_caught_up(self):
+        """On-call can see which host lacks committed entries, and since when."""
+        leader = self.group.leader().address
+        lost = next(item for item in self.group.hosts if item != leader)
+        self.group.crash(self.group.hosts[lost])
+        self.group.propose("a")
+        self.run_observed(4.0)
+        lags = [f for _, kind, f in self.events if kind == "member_lags"]
+        self.assertEqual([item["peer"] for item in lags], [lost])
+        self.assertGreater(lags[0]["lacking_entries"], 0)
+        self.group.start_host(self.group.hosts[lost])
+        self.run_observed(4.0)
+        caught_up = [f for _, kind, f in self.events if kind == "member_caught_up"]
+        self.assertEqual([item["peer"] for item in caught_up], [lost])
+
     def test_a_member_without_a_quorum_names_the_voters_it_lacks(self):
         """The line is repeated every few seconds for as long as it lasts."""
         leader = self.group.leader().address
