RECOVER: what a lagging member is sent grows with the state and fits its link

On a link of 5 Mbit/s that never passes; what has arrived is lost with the connection, and the next attempt begins at the same entry. So no kill of all is needed: any host that returns after some changes stays without a configuration.

The leader takes it when it is needed, and again once the entries after it exceed its size. A single larger entry is sent alone. - The time that a call may take, and after which a request is sent again, grow with the size of its payload. - Members without a vote share a window of 512 KB that is under way, so that 65 of them do not make each other late on the leader's own link. A member that does not answer is sent nothing large.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -58,6 +58,8 @@
   3: bool success
   4: i64 match_index
   5: double sent_at_s
+  // Of a snapshot in parts: how many bytes of it the member holds.
+  6: optional i64 snapshot_bytes
 }
 
 struct SnapshotRequest {
@@ -71,6 +73,20 @@
   8: double sent_at_s
 }
 
+// A part of a snapshot that is too large for one message; ``offset`` counts bytes.
+struct SnapshotPartRequest {
+  1: i64 term
+  2: string leader_id
+  3: string leader_address
+  4: i64 last_index
+  5: i64 last_term
+  6: list<Member> members
+  7: binary data
+  8: double sent_at_s
+  9: i64 offset
+  10: i64 total_bytes
+}
+
 // Asks a voter to take over from a leader that stops.
 struct TakeOverRequest { 1: i64 term  2: string leader_id }
 
--- a/packages/damaskvalve-core/damaskvalve_core/_codec.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_codec.py
@@ -26,7 +26,7 @@
     "LeaseJobRequest LeaseJobReply ReadRequest ReadReply WorkRequest WorkStarted "
     "WorkChunk WorkProgress WorkEnd WorkRefused SyncRequest SyncReply TokensRequest "
     "TokensReply AdmitRequest AdmitReply AdmitEnd TakeOverRequest "
-    "SendGrantsRequest SendGrantsReply"
+    "SendGrantsRequest SendGrantsReply SnapshotPartRequest"
 ).split()
 
 _CLASS_BY_NUMBER: dict[int, type] = {
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -192,6 +192,7 @@
      - success
      - match_index
      - sent_at_s
+     - snapshot_bytes
 
     """
 
@@ -201,15 +202,17 @@
         'success',
         'match_index',
         'sent_at_s',
+        'snapshot_bytes',
     )
 
 
-    def __init__(self, term=None, member_id=None, success=None, match_index=None, sent_at_s=None,):
+    def __init__(self, term=None, member_id=None, success=None, match_index=None, sent_at_s=None, snapshot_bytes=None,):
         self.term = term
         self.member_id = member_id
         self.success = success
         self.match_index = match_index
         self.sent_at_s = sent_at_s
+        self.snapshot_bytes = snapshot_bytes
 
 
 class SnapshotRequest(TBase):
@@ -249,6 +252,49 @@
         self.sent_at_s = sent_at_s
 
 
+class SnapshotPartRequest(TBase):
+    """
+    Attributes:
+     - term
+     - leader_id
+     - leader_address
+     - last_index
+     - last_term
+     - members
+     - data
+     - sent_at_s
+     - offset
+     - total_bytes
+
+    """
+
+    __slots__ = (
+        'term',
+        'leader_id',
+        'leader_address',
+        'last_index',
+        'last_term',
+        'members',
+        'data',
+        'sent_at_s',
+        'offset',
+        'total_bytes',
+    )
+
+
+    def __init__(self, term=None, leader_id=None, leader_address=None, last_index=None, last_term=None, members=None, data=None, sent_at_s=None, offset=None, total_bytes=None,):
+        self.term = term
+        self.leader_id = leader_id
+        self.leader_address = leader_address
+        self.last_index = last_index
+        self.last_term = last_term
+        self.members = members
+        self.data = data
+        self.sent_at_s = sent_at_s
+        self.offset = offset
+        self.total_bytes = total_bytes
+
+
 class TakeOverRequest(TBase):
     """
     Attributes:
@@ -2766,6 +2812,7 @@
     (3, TType.BOOL, 'success', None, None, ),  # 3
     (4, TType.I64, 'match_index', None, None, ),  # 4
     (5, TType.DOUBLE, 'sent_at_s', None, None, ),  # 5
+    (6, TType.I64, 'snapshot_bytes', None, None, ),  # 6
 )
 all_structs.append(SnapshotRequest)
 SnapshotRequest.thrift_spec = (
@@ -2779,6 +2826,20 @@
     (7, TType.STRING, 'data', 'BINARY', None, ),  # 7
     (8, TType.DOUBLE, 'sent_at_s', None, None, ),  # 8
 )
+all_structs.append(SnapshotPartRequest)
+SnapshotPartRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+    (2, TType.STRING, 'leader_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'leader_address', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'last_index', None, None, ),  # 4
+    (5, TType.I64, 'last_term', None, None, ),  # 5
+    (6, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 6
+    (7, TType.STRING, 'data', 'BINARY', None, ),  # 7
+    (8, TType.DOUBLE, 'sent_at_s', None, None, ),  # 8
+    (9, TType.I64, 'offset', None, None, ),  # 9
+    (10, TType.I64, 'total_bytes', None, None, ),  # 10
+)
 all_structs.append(TakeOverRequest)
 TakeOverRequest.thrift_spec = (
     None,  # 0
--- a/packages/damaskvalve-state/damaskvalve_state/_consensus.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus.py
@@ -15,6 +15,7 @@
     EntryKind,
     Member,
     SnapshotFile,
+    SnapshotPartRequest,
     SnapshotRequest,
     TakeOverRequest,
     VoteReply,
@@ -257,10 +258,9 @@
             return
         if member.member_id == self.member.member_id:
             return
-        self.progress[member.member_id] = Progress(
-            member, self.log.last_index + 1, now_s
-        )
-        self._send_append(self.progress[member.member_id], now_s)
+        new = Progress(member, self.log.last_index + 1, now_s)
+        self.progress[member.member_id] = new
+        self._send_append(new, self._open_window(now_s), now_s, heartbeat=True)
 
     def note_stopping(self, member: Member, now_s: float) -> None:
         """Record that a member announced its stop; it repeats that until it ends."""
@@ -286,10 +286,10 @@
 
     def compact(self, index: int, data: bytes) -> SnapshotFile:
         """Replace the entries up to ``index`` by a snapshot with the given data."""
-        term = self.log.term_at(index)
-        members = list(self.log.members_at(index))
-        snapshot = SnapshotFile(index, term, members, data)
+        snapshot = self._snapshot_at(index, data)
         self.log.compact(snapshot, RETAINED_ENTRIES)
+        if snapshot.last_index >= self._newest_snapshot.last_index:
+            self._newest_snapshot = snapshot
         return snapshot
 
     def receive(self, message: Any, now_s: float) -> Any:
@@ -303,6 +303,8 @@
             return self._on_append_request(message, now_s)
         if isinstance(message, SnapshotRequest):
             return self._on_snapshot_request(message, now_s)
+        if isinstance(message, SnapshotPartRequest):
+            return self._on_snapshot_part(message, now_s)
         if isinstance(message, TakeOverRequest):
             return self._on_take_over(message, now_s)
         if isinstance(message, VoteReply):
@@ -311,8 +313,11 @@
             self._on_append_reply(message, now_s)
         return None
 
-    def record_request_failure(self, member: Member) -> None:
+    def record_request_failure(self, member: Member, request: Any) -> None:
         """Record that a request to a member failed, so that it can be sent again."""
         peer = self.progress.get(member.member_id)
-        if peer is not None:
-            peer.in_flight_since_s = NEVER_S
+        if peer is None:
+            return
+        peer.answered_at_s = NEVER_S
+        if getattr(request, "sent_at_s", NEVER_S) == peer.in_flight_since_s:
+            peer.end_request()
--- a/packages/damaskvalve-state/damaskvalve_state/_consensus_state.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus_state.py
@@ -15,7 +15,9 @@
     Progress,
     quorum_contact_s,
 )
+from damaskvalve_state._state_access import WITHOUT_STATE, StateAccess
 from damaskvalve_state._timing import Output, Timing
+from damaskvalve_state._transfer import SnapshotAssembly
 
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
@@ -40,6 +42,7 @@
         timing: Timing,
         rng: random.Random,
         now_s: float,
+        access: StateAccess = WITHOUT_STATE,
     ) -> None:
         self.member = member
         self.log = log
@@ -53,6 +56,11 @@
         self.synced_index = log.last_index
         self.progress: dict[str, Progress] = {}
         self._rng = rng
+        self._access = access
+        # The newest snapshot for members that lag. The log may hold an older one.
+        self._newest_snapshot = log.snapshot
+        # Of the snapshot that a leader sends to this member.
+        self._assembly = SnapshotAssembly()
         self._applied_index: int = log.snapshot.last_index
         self._votes: set[str] = set()
         # Members whose data folders are known to be lost.
@@ -174,6 +182,7 @@
             self._leader_contact_s = now_s
         self.role = FOLLOWER
         self.progress = {}
+        self._newest_snapshot = self.log.snapshot
         self._reset_election(now_s)
 
     def _set_hard_state(self, term: int, voted_for: str) -> None:
--- a/packages/damaskvalve-state/damaskvalve_state/_foreign_messages.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_foreign_messages.py
@@ -16,17 +16,20 @@
     HelloReply,
     HelloRequest,
     LogEntry,
+    SnapshotPartRequest,
     SnapshotRequest,
     TakeOverRequest,
     VoteReply,
     VoteRequest,
 )
 from damaskvalve_state._state_machine import StateMachine
+from damaskvalve_state._transfer import MAX_SNAPSHOT_BYTES
 
 _REQUESTS = (
     AppendRequest,
     FoundRequest,
     HelloRequest,
+    SnapshotPartRequest,
     SnapshotRequest,
     TakeOverRequest,
     VoteRequest,
@@ -42,6 +45,7 @@
         "leads",
         "memory_only",
         "refused",
+        "snapshot_bytes",
         "starts",
         "stopping",
         "trials",
@@ -66,6 +70,8 @@
             _check_entry(entry, message.previous_index + 1 + place, own_term)
     if isinstance(message, SnapshotRequest):
         _check_snapshot(message)
+    if isinstance(message, SnapshotPartRequest):
+        _check_snapshot_part(message)
 
 
 def check_peer_reply(message: Any, own_term: int) -> None:
@@ -121,10 +127,32 @@
 def _check_snapshot(message: SnapshotRequest) -> None:
     if not message.members:
         raise ProtocolError("a snapshot with no members")
+    check_state(message.data)
+
+
+def _check_snapshot_part(message: SnapshotPartRequest) -> None:
+    if not message.members:
+        raise ProtocolError("a part of a snapshot with no members")
+    end = message.offset + len(message.data)
+    if not message.data or end > message.total_bytes:
+        raise ProtocolError(
+            f"a part up to byte {end} of a snapshot of {message.total_bytes} bytes"
+        )
+    if message.total_bytes > MAX_SNAPSHOT_BYTES:
+        raise ProtocolError(f"a snapshot of {message.total_bytes} bytes is too large")
+
+
+def check_state(data: bytes) -> None:
+    """Raise :class:`ProtocolError` unless the data of a snapshot can be read."""
     try:
-        StateMachine.from_bytes(message.data)
+        StateMachine.from_bytes(data)
     except (ProtocolError, TypeError, AttributeError) as error:
         raise ProtocolError(f"a snapshot that cannot be read: {error}") from error
 
 
-__all__ = ["check_command", "check_peer_reply", "check_peer_request"]
+__all__ = [
+    "check_command",
+    "check_peer_reply",
+    "check_peer_request",
+    "check_state",
+]
--- a/packages/damaskvalve-state/damaskvalve_state/_log.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_log.py
@@ -1,5 +1,6 @@
 """The replicated log in memory: a snapshot, later entries and some earlier ones."""
 
+import itertools
 from collections.abc import Sequence
 
 from damaskvalve_core.messages import EntryKind, LogEntry, Member, SnapshotFile
@@ -60,6 +61,27 @@
         start = index - self.first_index
         return self._entries[start : start + limit]
 
+    def batch_from(self, index: int, limit: int, limit_bytes: int) -> list[LogEntry]:
+        """Return up to ``limit`` entries from ``index`` on, within ``limit_bytes``."""
+        batch: list[LogEntry] = []
+        size_bytes = 0
+        for entry in self.entries_from(index, limit):
+            size_bytes += len(entry.command)
+            if size_bytes > limit_bytes:
+                break
+            batch.append(entry)
+        return batch
+
+    def exceeds(self, index: int, limit_bytes: int) -> bool:
+        """Return whether the entries from ``index`` on exceed a size."""
+        size_bytes = 0
+        start = max(0, index - self.first_index)
+        for entry in itertools.islice(self._entries, start, None):
+            size_bytes += len(entry.command)
+            if size_bytes > limit_bytes:
+                return True
+        return False
+
     def append(self, entry: LogEntry) -> None:
         """Append the entry that follows the last one."""
         if entry.index != self.last_index + 1:
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -152,7 +152,7 @@
                 _log.warning("dropped a reply that no member sends: {}", error)
                 reply = None
         if reply is None:
-            self.consensus.record_request_failure(message.member)
+            self.consensus.record_request_failure(message.member, message.request)
         elif isinstance(reply, HelloReply):
             self._on_hello_reply(reply, now_s)
         elif not isinstance(reply, FoundReply):
--- a/packages/damaskvalve-state/damaskvalve_state/_node_messages.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node_messages.py
@@ -36,10 +36,11 @@
 class PeerReply:
     """A member's reply to a request; None if the request failed."""
 
-    __slots__ = ("member", "reply")
+    __slots__ = ("member", "request", "reply")
 
-    def __init__(self, member: Member, reply: Any) -> None:
+    def __init__(self, member: Member, request: Any, reply: Any) -> None:
         self.member = member
+        self.request = request
         self.reply = reply
 
 
--- a/packages/damaskvalve-state/damaskvalve_state/_peers.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_peers.py
@@ -8,7 +8,13 @@
 import logbook
 
 from damaskvalve_core import Dialer, ProtocolError, RetryLaterError, boot_clock_s
-from damaskvalve_core.messages import AppendRequest, Member, SnapshotRequest
+from damaskvalve_core.messages import (
+    AppendRequest,
+    Member,
+    SnapshotPartRequest,
+    SnapshotRequest,
+)
+from damaskvalve_state._transfer import payload_bytes, transfer_time_s
 
 MAX_QUEUED_MESSAGES = 64
 # Calls to a peer that go on failing are reported at this interval.
@@ -16,8 +22,9 @@
 
 _log = logbook.Logger("peers")
 
-#: Receives the member that a message was sent to, and the reply or None on failure.
-ReplyCallback = Callable[[Member, Any], None]
+#: Receives the member that a message was sent to, the message, and the reply or None
+#: on failure.
+ReplyCallback = Callable[[Member, Any, Any], None]
 #: Receives the fields of a report on calls that failed.
 FailureObserver = Callable[[dict[str, Any]], None]
 
@@ -27,14 +34,10 @@
     if isinstance(message, AppendRequest):
         return {
             "entries": len(message.entries),
-            "payload_bytes": sum(len(item.command) for item in message.entries),
             "after_index": message.previous_index,
         }
-    if isinstance(message, SnapshotRequest):
-        return {
-            "payload_bytes": len(message.data),
-            "last_index": message.last_index,
-        }
+    if isinstance(message, (SnapshotRequest, SnapshotPartRequest)):
+        return {"last_index": message.last_index}
     return {}
 
 
@@ -65,6 +68,7 @@
                 "failures": self._failures,
                 "took_s": round(now_s - began_s, 3),
                 "reason": str(error),
+                "payload_bytes": payload_bytes(message),
                 **_payload_fields(message),
             }
         )
@@ -72,7 +76,10 @@
 
 
 class PeerSender:
-    """A bounded queue to one address; messages are dropped while it is full."""
+    """A bounded queue to one address; messages are dropped while it is full.
+
+    ``timeout_s`` is the timeout of a call whose payload is empty.
+    """
 
     def __init__(
         self,
@@ -113,9 +120,10 @@
                 return
             member, message = item
             began_s = boot_clock_s()
+            timeout_s = self._timeout_s + transfer_time_s(payload_bytes(message))
             try:
-                reply = self._dialer.call(self._address, message, self._timeout_s)
+                reply = self._dialer.call(self._address, message, timeout_s)
             except (RetryLaterError, ProtocolError) as error:
                 self._failure_reports.note(message, began_s, error, boot_clock_s())
                 reply = None
-            self._on_reply(member, reply)
+            self._on_reply(member, message, reply)
--- a/packages/damaskvalve-state/damaskvalve_state/_progress.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_progress.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from damaskvalve_core.messages import Member
+from damaskvalve_state._transfer import SnapshotTransfer
 
 NEVER_S = float("-inf")
 
@@ -16,7 +17,11 @@
         "match_index",
         "sent_commit_index",
         "acked_sent_at_s",
+        "answered_at_s",
         "in_flight_since_s",
+        "in_flight_until_s",
+        "in_flight_bytes",
+        "transfer",
         "added_at_s",
         "stopping_until_s",
     )
@@ -30,11 +35,34 @@
         self.sent_commit_index = 0
         # When the leader sent the newest request that the member acknowledged.
         self.acked_sent_at_s = NEVER_S
+        # When its last reply arrived; NEVER_S if a request has failed since.
+        self.answered_at_s = NEVER_S
         # When the unanswered request was sent; NEVER_S if there is none.
         self.in_flight_since_s = NEVER_S
+        # When that request is given up, and its payload.
+        self.in_flight_until_s = NEVER_S
+        self.in_flight_bytes = 0
+        # The snapshot that is being sent to the member.
+        self.transfer: SnapshotTransfer | None = None
         # Until when the member counts as stopping; NEVER_S if it has not announced it.
         self.stopping_until_s = NEVER_S
 
+    def begin_request(self, size_bytes: int, now_s: float, until_s: float) -> None:
+        """Record a request that awaits its reply until a time."""
+        self.in_flight_since_s = now_s
+        self.in_flight_until_s = until_s
+        self.in_flight_bytes = size_bytes
+
+    def end_request(self) -> None:
+        """Record that no reply is awaited any more."""
+        self.in_flight_since_s = NEVER_S
+        self.in_flight_until_s = NEVER_S
+        self.in_flight_bytes = 0
+
+    def awaits_reply(self, now_s: float) -> bool:
+        """Return whether a request is under way and not given up."""
+        return now_s < self.in_flight_until_s
+
 
 def quorum_size(count: int) -> int:
     """Return the size of a majority of ``count`` voters."""
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -14,6 +14,7 @@
 from damaskvalve_core import (
     CorruptJournalError,
     Dialer,
+    ProtocolError,
     boot_clock_s,
 )
 from damaskvalve_core.messages import (
@@ -26,6 +27,7 @@
 )
 from damaskvalve_state._consensus import Consensus
 from damaskvalve_state._consensus_state import LEADER
+from damaskvalve_state._foreign_messages import check_state
 from damaskvalve_state._group_reporter import (
     GroupObserver,
     GroupReporter,
@@ -43,6 +45,7 @@
 from damaskvalve_state._node_messages import PeerReply
 from damaskvalve_state._node_settings import NodeSettings, NodeStatus, PublishedStatus
 from damaskvalve_state._peers import PeerSender
+from damaskvalve_state._state_access import AppliedState, StateAccess
 from damaskvalve_state._state_machine import StateMachine
 from damaskvalve_state._timing import Output
 
@@ -155,8 +158,25 @@
             self.settings.timing,
             random.Random(self.member.member_id),
             now_s,
+            StateAccess(self._capture, self._is_readable),
         )
 
+    def _capture(self) -> AppliedState:
+        data = self.state_machine.to_bytes()
+        self.reporter.report(
+            "snapshot_for_members", log_index=self.applied_index, bytes=len(data)
+        )
+        return AppliedState(self.applied_index, data)
+
+    @staticmethod
+    def _is_readable(data: bytes) -> bool:
+        try:
+            check_state(data)
+        except ProtocolError as error:
+            _log.warning("refused a snapshot in parts: {}", error)
+            return False
+        return True
+
     def _restore(self, snapshot: SnapshotFile) -> None:
         self.state_machine = StateMachine.from_bytes(snapshot.data)
         self.applied_index = snapshot.last_index
@@ -249,9 +269,9 @@
             self._senders[member.address] = sender
         sender.send(member, message)
 
-    def _enqueue_reply(self, member: Member, reply: Any) -> None:
+    def _enqueue_reply(self, member: Member, request: Any, reply: Any) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
-            self.actor_ref.tell(PeerReply(member, reply))
+            self.actor_ref.tell(PeerReply(member, request, reply))
 
     def _apply(self, entries: Sequence[LogEntry]) -> None:
         for entry in entries:
--- a/packages/damaskvalve-state/damaskvalve_state/tests/open_fleet.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/open_fleet.py
@@ -9,12 +9,15 @@
 from damaskvalve_core import RetryLaterError, dialing, listening
 from damaskvalve_core.messages import Command, DocumentRecord
 from damaskvalve_state import NodeSettings, Timing, running_group
+from damaskvalve_state.tests.slow_link import slow_link
 
 # Outside the ephemeral port range of the system.
 FIRST_PORT = 21_700
 # How long a host that stops finishes its requests.
 DRAIN_S = 1.0
 TIMING = Timing(election_timeout_s=0.5, heartbeat_s=0.1)
+# Where a member listens that others reach over a slow link.
+BEHIND_LINK_IP = "127.0.0.2"
 
 
 class Fleet:
@@ -25,8 +28,23 @@
         self.stacks = {}
         self.groups = {}
 
-    def start(self, number, seeds, *, durable=True, may_bootstrap=True):
+    def start(
+        self,
+        number,
+        seeds,
+        *,
+        durable=True,
+        may_bootstrap=True,
+        link_bytes_per_s=None,
+    ):
+        """Start a member; others reach it over a link of a limited rate, if given."""
         address = f"127.0.0.1:{FIRST_PORT + number}"
+        listen_address = address
+        stack = contextlib.ExitStack()
+        if link_bytes_per_s is not None:
+            listen_address = f"{BEHIND_LINK_IP}:{FIRST_PORT + number}"
+            link = slow_link(address, listen_address, link_bytes_per_s)
+            stack.enter_context(link)
         folder = self.scratch / str(number) if durable else None
         settings = NodeSettings(
             folder,
@@ -37,13 +55,12 @@
             may_bootstrap=may_bootstrap,
             open_group=True,
         )
-        stack = contextlib.ExitStack()
         dialer = stack.enter_context(dialing(None))
         group = stack.enter_context(running_group(settings, dialer))
         answer = lambda request, _: [  # noqa: E731
             group.handle_peer_message(request, 2.0)
         ]
-        stack.enter_context(listening(address, None, answer))
+        stack.enter_context(listening(listen_address, None, answer))
         self.stacks[number], self.groups[number] = stack, group
 
     def stop(self, number):
@@ -65,9 +82,9 @@
         for number in list(self.stacks):
             self.stop(number)
 
-    def commit_document(self, version, within_s=10.0):
+    def commit_document(self, version, within_s=10.0, name="d", body=b"x"):
         """Commit a document through the current leader."""
-        command = Command(document=DocumentRecord("d", version, b"x"))
+        command = Command(document=DocumentRecord(name, version, body))
         deadline_s = time.monotonic() + within_s
         while time.monotonic() < deadline_s:
             for group in self.groups.values():
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_peers.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_peers.py
@@ -34,7 +34,7 @@
             PEER.address,
             FailingDialer(),
             0.1,
-            lambda member, reply: failed.set(),
+            lambda member, request, reply: failed.set(),
             reports.append,
         )
         self.addCleanup(sender.stop)
