MIXED: replies with a status outside 200 to 599 are no answers

Cause: the library checks three digits, and no code of the project checked the range. The agents' own client (http.client) takes every number from 100 to 999.

Change: is_final_status (RFC 9110, section 15) decides, and both HTTP clients raise their usual error of a broken reply: the connection is closed, whether the request ran is not known, so a request that may not be repeated ends with 502 and another one is sent again. The two clients carry the gateway's requests, resumed streams, the agents' reports and orders, plain calls and deferred jobs of the product's own interface.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
@@ -1,7 +1,8 @@
 """A connection pool whose answers are complete in every line of their framing.
 
 The standard library takes the end of a connection for the end of a head, of a chunk's
-size and of the trailers, and a line that is no header for the end of the head.
+size and of the trailers, a line that is no header for the end of the head, and any
+number from 100 to 999 for the status of an answer.
 """
 
 import http.client
@@ -12,6 +13,8 @@
 import urllib3.connection
 from urllib3.util.response import assert_header_parsing
 
+from damaskvalve_core import is_final_status
+
 # Maximum size of the lines of an answer that are no part of its body, up to the next
 # bytes that are: heads, the sizes of chunks, trailers.
 MAX_FRAMING_BYTES = 64 * 1024
@@ -63,6 +66,8 @@
 
     def begin(self) -> None:
         super().begin()
+        if not is_final_status(self.status):
+            raise http.client.HTTPException(f"the status {self.status} is invalid")
         try:
             assert_header_parsing(self.msg)
         except urllib3.exceptions.HeaderParsingError as error:
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_cut_answers.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_cut_answers.py
@@ -144,6 +144,20 @@
         self.assert_cuts_fail(chunks, run_service, first=len(CHUNKED))
         self.assert_cuts_fail(LENGTH, run_service, first=LENGTH.index(b"xx"))
 
+    def test_an_answer_with_an_invalid_status_is_no_answer(self):
+        """Guards against MIXED, issue 58: callers got such a status as an answer.
+
+        An order whose answer has such a status is not carried out either.
+        """
+        for status in (b"000", b"001", b"099", b"101", b"600", b"999", b"1200"):
+            answer = LENGTH.replace(b"200 OK", status + b" X")
+            for run in (run_service, run_engine, load, BackendClient.start_id):
+                self.server.answer = answer
+                with self.subTest(status=status, run=run):
+                    with self.assertRaises(BackendError) as raised:
+                        self.with_client(run)
+                    self.assertTrue(raised.exception.sent)
+
     def test_a_refusal_whose_head_is_cut_does_not_count_as_not_run(self):
         """The engine may have begun to work on the request."""
         for status in (b"404 Not Found", b"409 Conflict"):
--- a/packages/damaskvalve-core/damaskvalve_core/__init__.py
+++ b/packages/damaskvalve-core/damaskvalve_core/__init__.py
@@ -53,6 +53,7 @@
 )
 from damaskvalve_core._process import run_from_settings
 from damaskvalve_core._reload_signal import log_reloads
+from damaskvalve_core._reply_status import MIN_FINAL_STATUS, is_final_status
 from damaskvalve_core._stop_signals import StopRequest, watch_stop_signals
 from damaskvalve_core._time_line import (
     CLOSE_TIMEOUT_S,
@@ -66,6 +67,7 @@
     "CLOSE_TIMEOUT_S",
     "DEFAULT_GRACE_S",
     "MAX_GRACE_S",
+    "MIN_FINAL_STATUS",
     "MIN_GRACE_S",
     "NOT_RUN",
     "RAN",
@@ -106,6 +108,7 @@
     "enable_keepalive",
     "encode_message",
     "encode_struct",
+    "is_final_status",
     "is_sampled",
     "listening",
     "log_reloads",
--- a/packages/damaskvalve-core/damaskvalve_core/http/_client.py
+++ b/packages/damaskvalve-core/damaskvalve_core/http/_client.py
@@ -10,6 +10,7 @@
 from damaskvalve_core import ChannelError, NotSentError, enable_keepalive, split_address
 from damaskvalve_core._buffer_budget import FIELD_BYTES, BufferBudget
 from damaskvalve_core._channel import CONNECT_TIMEOUT_S
+from damaskvalve_core._reply_status import is_final_status
 from damaskvalve_core._turn_limit import TurnLimit
 from damaskvalve_core.http._bounded_reader import BoundedReader
 from damaskvalve_core.http._request import Headers
@@ -159,10 +160,17 @@
             self._turn.begin_turn()
 
     async def read_head(self) -> ReplyHead:
-        """Return the head of the final reply; skip informational replies."""
+        """Return the head of the final reply; skip informational replies.
+
+        Raise :class:`BackendFailedError` for a status that no final reply has.
+        """
         for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if not is_final_status(event.status_code):
+                    raise BackendFailedError(
+                        f"{self.address} sent the invalid status {event.status_code}"
+                    )
                 return ReplyHead(event.status_code, list(event.headers))
         raise BackendFailedError(
             f"{self.address} sent more than {MAX_INFORMATIONAL} informational replies"
