--- a/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_strict_http.py
@@ -13,11 +13,12 @@
 import urllib3.connection
 from urllib3.util.response import assert_header_parsing
 
-from damaskvalve_core import is_final_status
+from damaskvalve_core import MIN_FINAL_STATUS, is_final_status
 
 # Maximum size of the lines of an answer that are no part of its body, up to the next
 # bytes that are: heads, the sizes of chunks, trailers.
 MAX_FRAMING_BYTES = 64 * 1024
+SWITCHING_PROTOCOLS = 101
 
 
 class _WholeLineReader(io.BufferedReader):
@@ -64,6 +65,20 @@
         # Nothing has been read from the reader that is replaced.
         self.fp = _WholeLineReader(self.fp.detach())
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return the status line of the final answer; skip informational answers.
+
+        The standard library skips those of status 100 only, and takes any other for
+        the answer.
+        """
+        while True:
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            is_informational = 100 < status < MIN_FINAL_STATUS
+            if not is_informational or status == SWITCHING_PROTOCOLS:
+                return version, status, reason
+            # The size of the framing is limited, and so is the number of answers.
+            http.client.parse_headers(self.fp)
+
     def begin(self) -> None:
         super().begin()
         if not is_final_status(self.status):
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_cut_answers.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_cut_answers.py
@@ -158,6 +158,21 @@
                         self.with_client(run)
                     self.assertTrue(raised.exception.sent)
 
+    def test_an_informational_answer_is_not_taken_for_the_final_one(self):
+        """The final answer would be the answer to the next request."""
+        for status in (b"102 Processing", b"103 Early Hints", b"199 X"):
+            early = INFORMATIONAL.replace(b"100 Continue", status)
+            self.server.answer = early * 3 + LENGTH
+            result = self.with_client(run_service)
+            self.assertEqual((result.status, result.body), (200, b"x" * 80))
+
+    def test_endless_informational_answers_end_the_call(self):
+        """They are limited by the size of the framing."""
+        early = INFORMATIONAL.replace(b"100 Continue", b"103 Early Hints")
+        self.server.answer = early * 2_000
+        with self.assertRaises(BackendError):
+            self.with_client(run_service)
+
     def test_a_refusal_whose_head_is_cut_does_not_count_as_not_run(self):
         """The engine may have begun to work on the request."""
         for status in (b"404 Not Found", b"409 Conflict"):
