--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -575,4 +575,10 @@
   7: optional i32 running
   8: optional bool watched
 }
-struct AdmitEnd { 1: string request_id  2: string outcome  3: optional double interval_s }
+struct AdmitEnd {
+  1: string request_id
+  2: string outcome
+  3: optional double interval_s
+  // Of a request that waits: the version of its adapter that was named meanwhile.
+  4: optional i64 version
+}
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
@@ -195,6 +195,11 @@
         self._queue.append(request)
         return 0.0
 
+    def require_version(self, request: AdmissionRequest, version: int) -> None:
+        """Have a request wait for a version of its adapter that was named meanwhile."""
+        request.version = max(request.version, version)
+        self.engine.require_version(request)
+
     def _order_keys(
         self, requests: Sequence[AdmissionRequest], now_s: float
     ) -> Sequence[OrderKey]:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -70,6 +70,8 @@
 MODEL_LOG_OBSERVATIONS = 32
 QUEUED = "queued"
 STARTED = "started"
+# Outcome of a notice that the operator has named a version of a request's adapter.
+VERSION = "version"
 
 
 class PermitServer:
@@ -166,15 +168,19 @@
         try:
             if not future.done():
                 call.send(self._reply(False, 0, 0.0, QUEUED, 0.0))
+            while not future.done():
                 await asyncio.wait(
                     (future, end_message), return_when=asyncio.FIRST_COMPLETED
                 )
-            if not future.done():
-                # The host has closed the call, or has sent an unexpected message.
-                await end_message
-                raise ChannelError(
-                    f"{call.peer} sent an unexpected message before the grant"
-                )
+                if future.done():
+                    break
+                # Raises an exception if the host has closed the call.
+                notice = await end_message
+                if not self._note_version(request, notice):
+                    raise ChannelError(
+                        f"{call.peer} sent an unexpected message before the grant"
+                    )
+                end_message = asyncio.ensure_future(call.receive())
             grant = future.result()
             waited_s = boot_clock_s() - request.arrived_at_s
             self._metrics.count_request(
@@ -200,6 +206,10 @@
                 )
             while True:
                 end = await end_message
+                if self._note_version(request, end):
+                    # It was on its way as the request was granted.
+                    end_message = asyncio.ensure_future(call.receive())
+                    continue
                 if not isinstance(end, AdmitEnd) or end.outcome != STARTED:
                     return
                 now_s = boot_clock_s()
@@ -220,6 +230,23 @@
             self._admission.release(request.request_id, boot_clock_s())
             self._dispatch_grants(boot_clock_s())
 
+    def _note_version(self, request: AdmissionRequest, notice: object) -> bool:
+        """Apply a notice that a version was named; return whether it is one."""
+        if not isinstance(notice, AdmitEnd) or notice.outcome != VERSION:
+            return False
+        version = notice.version or 0
+        self._log.line(
+            "version_named",
+            request=request.request_id,
+            adapter=request.adapter,
+            version=version,
+            instead_of=request.version,
+            waited_s=round(boot_clock_s() - request.arrived_at_s, 3),
+        )
+        self._admission.require_version(request, version)
+        self._dispatch_grants(boot_clock_s())
+        return True
+
     def _log_model(self, now_s: float) -> None:
         """Log what has been learned of the engine after every few observations."""
         model = self._admission.model
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permit_calls.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permit_calls.py
@@ -61,6 +61,46 @@
             self.assertGreaterEqual(reply.backlog_s, 0.0)
             self.assertEqual(reply.running, 0)
 
+    async def test_a_version_named_meanwhile_reaches_a_waiting_request(self):
+        """Its place in the queue is kept, and a late notice ends no run."""
+        log = types.SimpleNamespace(line=lambda kind, **fields: None, dropped_total=0)
+        settings = PermitSettings("a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", [])
+        server = PermitServer(settings, None, None, log)
+        admission = server._admission
+        admission.apply_report(EngineReport(1, 0, {"m": {"a": 1}}, (), 0, 0), 0.0)
+        limits = EngineLimits(1, 4, 1_000)
+        notices = {name: asyncio.Queue() for name in ("r1", "r2")}
+        replies = {name: [] for name in notices}
+        tasks = []
+        for name, queue in notices.items():
+            call = types.SimpleNamespace(
+                send=replies[name].append, peer="p", receive=queue.get
+            )
+            fields = {
+                "version": 1,
+                "limits": limits,
+                "wait_s": 30.0,
+                "deadline_s": 60.0,
+            }
+            request = AdmitRequest(**{**SOUND, **fields, "request_id": name})
+            tasks.append(asyncio.create_task(server.handle_call(request, call)))
+            self.addCleanup(tasks[-1].cancel)
+            await asyncio.sleep(0.01)
+        self.assertEqual([item.granted for item in replies["r1"]], [True])
+        notices["r1"].put_nowait(AdmitEnd("r1", "version", None, 2))
+        notices["r2"].put_nowait(AdmitEnd("r2", "version", None, 2))
+        await asyncio.sleep(0.01)
+        self.assertFalse(tasks[0].done())
+        (waiting,) = admission.waiting()
+        self.assertEqual((waiting.request_id, waiting.version), ("r2", 2))
+        notices["r1"].put_nowait(AdmitEnd("r1", "released"))
+        await asyncio.sleep(0.01)
+        self.assertEqual([item.reason for item in replies["r2"]], ["queued"])
+        admission.apply_report(EngineReport(1, 1, {"m": {"a": 2}}, (), 0, 0), 1.0)
+        server._dispatch_grants(1.0)
+        await asyncio.sleep(0.01)
+        self.assertEqual(replies["r2"][-1].version, 2)
+
     async def test_the_first_granted_streams_are_watched_until_they_end(self):
         """A few show the speed of the engine; their intervals reach its model."""
         log = types.SimpleNamespace(line=lambda kind, **fields: None, dropped_total=0)
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permits.py
@@ -74,6 +74,22 @@
         self.assertEqual(grant.version, 3)
         self.assertIsNone(admission.next_order(0.0))
 
+    def test_a_waiting_request_starts_on_a_version_named_meanwhile(self):
+        """Guards against VERSION, review case 10: it began on the older one."""
+        admission = make_admission(slots=1, adapters={"a1": 1, "a2": 1})
+        admission.submit(make_request(1, "a2"), 0.0)
+        admission.take_grants(0.0)
+        waiting = make_request(2, "a1", version=1)
+        self.assertEqual(admission.submit(waiting, 0.0), 0.0)
+        admission.require_version(waiting, 2)
+        admission.release("r1", 6.0)
+        self.assertEqual(admission.take_grants(6.0), [])
+        order = admission.next_order(6.0)
+        self.assertEqual((order.kind, order.adapter, order.version), (LOAD, "a1", 2))
+        admission.apply_report(make_report({"a1": 2, "a2": 1}, order_count=1), 6.5)
+        (grant,) = admission.take_grants(6.5)
+        self.assertEqual((grant.request.request_id, grant.version), ("r2", 2))
+
     def test_names_of_adapters_that_callers_invent_are_not_kept(self):
         """Each may be as long as a header, and their number has no limit."""
         admission = make_admission()
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2742,6 +2742,7 @@
      - request_id
      - outcome
      - interval_s
+     - version
 
     """
 
@@ -2749,13 +2750,15 @@
         'request_id',
         'outcome',
         'interval_s',
+        'version',
     )
 
 
-    def __init__(self, request_id=None, outcome=None, interval_s=None,):
+    def __init__(self, request_id=None, outcome=None, interval_s=None, version=None,):
         self.request_id = request_id
         self.outcome = outcome
         self.interval_s = interval_s
+        self.version = version
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -3634,6 +3637,7 @@
     (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'outcome', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'interval_s', None, None, ),  # 3
+    (4, TType.I64, 'version', None, None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -67,6 +67,8 @@
 LEADER_CONTACT_TIMEOUT_S = 2.5
 # A request is refused once this many of its attempts have ended as not run.
 MAX_NOT_RUN_ATTEMPTS = 3
+# Outcome of a permit that is given back, because its version was replaced.
+OUTDATED = "outdated"
 # Number of requests that one line of those unfinished at a stop names.
 UNFINISHED_PER_LINE = 50
 
@@ -526,19 +528,27 @@
         engine = exchange.service.engine
         assert engine is not None
         name = f"{request.model}/{request.adapter}"
-        version = self._view.adapter_versions.get(name, 0)
-        permits = self._permits.permit(
-            exchange,
-            candidates,
-            version,
-            engine,
-            lambda backend: self._check_waiting(exchange, backend),
-            lambda: self._limited_refusal(exchange),
-        )
-        async with permits as permit:
-            attempt = await self._attempt(exchange, permit)
-            permit.release(attempt.outcome)
-            return attempt
+
+        def newest_version() -> int:
+            return self._view.adapter_versions.get(name, 0)
+
+        while True:
+            permits = self._permits.permit(
+                exchange,
+                candidates,
+                newest_version,
+                engine,
+                lambda backend: self._check_waiting(exchange, backend),
+                lambda: self._limited_refusal(exchange),
+            )
+            async with permits as permit:
+                if permit.version < newest_version():
+                    # The version was named as the request was granted.
+                    permit.release(OUTDATED)
+                    continue
+                attempt = await self._attempt(exchange, permit)
+                permit.release(attempt.outcome)
+                return attempt
 
     def _check_waiting(self, exchange: Exchange, backend: Backend) -> None:
         """Raise :class:`RefusedError` if a request that waits there is refused now."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits/_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits/_client.py
@@ -23,6 +23,7 @@
     split_address,
 )
 from damaskvalve_core.messages import (
+    AdmitEnd,
     AdmitReply,
     AdmitRequest,
     EngineLimits,
@@ -62,6 +63,8 @@
 LEAVING_POLL_INTERVAL_S = 0.1
 # Reason of an agent's first reply if the request has to wait for its turn.
 QUEUED = "queued"
+# Outcome of a notice to an agent that a version of the request's adapter was named.
+VERSION = "version"
 
 #: Counts a request that got a permit, by how its engine was chosen.
 CountChoice = Callable[[str], None]
@@ -100,15 +103,17 @@
         self,
         exchange: Exchange,
         candidates: Sequence[Backend],
-        version: int,
+        newest_version: Callable[[], int],
         engine: EngineSpec,
         check_refused: Callable[[Backend], None],
         limited_refusal: Callable[[], RefusedError],
     ) -> AsyncIterator[Permit]:
         """Yield a permit; raise :class:`RefusedError` if no engine admits the request.
 
-        ``check_refused`` raises :class:`RefusedError` if the request has been refused
-        while it waits at an engine. ``limited_refusal`` returns the refusal for a
+        ``newest_version`` returns the version of the adapter that the operator named
+        last; it may change while the request waits. ``check_refused`` raises
+        :class:`RefusedError` if the request has been refused while it waits at an
+        engine. ``limited_refusal`` returns the refusal for a
         request that was not admitted because of request limits only.
 
         First, the first of the candidates that are not known to be too busy are asked
@@ -126,7 +131,7 @@
                     stack,
                     exchange,
                     backend,
-                    version,
+                    newest_version,
                     engine,
                     wait_s,
                     predicted_wait_s,
@@ -139,7 +144,7 @@
             )
             if permit is None:
                 permit = await self._permit_without_agent(
-                    stack, exchange, candidates, version, limited
+                    stack, exchange, candidates, newest_version(), limited
                 )
             if permit is None and limited and not predicted_wait_s:
                 raise limited_refusal()
@@ -213,7 +218,7 @@
         stack: contextlib.AsyncExitStack,
         exchange: Exchange,
         backend: Backend,
-        version: int,
+        newest_version: Callable[[], int],
         engine: EngineSpec,
         wait_s: float,
         predicted_wait_s: dict[str, float],
@@ -231,6 +236,7 @@
             limited.add(_instance_id(backend))
             return None
         request = exchange.request
+        version = newest_version()
         fields = exchange.forwarding_fields(
             _instance_id(backend), version, boot_clock_s()
         )
@@ -263,8 +269,16 @@
             reply = await self._first_reply(call)
             load = self._note_load(backend, reply)
             if reply.reason == QUEUED:
+                notify_version = _make_version_notifier(
+                    call, request.request_id, version, newest_version
+                )
+
+                def check(backend: Backend) -> None:
+                    check_refused(backend)
+                    notify_version()
+
                 reply = await self._wait_for_turn(
-                    call, backend, check_refused, patience_s(exchange, boot_clock_s())
+                    call, backend, check, patience_s(exchange, boot_clock_s())
                 )
                 self._note_load(backend, reply)
             if not backend.takes_work(boot_clock_s()):
@@ -373,6 +387,22 @@
         return None
 
 
+def _make_version_notifier(
+    call: RpcCall, request_id: str, version: int, newest_version: Callable[[], int]
+) -> Callable[[], None]:
+    """Return a function that tells an agent of a version named since it was asked."""
+    told_version = version
+
+    def notify() -> None:
+        nonlocal told_version
+        newest = newest_version()
+        if newest > told_version:
+            told_version = newest
+            call.send(AdmitEnd(request_id, VERSION, None, newest))
+
+    return notify
+
+
 async def _exit_with_error(
     stack: contextlib.AsyncExitStack, error: BaseException
 ) -> None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_permit_notices.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_permit_notices.py
@@ -4,6 +4,7 @@
 import unittest
 
 from damaskvalve_gateway._permits import Permit
+from damaskvalve_gateway._permits._client import _make_version_notifier
 
 
 class PermitNoticeTests(unittest.TestCase):
@@ -34,5 +35,17 @@
         permit.release("done")
 
 
+class NamedVersionTests(unittest.TestCase):
+    def test_an_agent_is_told_once_of_each_version_named_while_a_request_waits(self):
+        """Guards against VERSION, review case 10: it was told of none."""
+        sent, newest = [], [1]
+        call = types.SimpleNamespace(send=sent.append)
+        notify = _make_version_notifier(call, "r1", 1, lambda: newest[0])
+        for newest[0] in (1, 1, 2, 2, 4, 4):
+            notify()
+        notices = [(item.request_id, item.outcome, item.version) for item in sent]
+        self.assertEqual(notices, [("r1", "version", 2), ("r1", "version", 4)])
+
+
 if __name__ == "__main__":
     unittest.main()
