ORDER: an engine that has started again is used once its new start is announced

Cause: hosts go by the last announcement. Expect-Instance names the id, which the new start shares, and the agent beside the engine knows of the new start from the engine's report but says nothing of it. Where the agent does not answer in time, a host sends by the announcement alone.

Change: each reply of an agent tells when its engine started. A host gives back the permit of a start that is newer than the announced one (line unannounced_restart) and tries other engines; the caller is told that the request was not run. Without its agent an engine goes on with no stream.

Left open: a new stream that is sent without the agent, to an engine whose new start is not announced, is recorded with the announced software version.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -574,6 +574,8 @@
   6: optional double backlog_s
   7: optional i32 running
   8: optional bool watched
+  // When the engine started, by its newest report; absent if that does not say.
+  9: optional i64 started_at_ms
 }
 struct AdmitEnd {
   1: string request_id
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine_state.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine_state.py
@@ -99,6 +99,11 @@
         if request.adapter and request.version > self._newest_versions.get(name, 0):
             self._newest_versions[name] = request.version
 
+    @property
+    def started_at_ms(self) -> int | None:
+        """Return when the engine started, by its newest report; None if unknown."""
+        return self._started_at_ms or None
+
     def model_wait_s(self, model: str, now_s: float) -> float | None:
         """Return how long a model is still loaded; None if the engine holds it."""
         if model in self._models:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -154,6 +154,7 @@
             self._admission.backlog_s(boot_clock_s()),
             self._admission.running_count(),
             watched,
+            self._admission.engine.started_at_ms,
         )
 
     async def _grant_and_await_end(
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2710,6 +2710,7 @@
      - backlog_s
      - running
      - watched
+     - started_at_ms
 
     """
 
@@ -2722,10 +2723,11 @@
         'backlog_s',
         'running',
         'watched',
+        'started_at_ms',
     )
 
 
-    def __init__(self, granted=None, version=None, retry_after_s=None, reason=None, waited_s=None, backlog_s=None, running=None, watched=None,):
+    def __init__(self, granted=None, version=None, retry_after_s=None, reason=None, waited_s=None, backlog_s=None, running=None, watched=None, started_at_ms=None,):
         self.granted = granted
         self.version = version
         self.retry_after_s = retry_after_s
@@ -2734,6 +2736,7 @@
         self.backlog_s = backlog_s
         self.running = running
         self.watched = watched
+        self.started_at_ms = started_at_ms
 
 
 class AdmitEnd(TBase):
@@ -3630,6 +3633,7 @@
     (6, TType.DOUBLE, 'backlog_s', None, None, ),  # 6
     (7, TType.I32, 'running', None, None, ),  # 7
     (8, TType.BOOL, 'watched', None, None, ),  # 8
+    (9, TType.I64, 'started_at_ms', None, None, ),  # 9
 )
 all_structs.append(AdmitEnd)
 AdmitEnd.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_backend.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_backend.py
@@ -143,6 +143,15 @@
         until_s = now_s + min(for_s, MAX_BACKOFF_S)
         self.backoff_until_s = max(self.backoff_until_s, until_s)
 
+    def has_restarted(self, started_at_ms: int | None) -> bool:
+        """Return whether a start is newer than the announced one.
+
+        Nothing else that is announced is known of the newer incarnation, such as its
+        software version.
+        """
+        announced_ms = self.announcement.started_at_ms
+        return bool(started_at_ms and announced_ms and started_at_ms > announced_ms)
+
     def incarnation(self) -> Incarnation:
         """Return the instance id and start time that identify this incarnation."""
         return self.announcement.instance_id, self.announcement.started_at_ms
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits/_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits/_client.py
@@ -297,6 +297,16 @@
             await call_stack.aclose()
             predicted_wait_s[_instance_id(backend)] = reply.retry_after_s
             return None
+        if backend.has_restarted(reply.started_at_ms):
+            await call_stack.aclose()
+            self._log.line(
+                "unannounced_restart",
+                request=request.request_id,
+                backend=_instance_id(backend),
+                announced_at_ms=backend.announcement.started_at_ms,
+                started_at_ms=reply.started_at_ms,
+            )
+            return None
         if not await self._gate.renew(grant, backend, exchange):
             await call_stack.aclose()
             limited.add(_instance_id(backend))
@@ -365,8 +375,12 @@
         """Return a permit for an engine whose agent is unresponsive.
 
         The engine has announced the adapter as resident, unless the request needs none.
-        Return None if there is no such engine.
+        Return None if there is no such engine, and for a stream that goes on: only the
+        agent knows whether the engine has started again, with other software, since its
+        last announcement.
         """
+        if exchange.software_version is not None:
+            return None
         request = exchange.request
         wanted = f"{request.model}/{request.adapter}"
         now_s = boot_clock_s()
