--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crash_controller.py
@@ -360,7 +360,8 @@
         if fingerprint in self._cleared or parts_of_key(fingerprint):
             return _cleared_record(fingerprint)
         if known is not None and known.record.quarantined:
-            if known.left_s(now_s) > 0:
+            explained = self._tracker.is_explained_by_parts(fingerprint)
+            if known.left_s(now_s) > 0 and not explained:
                 return known.record
             # The quarantine has ended. One more broken run refuses the request again.
             self._tracker.keep_newest(fingerprint, REFUSED_AT - 1)
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
@@ -409,6 +409,13 @@
         record = self._records.get(fingerprint)
         return record is not None and self._is_blamed(fingerprint, record, record.ended)
 
+    def is_explained_by_parts(self, fingerprint: str) -> bool:
+        """Return whether a request is not to blame because parts of others are."""
+        record = self._records.get(fingerprint)
+        if record is None or self.is_refused(fingerprint):
+            return False
+        return bool(self._crashes_of_parts(record) & record.runs.keys())
+
     def _is_blamed(
         self,
         fingerprint: str,
@@ -423,12 +430,27 @@
         limit = REFUSED_AT_IF_SERVED if served else REFUSED_AT
         if not limit <= len(found) < limit + EXCUSED_RUNS:
             return len(found) >= limit
+        explained = self._crashes_of_parts(record)
         blamed = sum(
-            not self._has_excuse(fingerprint, record, incarnation)
+            incarnation not in explained
+            and not self._has_excuse(fingerprint, record, incarnation)
             for incarnation in found
         )
         return blamed >= limit
 
+    def _crashes_of_parts(self, record: _RequestRuns) -> Collection[Incarnation]:
+        """Return the incarnations that parts ended which are to blame.
+
+        Requests with a crashing part differ, so each of them has a single run and
+        explains nothing. Groups of parts that the request itself holds are left out.
+        """
+        crashes: set[Incarnation] = set()
+        for group in self.blamed_parts(only_ended=False):
+            if not set(group) <= set(record.parts):
+                part_record = self._records.get(parts_key(group[:1]))
+                crashes.update(part_record.runs if part_record is not None else ())
+        return crashes
+
     def _has_excuse(
         self, fingerprint: str, record: _RequestRuns, incarnation: Incarnation
     ) -> bool:
