BUDGET: late announcements no longer clear the runs of a crashing request

Cause: an announcement that is received more than 0.5 s after a run broke counts as proof that the server has outlived the run, and the run is removed for good. A heartbeat may arrive seconds late, so it may have been sent before the crash. The announcement of the next start, which proves the end, then finds nothing to count.

Change: such a run stops counting at once, as before, but is kept aside until an announcement arrives MAX_ANNOUNCEMENT_LATENESS_S (4 s) after it. If the next start is announced before that, the run counts again, with proof, also for the parts of its prompt. A planned departure and a success still remove it for good, so connections that were only reset are cleared as soon as before.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_crashes.py
@@ -46,6 +46,9 @@
 PENDING_TIMEOUT_S = 2.5
 # The most requests that a backend server runs at the same time.
 MAX_CONCURRENT_RUNS = 64
+# An announcement may arrive this late. One that arrives sooner after a run broke may
+# have been sent before.
+MAX_ANNOUNCEMENT_LATENESS_S = 4.0
 # Records of requests with this many broken runs are replicated to all hosts and survive
 # restarts. Most requests have one broken run only.
 SUSPECTED_AT = 2
@@ -110,6 +113,17 @@
         self.until_s = until_s
 
 
+class _DoubtfulRun:
+    """A run that its backend server seems to have outlived."""
+
+    __slots__ = ("at_s", "parts")
+
+    def __init__(self, at_s: float, parts: Sequence[str]) -> None:
+        # When the run broke.
+        self.at_s = at_s
+        self.parts = tuple(parts)
+
+
 class _RequestRuns:
     """The counted runs of one request, or of the requests with one part."""
 
@@ -150,6 +164,10 @@
         self._pending: collections.OrderedDict[str, dict[Incarnation, _PendingRun]] = (
             collections.OrderedDict()
         )
+        # The runs that count again if their backend servers have ended after all.
+        self._doubtful: collections.OrderedDict[
+            tuple[str, Incarnation], _DoubtfulRun
+        ] = collections.OrderedDict()
 
     # ---- events ----
 
@@ -231,6 +249,7 @@
         if len(self._served) > MAX_SERVED:
             self._served.popitem(last=False)
         self._pending.pop(fingerprint, None)
+        self._drop_doubtful(fingerprint, at_s)
         record = self._records.get(fingerprint)
         if record is None:
             return False
@@ -273,11 +292,14 @@
     ) -> Sequence[tuple[str, Incarnation, float]]:
         """Remove old runs and those that their backend servers have outlived.
 
+        An announcement that shows this may be late. If it turns out that the backend
+        server has ended, the run counts again.
         A pending run counts once its backend server is known to have ended, or if it is
         not known to have been running within ``pending_timeout_s`` after the run was
         given up. A backend server that was running then has outlived the run only once
         it can no longer be running the request. The runs of the ``kept`` keys do not
-        grow old. Return the pending runs that count from now on, each with its time.
+        grow old. Return the pending and doubtful runs that count from now on, each with
+        its time.
         """
         for fingerprint, record in list(self._records.items()):
             for incarnation, at_s in list(record.runs.items()):
@@ -288,8 +310,9 @@
                 if status == ENDED:
                     record.ended.add(incarnation)
                 elif status == OUTLIVED and incarnation not in record.ended:
+                    self._note_doubtful(fingerprint, incarnation, status_of)
                     self._remove_run(fingerprint, incarnation)
-        counted = []
+        counted = self._settle_doubtful(status_of, now_s)
         for fingerprint, incarnations in list(self._pending.items()):
             for incarnation, run in list(incarnations.items()):
                 at_s = run.at_s
@@ -311,6 +334,47 @@
                 del self._pending[fingerprint]
         return counted
 
+    def _note_doubtful(
+        self, fingerprint: str, incarnation: Incarnation, status_of: StatusOf
+    ) -> None:
+        """Keep a run aside if the announcement after it may have been a late one.
+
+        The runs of parts come back with those of their requests.
+        """
+        record = self._records[fingerprint]
+        at_s = record.runs[incarnation]
+        certain_s = at_s + MAX_ANNOUNCEMENT_LATENESS_S
+        if parts_of_key(fingerprint) or status_of(incarnation, certain_s) == OUTLIVED:
+            return
+        self._doubtful[fingerprint, incarnation] = _DoubtfulRun(at_s, record.parts)
+        if len(self._doubtful) > MAX_FINGERPRINTS:
+            self._doubtful.popitem(last=False)
+
+    def _settle_doubtful(
+        self, status_of: StatusOf, now_s: float
+    ) -> list[tuple[str, Incarnation, float]]:
+        """Drop the runs that were outlived; count and return those that were not."""
+        counted = []
+        for (fingerprint, incarnation), run in list(self._doubtful.items()):
+            certain_s = run.at_s + MAX_ANNOUNCEMENT_LATENESS_S
+            status = status_of(incarnation, certain_s)
+            if status == UNKNOWN and now_s - run.at_s <= RUN_RETENTION_S:
+                continue
+            del self._doubtful[fingerprint, incarnation]
+            if status != ENDED:
+                continue
+            parts = self.unproved_parts(run.parts)
+            if self.note_run(fingerprint, incarnation, run.at_s, parts=parts):
+                counted.append((fingerprint, incarnation, run.at_s))
+            self.note_ended(fingerprint, incarnation)
+        return counted
+
+    def _drop_doubtful(self, fingerprint: str, until_s: float) -> None:
+        """Remove the doubtful runs of a request that broke before a time."""
+        for key, run in list(self._doubtful.items()):
+            if key[0] == fingerprint and run.at_s <= until_s:
+                del self._doubtful[key]
+
     def _remove_run(self, fingerprint: str, incarnation: Incarnation) -> None:
         record = self._records[fingerprint]
         del record.runs[incarnation]
