--- a/packages/damaskvalve-state/damaskvalve_state/_consensus.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus.py
@@ -34,9 +34,10 @@
     Progress,
 )
 
-# Entries that a snapshot covers stay in memory, up to this number, for followers that
-# lag behind.
+# Entries that a snapshot covers stay in memory, up to this number and size, for
+# followers that lag behind.
 RETAINED_ENTRIES = 1_000
+RETAINED_BYTES = 1024 * 1024
 # A member that has not answered the heartbeats of this many intervals may be lost.
 DOUBTFUL_HEARTBEATS = 2
 # A member counts as stopping for this long after its last announcement. Should it start
@@ -287,7 +288,7 @@
     def compact(self, index: int, data: bytes) -> SnapshotFile:
         """Replace the entries up to ``index`` by a snapshot with the given data."""
         snapshot = self._snapshot_at(index, data)
-        self.log.compact(snapshot, RETAINED_ENTRIES)
+        self.log.compact(snapshot, RETAINED_ENTRIES, RETAINED_BYTES)
         if snapshot.last_index >= self._newest_snapshot.last_index:
             self._newest_snapshot = snapshot
         return snapshot
--- a/packages/damaskvalve-state/damaskvalve_state/_journal.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_journal.py
@@ -174,15 +174,21 @@
 class MemoryJournal:
     """The journal of a member without a disk; it stores nothing."""
 
-    appended_bytes = 0
+    def __init__(self) -> None:
+        # Bytes of the commands that follow the last snapshot; the log holds them.
+        self.appended_bytes = 0
 
     def append(self, records: Sequence[JournalRecord]) -> None:
-        """Discard the records."""
+        """Count the records and discard them."""
+        self.appended_bytes += sum(
+            len(item.entry.command) for item in records if item.entry is not None
+        )
 
     def install(
         self, snapshot: SnapshotFile, entries: Sequence[LogEntry], hard_state: HardState
     ) -> None:
         """Discard the snapshot and entries."""
+        self.appended_bytes = 0
 
     def close(self) -> None:
         """Do nothing."""
--- a/packages/damaskvalve-state/damaskvalve_state/_log.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_log.py
@@ -99,10 +99,21 @@
             item for item in self._member_entries if item.index < index
         ]
 
-    def compact(self, snapshot: SnapshotFile, retained: int) -> None:
-        """Install a local snapshot; keep ``retained`` covered entries for followers."""
+    def compact(
+        self, snapshot: SnapshotFile, retained: int, retained_bytes: int
+    ) -> None:
+        """Install a local snapshot; keep the newest covered entries for followers.
+
+        These are up to ``retained`` entries of up to ``retained_bytes``.
+        """
         self.snapshot = snapshot
-        first_kept = max(self.first_index, snapshot.last_index + 1 - retained)
+        oldest = max(self.first_index, snapshot.last_index + 1 - retained)
+        first_kept = snapshot.last_index + 1
+        while first_kept > oldest:
+            retained_bytes -= len(self.entry_at(first_kept - 1).command)
+            if retained_bytes < 0:
+                break
+            first_kept -= 1
         del self._entries[: first_kept - self.first_index]
         self.first_index = first_kept
 
