Agent: an order that was never sent keeps no place for an adapter

What callers saw: after all engines have crashed, requests are refused for ten seconds more (engines_busy), although the engines are back after 1.5 s.

Cause: an agent goes on sending a load while its engine is down, some 20 times a second. Each attempt that cannot even connect counts as one without an answer, which the engine may carry out up to 10 s later, after its restart; each keeps a place for an adapter. Forty of them keep all. The log lines "order" of the agents show it: no-answer for as long as the connection is refused, then no order at all for 10.0 s.

Change: an attempt without a connection has the outcome not-sent, and changes nothing.

Test: test_an_order_that_was_never_sent_keeps_no_place fails before.

--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -23,6 +23,7 @@
 from damaskvalve_agent._permits._types import (
     CONFLICT,
     NO_ANSWER,
+    NOT_SENT,
     REJECTED,
     AdmissionRequest,
     EngineCapacity,
@@ -33,6 +34,7 @@
     ChannelError,
     DecisionLog,
     LeaderClient,
+    NotSentError,
     RetryLaterError,
     boot_clock_s,
 )
@@ -374,6 +376,8 @@
                 self._dialect.order_call(order, context), ORDER_TIMEOUT_S
             )
             outcome = self._dialect.read_outcome(status)
+        except NotSentError:
+            status, outcome = 0, NOT_SENT
         except (ChannelError, TimeoutError):
             status, outcome = 0, NO_ANSWER
         self._admission.record_outcome(order, outcome, boot_clock_s(), mark)
@@ -396,7 +400,7 @@
             self._log.line("report_failed", reason=str(error))
             return False
         self._report_due.set()
-        return outcome not in (CONFLICT, NO_ANSWER, REJECTED)
+        return outcome not in (CONFLICT, NO_ANSWER, NOT_SENT, REJECTED)
 
     def _note_host(self, peer: str) -> None:
         """Remember a host that asks for permits, until the fence is known."""
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_types.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_types.py
@@ -12,6 +12,8 @@
 CONFLICT = "conflict"
 REJECTED = "rejected"
 NO_ANSWER = "no-answer"
+# No connection could be made, so the order is not under way either.
+NOT_SENT = "not-sent"
 
 
 class EngineReport:
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_late_orders.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_late_orders.py
@@ -1,13 +1,19 @@
 """Loads without an answer that an engine may carry out after it has restarted."""
 
+import types
 import unittest
+from unittest import mock
 
-from damaskvalve_agent.permits import LOAD, NO_ANSWER
+from damaskvalve_agent._permits._engine import EngineCall
+from damaskvalve_agent._permits._run import PermitServer
+from damaskvalve_agent.permits import LOAD, NO_ANSWER, PermitSettings
 from damaskvalve_agent.tests.test_permits import (
     make_admission,
     make_report,
     make_request,
 )
+from damaskvalve_core import boot_clock_s
+from damaskvalve_core.http import BackendPool
 
 
 def send_unanswered(admission, version=0, restart=None):
@@ -57,5 +63,25 @@
         self.assert_kept(admission, 0.5)
 
 
+class UnsentOrderTests(unittest.IsolatedAsyncioTestCase):
+    async def test_an_order_that_was_never_sent_keeps_no_place(self):
+        """Guards against an engine without a free place for 10 s after a restart."""
+        log = types.SimpleNamespace(line=lambda kind, **fields: None, dropped_total=0)
+        pool = BackendPool()
+        # Nobody listens there: the engine is down.
+        settings = PermitSettings("a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", [])
+        call = EngineCall("POST", b"/order", [], b"")
+        dialect = mock.Mock()
+        dialect.order_call.return_value = dialect.report_call.return_value = call
+        server = PermitServer(settings, dialect, pool, log)
+        admission = server._admission = make_admission(adapter_slots=1)
+        admission.submit(make_request(1, "a1"), 0.0)
+        for _ in range(5):
+            await server._send_order(admission.next_order(0.0))
+        admission.apply_report(make_report((), (), 2, 0), boot_clock_s())
+        order = admission.next_order(boot_clock_s())
+        self.assertEqual((order.kind, order.adapter), (LOAD, "a1"))
+
+
 if __name__ == "__main__":
     unittest.main()
