Replication: the reply to an empty message does not end the wait for a large one

Cause: a reply names the time at which its request was sent.

Change: a large message waits for the next event then, unless its member has a vote.

Test: test_what_is_under_way_to_many_members_is_limited fails before.

--- a/packages/damaskvalve-state/damaskvalve_state/_progress.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_progress.py
@@ -18,6 +18,7 @@
         "sent_commit_index",
         "acked_sent_at_s",
         "answered_at_s",
+        "sent_at_s",
         "in_flight_since_s",
         "in_flight_until_s",
         "in_flight_bytes",
@@ -37,6 +38,8 @@
         self.acked_sent_at_s = NEVER_S
         # When its last reply arrived; NEVER_S if a request has failed since.
         self.answered_at_s = NEVER_S
+        # When the newest request was sent.
+        self.sent_at_s = NEVER_S
         # When the unanswered request was sent; NEVER_S if there is none.
         self.in_flight_since_s = NEVER_S
         # When that request is given up, and its payload.
--- a/packages/damaskvalve-state/damaskvalve_state/_replication.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_replication.py
@@ -140,9 +140,13 @@
 
         Commits wait for voters, so nothing holds them up. Of the other members those
         that answer share a window: one that is down must not take the room of others.
+        The reply to a request that was sent at the same time would be taken for that
+        to the large one.
         """
         if self._is_other_voter(peer.member):
             return True
+        if peer.sent_at_s == now_s:
+            return False
         answers = now_s - peer.answered_at_s <= self.timing.resend_s
         return answers and window.admits()
 
@@ -247,6 +251,7 @@
             window.take(size_bytes)
             until_s = now_s + self.timing.resend_s + transfer_time_s(size_bytes)
             peer.begin_request(size_bytes, now_s, until_s)
+        peer.sent_at_s = now_s
         self._output.early_messages.append((peer.member, request))
 
     def _on_append_reply(self, reply: AppendReply, now_s: float) -> None:
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_peers.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Calls to a peer, and the reports on those that fail."""
 
+import queue
 import threading
 import unittest
 
@@ -10,6 +11,7 @@
     FailureReports,
     PeerSender,
 )
+from damaskvalve_state._transfer import MIN_LINK_BYTES_PER_S
 
 PEER = Member("m", "127.0.0.1:1", "dc")
 
@@ -25,7 +27,35 @@
         raise ReceiveTimeoutError(f"no data from {address} within the timeout")
 
 
+class RecordingDialer:
+    """Records the timeouts of the calls."""
+
+    def __init__(self):
+        self.timeouts_s = []
+
+    def call(self, address, message, timeout_s):
+        self.timeouts_s.append(timeout_s)
+
+
 class PeerSenderTests(unittest.TestCase):
+    def test_a_call_may_take_longer_the_more_it_carries(self):
+        """Guards against RECOVER, issue 58: one timeout for messages of any size."""
+        dialer = RecordingDialer()
+        replies = queue.Queue()
+        sender = PeerSender(
+            PEER.address,
+            dialer,
+            0.7,
+            lambda member, request, reply: replies.put(reply),
+            self.fail,
+        )
+        self.addCleanup(sender.stop)
+        for size_bytes in (0, MIN_LINK_BYTES_PER_S, 4 * MIN_LINK_BYTES_PER_S):
+            entry = LogEntry(8, 1, EntryKind.COMMAND, bytes(size_bytes), [])
+            sender.send(PEER, append_request([entry]))
+            replies.get(timeout=5.0)
+        self.assertEqual(dialer.timeouts_s, [0.7, 1.7, 4.7])
+
     def test_a_failed_append_is_reported_with_what_it_carried(self):
         """A lagging member can be told from one that is down by the logs alone."""
         reports = []
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_transfer.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_transfer.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from damaskvalve_core.messages import (
     AppendRequest,
@@ -193,6 +194,15 @@
         limit_bytes = MAX_IN_FLIGHT_BYTES + MAX_PAYLOAD_BYTES
         self.assertLessEqual(simulation.most_in_flight_bytes, limit_bytes)
 
+    def test_what_is_under_way_to_many_members_is_limited(self):
+        """On a slower link, all of it would arrive too late."""
+        leader = Leader([STATE_BYTES] * CHANGES, 3 * MAX_PAYLOAD_BYTES)
+        followers = returning(leader, RETURNING)
+        simulation = LinkSimulation(leader, followers, 20 * LINK_BYTES_PER_S)
+        simulation.run_until_all_hold(leader.consensus.commit_index, RECOVERY_S)
+        limit_bytes = MAX_IN_FLIGHT_BYTES + MAX_PAYLOAD_BYTES
+        self.assertLessEqual(simulation.most_in_flight_bytes, limit_bytes)
+
     def test_a_short_history_is_sent_as_entries(self):
         """No snapshot is taken for what fits into one message."""
         leader = Leader([2_000] * 20, STATE_BYTES)
@@ -212,7 +222,8 @@
 
 class SendTests(unittest.TestCase):
     def setUp(self):
-        self.leader = Leader([STATE_BYTES] * CHANGES, STATE_BYTES)
+        # The state just fits into one message.
+        self.leader = Leader([STATE_BYTES] * CHANGES, MAX_PAYLOAD_BYTES)
         self.now_s = self.leader.now_s
 
     def add(self, name):
@@ -226,7 +237,9 @@
 
     def greet(self, follower):
         """Let a follower answer all that it is sent without a payload."""
-        for target, message in self.leader.take_messages(self.now_s):
+        messages = self.leader.take_messages(self.now_s)
+        self.now_s += STEP_S
+        for target, message in messages:
             if target.member_id == follower.member.member_id:
                 self.assertEqual(payload_bytes(message), 0)
                 reply = follower.answer(message, self.now_s)
@@ -234,7 +247,10 @@
 
     def test_a_member_that_does_not_answer_is_sent_nothing_large(self):
         """It would hold the room of members that do."""
-        self.add("silent")
+        follower = self.add("silent")
+        self.greet(follower)
+        (message,) = self.large_messages()
+        self.leader.consensus.record_request_failure(follower.member, message)
         for _ in range(100):
             self.now_s += 0.05
             self.leader.consensus.tick(self.now_s)
@@ -249,14 +265,19 @@
 
     def test_a_large_message_is_not_sent_again_while_it_is_under_way(self):
         """A link that is slow enough would carry nothing but copies."""
-        follower = self.add("f")
-        self.greet(follower)
-        (message,) = self.large_messages()
-        until_s = self.now_s + transfer_time_s(payload_bytes(message))
-        while self.now_s < until_s:
-            self.now_s += 0.05
-            self.leader.consensus.tick(self.now_s)
-            self.assertEqual(self.large_messages(), [])
+        for is_voter in (False, True):
+            self.setUp()
+            follower = self.add("f")
+            with mock.patch.object(
+                Consensus, "_is_other_voter", lambda *arguments: is_voter
+            ):
+                self.greet(follower)
+                (message,) = self.large_messages()
+                until_s = self.now_s + transfer_time_s(payload_bytes(message))
+                while self.now_s < until_s:
+                    self.now_s += 0.05
+                    self.leader.consensus.tick(self.now_s)
+                    self.assertEqual(self.large_messages(), [])
 
     def test_after_a_failure_a_member_has_to_answer_first(self):
         """Then it is sent the same again."""
