--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -20,7 +20,7 @@
 from damaskvalve_agent._permits._pace import ReadingPacer
 from damaskvalve_agent.permits import AdmissionController
 from damaskvalve_core import RefusedError
-from damaskvalve_core.http import Responder
+from damaskvalve_core.http import Responder, _client as http_client
 from damaskvalve_gateway import (
     _backend_attempt,
     _backends,
@@ -31,6 +31,7 @@
     _overload,
     _part_blame,
 )
+from damaskvalve_gateway._backend import Backend
 from damaskvalve_gateway._backend_attempt import BackendAttempt
 from damaskvalve_gateway._confirmation_controller import ConfirmationController
 from damaskvalve_gateway._confirmations import Confirmations
@@ -39,6 +40,7 @@
 from damaskvalve_gateway._gateway import Gateway
 from damaskvalve_gateway._lending import LenderTracker
 from damaskvalve_gateway._model import GONE, LEAVING, READY
+from damaskvalve_gateway._permits import _client
 from damaskvalve_gateway._quota import (
     HostCount,
     LeaderQuota,
@@ -54,6 +56,7 @@
 from damaskvalve_standins._membership_proofs import MEMBERSHIP_PROOFS
 from damaskvalve_standins._out_of_step_proofs import OUT_OF_STEP_PROOFS
 from damaskvalve_standins._proof import Proof, replace
+from damaskvalve_standins._replication_proofs import REPLICATION_PROOFS
 from damaskvalve_standins.run_tests import use_fixed_profile
 from damaskvalve_state import (
     Bucket,
@@ -587,6 +590,37 @@
     *LIMIT_PROOFS,
     *MEMBERSHIP_PROOFS,
     *OUT_OF_STEP_PROOFS,
+    *REPLICATION_PROOFS,
+    Proof(
+        "crashes of a blamed part excuse other requests",
+        replace(CrashTracker, "_crashes_of_parts", lambda self, record: frozenset()),
+        "damaskvalve_gateway.tests.test_part_excuses.ExcusedRequestTests."
+        "test_requests_that_a_blamed_part_cut_off_three_times_are_served",
+    ),
+    Proof(
+        "runs cleared by a late announcement may count again",
+        replace(CrashTracker, "_settle_doubtful", lambda self, status_of, now_s: []),
+        "damaskvalve_gateway.tests.test_late_announcements.LateAnnouncementTests."
+        "test_runs_count_again_once_the_next_start_is_announced",
+    ),
+    Proof(
+        "an engine that has restarted is used once announced",
+        replace(Backend, "has_restarted", lambda self, started_at_ms: False),
+        "damaskvalve_gateway.tests.test_permit_client.PermitClientTests."
+        "test_an_engine_that_has_restarted_is_used_once_it_is_announced",
+    ),
+    Proof(
+        "a waiting request is told of a new version",
+        replace(_client, "_make_version_notifier", lambda *arguments: lambda: None),
+        "damaskvalve_gateway.tests.test_permit_client.PermitClientTests."
+        "test_a_waiting_request_starts_on_the_version_named_meanwhile",
+    ),
+    Proof(
+        "a reply has one of the final statuses",
+        replace(http_client, "is_final_status", lambda status: True),
+        "damaskvalve_gateway.tests.test_invalid_statuses.InvalidStatusTests."
+        "test_no_caller_gets_an_invalid_status",
+    ),
 )
 
 
