--- a/packages/damaskvalve-state/damaskvalve_state/tests/fake_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/fake_group.py
@@ -5,6 +5,7 @@
 
 from damaskvalve_core.messages import EntryKind, HardState, LogEntry, Member
 from damaskvalve_state import Consensus, Log, Timing, empty_snapshot, next_fixed_members
+from damaskvalve_state._state_access import AppliedState, StateAccess
 
 STEP_S = 0.03
 MAX_DELAY_S = 0.2
@@ -44,6 +45,13 @@
         self.consensus = None
         self.frozen_until_s = 0.0
         self.applied = []
+        # The index of the last entry that is in ``applied``.
+        self.applied_index = 0
+
+    def capture(self):
+        """Return the applied state, as the driver does."""
+        data = json.dumps(self.applied).encode()
+        return AppliedState(self.applied_index, data)
 
     def member(self):
         return Member(f"{self.address}#{self.disk_generation}", self.address, "dc")
@@ -79,6 +87,7 @@
         disk = host.disk
         log = Log(disk.snapshot, list(disk.entries))
         host.applied = json.loads(disk.snapshot.data or b"[]")
+        host.applied_index = disk.snapshot.last_index
         rng = random.Random(self.rng.random())
         host.consensus = Consensus(
             host.member(),
@@ -87,6 +96,7 @@
             self.timing,
             rng,
             self.local_time_s(host),
+            StateAccess(host.capture, lambda data: True),
         )
 
     def crash(self, host):
@@ -143,6 +153,7 @@
         host.disk.write(output)
         if output.install is not None:
             host.applied = json.loads(output.install.data or b"[]")
+            host.applied_index = output.install.last_index
         log = host.consensus.log
         host.consensus.record_synced(log.last_index, self.local_time_s(host))
         for member, message in output.messages:
@@ -159,6 +170,7 @@
                 entry.command,
             )
             assert is_same, f"different entries committed at index {entry.index}"
+            host.applied_index = entry.index
             if entry.kind == EntryKind.COMMAND:
                 host.applied.append(entry.command.decode())
                 proposal = self.pending.get((entry.index, entry.term))
--- a/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/loss_simulation.py
@@ -22,7 +22,7 @@
     LEARNER_TIMEOUT_S,
     STOPPING_INTERVAL_S,
 )
-from damaskvalve_state.tests.fake_group import STEP_S, Disk, FakeGroup
+from damaskvalve_state.tests.fake_group import STEP_S, Disk, FakeGroup, Host
 
 MIN_DELAY_S = 0.0002
 MAX_DELAY_S = 0.003
@@ -132,6 +132,8 @@
 class LossHost:
     """A host that finds the group through its seeds."""
 
+    capture = Host.capture
+
     def __init__(self, address, slot, rng, seeds):
         self.address = address
         self.slot = slot
@@ -142,6 +144,7 @@
         self.disk_full_until_s = 0.0
         self.consensus = None
         self.applied = []
+        self.applied_index = 0
         self.seeds = tuple(seeds)
         self.is_stopping = False
         self.reset_process()
