--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -298,20 +298,22 @@
     adapter_mb = 12.0
     adapter_slots = 20
     load_s = 0.25
+    # Loads of a model: from the store, and from the replica's own disk.
     model_load_s = 2.9
+    disk_load_s = 1.2
     event_s = 0.02
     events = 20
 
-    def __init__(self, fleet, service, ip, port, *, model=MODEL):
+    def __init__(self, fleet, service, ip, port):
         super().__init__(fleet, service, ip, port)
         # The version of each model's weights, and of each adapter of it.
-        self.models = {model: 1} if model else {}
+        self.models = {name: 1 for name in fleet.model_names}
         self.adapters = {}
         self.newest = {}
         self.pending = {}
         self.loading = None
         self.order_count = 0
-        self.on_disk = [model] if model else []
+        self.on_disk = list(self.models)
 
     def settle(self):
         now_s = time.monotonic()
@@ -322,7 +324,8 @@
         if self.loading is not None and now_s >= self.loading[1]:
             model = self.loading[0]
             self.models[model] = self.newest.get(model, 1)
-            self.on_disk = [model]
+            if model not in self.on_disk:
+                self.on_disk.append(model)
             self.loading = None
 
     def model_list(self):
@@ -390,7 +393,9 @@
                 if self.models.get(model) == self.newest.get(model, 1):
                     return 200
                 self.order_count += 1
-                self.loading = model, time.monotonic() + self.model_load_s
+                is_on_disk = model in self.on_disk
+                load_s = self.disk_load_s if is_on_disk else self.model_load_s
+                self.loading = model, time.monotonic() + load_s
                 return 202
             self.order_count += 1
             self.models.pop(model, None)
@@ -428,10 +433,14 @@
         asyncio.ensure_future(self.crash(3.0))
 
     async def crash(self, down_s):
-        """End at once and start again, empty but for the disk, after a time."""
+        """End at once and start again after a time."""
         self.fleet.record.line("replica crashed", replica=self.instance_id)
         await self.stop()
         await asyncio.sleep(down_s)
+        await self.restart()
+
+    async def restart(self):
+        """Start again, empty but for the disk."""
         self.instance_id = f"i-{random.randrange(16**8):08x}"
         self.born_ms = int(time.time() * 1000)
         self.call_seq = self.order_count = 0
