--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -449,13 +449,22 @@
         self.is_up = True
         await self.start()
 
-    async def run(self, method, path, headers, body, writer):
+    def held_version(self, headers):
+        """Return the version that a request would run on; None if it is not held."""
         self.settle()
         model, _, adapter = headers.get("model", "").partition("/")
         name = f"{model}/{adapter}"
         held = self.adapters.get(name) if adapter else self.models.get(model)
         expected = headers.get("expect-version")
-        if held is None or (expected is not None and expected != str(held)):
+        is_other = expected is not None and expected != str(held)
+        return None if is_other else held
+
+    def holds(self, headers):
+        return self.held_version(headers) is not None
+
+    async def run(self, method, path, headers, body, writer):
+        held = self.held_version(headers)
+        if held is None:
             self.reply(writer, 421, headers, b"", seal=False)
             return True
         self.note_run(headers)
