--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -25,6 +25,11 @@
 HOST_NAME = "ficu95.example"
 MODEL = "daka510000"
 
+# A script runs for two minutes at most.
+MAX_CASE_S = 110.0
+# The deploy file names this port of all processes.
+METRICS_PORT = 9464
+
 # Bounds of the small deployments of the users' sheet.
 BOUNDS = {
     "seed_lag_s": 3,
@@ -590,7 +595,7 @@
 def free_ports(ip, count):
     """Return ports that are free on an address, below those of outgoing calls."""
     found = []
-    candidates = list(range(7000, 29000))
+    candidates = [port for port in range(7000, 29000) if port != METRICS_PORT]
     random.shuffle(candidates)
     for port in candidates:
         with contextlib.suppress(OSError), socket.socket() as probe:
@@ -877,12 +882,25 @@
         return answer
 
 
+async def run_case(case, record):
+    """Run a case until its end, or until the script is told to stop."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        async with asyncio.timeout(MAX_CASE_S):
+            return await case(record)
+    except TimeoutError as error:
+        raise CaseError(f"not done after {MAX_CASE_S} s") from error
+    except asyncio.CancelledError as error:
+        raise CaseError("told to stop") from error
+
+
 def main(case, folder):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 otherwise."""
     record = Record(folder)
     try:
         record.line("case", trouble=trouble())
-        broken = asyncio.run(case(record))
+        broken = asyncio.run(run_case(case, record))
     except (CaseError, OSError) as error:
         record.line("could not run", reason=repr(error))
         print(f"could not run: {error!r}")
