LOST: votes of hosts without a disk pass to hosts with one

Cause: a group that is founded by seeds without a disk makes them voters, and nothing took these votes again. Six voted; the fault ended four of the votes. The same cause in a group without any disk: a restarted host has a new id and never voted again, in an open group and at fixed addresses.

Change: members without a disk vote only while no member has one. Their votes pass to members with a disk one at a time, with at least 2 f + 1 voters kept on the way; a leader without a disk hands over its leadership first. In a group without any disk a restarted member replaces its old id.

Before: test_a_change_survives_lost_power_where_the_seeds_had_no_disk failed with six voters, test_a_group_without_any_disk_outlives_the_restart_of_all_in_turn with 'member 1 did not receive version 1'. After: both pass; test_losses, test_power_losses, test_replaced_hosts and test_group pass (31 tests).

--- a/packages/damaskvalve-state/damaskvalve_state/_consensus.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus.py
@@ -168,7 +168,8 @@
     ) -> MembershipChange | None:
         """Propose the next change of an open group's members, if one is due.
 
-        Return the change, or None.
+        A change that takes this leader's own vote is left to its successor. Return the
+        change, or None.
         """
         if not self.may_change_members():
             return None
@@ -189,10 +190,17 @@
                 for member_id, item in self.progress.items()
                 if now_s < item.stopping_until_s
             },
+            leader_id=self.member.member_id,
+            is_settled=now_s - self._became_leader_s >= tolerance.catch_up_s,
         )
         change = next_members(view, tolerance)
-        if change is not None:
-            self.propose_members(change, now_s)
+        if change is None:
+            return None
+        if not change.includes(self.member.member_id):
+            # The next leader proposes the same change.
+            self.transfer_leadership(now_s)
+            return None
+        self.propose_members(change, now_s)
         return change
 
     def has_spare_vote(self, tolerance: LossTolerance) -> bool:
--- a/packages/damaskvalve-state/damaskvalve_state/_membership.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_membership.py
@@ -43,7 +43,15 @@
 class MembershipView:
     """What the leader knows of the members when it decides on their votes."""
 
-    __slots__ = ("voters", "ready", "silent_ids", "doubtful_ids", "stopping_ids")
+    __slots__ = (
+        "voters",
+        "ready",
+        "silent_ids",
+        "doubtful_ids",
+        "stopping_ids",
+        "leader_id",
+        "is_settled",
+    )
 
     def __init__(
         self,
@@ -52,6 +60,9 @@
         silent_ids: Collection[str] = (),
         doubtful_ids: Collection[str] = (),
         stopping_ids: Collection[str] = (),
+        *,
+        leader_id: str = "",
+        is_settled: bool = False,
     ) -> None:
         self.voters = tuple(voters)
         # Learners that hold all committed entries and answer.
@@ -63,6 +74,9 @@
         self.doubtful_ids = frozenset(doubtful_ids)
         # Members that have announced that they stop.
         self.stopping_ids = frozenset(stopping_ids)
+        self.leader_id = leader_id
+        # Whether the leader has led for so long that every running host has joined.
+        self.is_settled = is_settled
 
     def without(self, lost: Member) -> Sequence[Member]:
         """Return the voters without one of them."""
@@ -82,6 +96,10 @@
         # Whether it only leaves out a voter that is known to have lost its disk.
         self.leaves_out_lost = leaves_out_lost
 
+    def includes(self, member_id: str) -> bool:
+        """Return whether a member is one of the voters."""
+        return any(item.member_id == member_id for item in self.members)
+
 
 def next_members(
     view: MembershipView, tolerance: LossTolerance
@@ -94,11 +112,14 @@
     added first. Without a successor such voters are removed while enough voters remain
     for the tolerated losses. Each step changes one voter, so that old and new
     majorities overlap.
+
+    Members without a disk vote only while no member has one: a loss of power ends their
+    votes for good.
     """
     ready = [
         item
-        for item in view.ready
-        if not item.memory_only and item.member_id not in view.stopping_ids
+        for item in may_vote(view.ready, view.voters)
+        if item.member_id not in view.stopping_ids
     ]
     min_voters = tolerance.min_voters([*view.voters, *ready])
     is_spared = len(view.voters) > min_voters
@@ -111,6 +132,9 @@
                     f"{lost.address} {reason}",
                     leaves_out_lost=reason == LOST_DISK,
                 )
+    change = _without_memory_only(view, ready, min_voters)
+    if change is not None:
+        return change
     has_room = len(view.voters) < max(MAX_VOTERS, min_voters)
     # A voter that may be about to count as silent is replaced instead.
     may_add = not view.doubtful_ids or len(view.voters) < min_voters
@@ -127,6 +151,37 @@
     return None
 
 
+def may_vote(learners: Sequence[Member], voters: Sequence[Member]) -> Sequence[Member]:
+    """Return the learners that may become voters.
+
+    These are the members with a disk, or all if neither a learner nor a voter has one.
+    """
+    durable = [item for item in learners if not item.memory_only]
+    if durable or any(not item.memory_only for item in voters):
+        return durable
+    return learners
+
+
+def _without_memory_only(
+    view: MembershipView, ready: Sequence[Member], min_voters: int
+) -> MembershipChange | None:
+    """Return the change that takes the vote of a member without a disk, or None.
+
+    Such a voter stays until a member with a disk has joined in its place. A settled
+    group has no further member with a disk, so its votes end in any case. The leader's
+    own vote is the last, because it has to hand over its leadership.
+    """
+    memory_only = [item for item in view.voters if item.memory_only]
+    if len(memory_only) == len(view.voters) and all(item.memory_only for item in ready):
+        return None
+    for voter in sorted(memory_only, key=lambda item: item.member_id == view.leader_id):
+        remaining = view.without(voter)
+        is_spared = len(remaining) >= min_voters or (view.is_settled and not ready)
+        if is_spared and _has_quorum(remaining, view.doubtful_ids):
+            return MembershipChange(remaining, f"{voter.address} has no disk")
+    return None
+
+
 def _lost_voters(
     view: MembershipView, ready: Sequence[Member]
 ) -> Sequence[tuple[Member, str]]:
@@ -157,8 +212,8 @@
     A ready learner at the address of a voter replaces it, because the voter's data
     folder was lost: the old id is removed first, then the learner becomes a voter.
     """
-    for learner in ready:
-        if learner.memory_only or learner.address not in addresses:
+    for learner in may_vote(ready, voters):
+        if learner.address not in addresses:
             continue
         replaced = [voter for voter in voters if voter.address == learner.address]
         if replaced and len(voters) > 1:
@@ -184,8 +239,7 @@
 def initial_voters(hellos: Sequence[tuple[Member, bool]]) -> Sequence[Member]:
     """Return the initial voters: members with a disk, or all if none has one."""
     members = sorted((member for member, _ in hellos), key=_member_order)
-    durable = [member for member in members if not member.memory_only]
-    return durable or members
+    return may_vote(members, ())
 
 
 def initiates_bootstrap(own: Member, hellos: Sequence[tuple[Member, bool]]) -> bool:
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_open_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_open_group.py
@@ -9,6 +9,7 @@
     LossTolerance,
     MembershipView,
     empty_snapshot,
+    next_fixed_members,
     next_members,
     open_journal,
 )
@@ -55,6 +56,48 @@
         fleet.await_version(3, 7)
         fleet.await_version(4, 7)
 
+    def await_voters(self, number, expected):
+        """Wait until a member knows just these voters."""
+        addresses = [f"127.0.0.1:{FIRST_PORT + item}" for item in expected]
+        deadline_s = time.monotonic() + 12
+        while self.fleet.voters(number) != addresses:
+            if time.monotonic() > deadline_s:
+                self.fail(f"voters are {self.fleet.voters(number)}, not {addresses}")
+            time.sleep(0.05)
+
+    def test_a_change_survives_lost_power_where_the_seeds_had_no_disk(self):
+        """Votes of hosts without a disk end with their power, so they are handed over.
+
+        One of three disks is lost at the same time.
+        """
+        fleet = self.fleet
+        seeds = [3, 4, 5]
+        for number in range(6):
+            fleet.start(number, seeds, durable=number < 3)
+        fleet.commit_document(1)
+        self.await_voters(0, [0, 1, 2])
+        fleet.commit_document(2)
+        fleet.lose_disk(0)
+        fleet.stop_all()
+        for number in range(6):
+            fleet.start(number, seeds, durable=number < 3, may_bootstrap=False)
+        for number in range(6):
+            fleet.await_version(number, 2)
+        fleet.commit_document(3)
+
+    def test_a_group_without_any_disk_outlives_the_restart_of_all_in_turn(self):
+        """A host without a disk has a new id after its start, and votes again."""
+        fleet = self.fleet
+        for number in range(3):
+            fleet.start(number, [0, 1, 2], durable=False)
+        fleet.commit_document(1)
+        for number in range(3):
+            fleet.stop(number)
+            fleet.start(number, [0, 1, 2], durable=False, may_bootstrap=False)
+            fleet.await_version(number, 1)
+            fleet.await_voter(number)
+        fleet.commit_document(2)
+
     def test_a_founder_killed_between_its_snapshot_and_its_journal_founds_again(self):
         """Otherwise it counts as founded with an empty log, and the others wait."""
         fleet = self.fleet
@@ -111,6 +154,75 @@
             ]
         )
 
+    @staticmethod
+    def members_of(names):
+        """Return members by letter; those in capitals have no disk."""
+        return [Member(name, f"{name}:1", "dc", name.isupper()) for name in names]
+
+    def hand_over(self, voters, learners, *, hosts, is_settled, leader="A"):
+        """Apply changes until none is due; return the voters after each."""
+        steps, joining = [], list(learners)
+        voters, leader_id = self.members_of(voters), leader
+        while True:
+            view = MembershipView(
+                voters,
+                [item for item in self.members_of(joining) if item not in voters],
+                leader_id=leader_id,
+                is_settled=is_settled,
+            )
+            change = next_members(view, LossTolerance(hosts))
+            if change is None:
+                return steps
+            if not change.includes(leader_id):
+                leader_id = next(item for item in voters if item.memory_only is False)
+                leader_id = leader_id.member_id
+                continue
+            voters = list(change.members)
+            steps.append("".join(item.member_id for item in voters))
+
+    def test_votes_pass_from_hosts_without_a_disk_to_those_with_one(self):
+        """One at a time, and with as many voters as the tolerated losses ask for."""
+        cases = [
+            ("ABC", "abc", 1, False, ["ABCa", "ACa", "ACab", "Aab", "Aabc", "abc"]),
+            # Hosts without a disk vote until those with one have had time to join.
+            ("ABC", "a", 1, False, ["ABCa", "ACa"]),
+            ("ABC", "a", 1, True, ["ABCa", "ACa", "Aa", "a"]),
+            # The voters that an earlier release has left.
+            ("ABCabc", "", 1, False, ["ACabc", "Aabc", "abc"]),
+            # No host has a disk.
+            ("ABC", "DE", 1, True, ["ABCD", "ABCDE"]),
+            ("abc", "DE", 1, True, []),
+        ]
+        for voters, learners, hosts, is_settled, expected in cases:
+            with self.subTest(voters=voters, learners=learners, is_settled=is_settled):
+                steps = self.hand_over(
+                    voters, learners, hosts=hosts, is_settled=is_settled
+                )
+                self.assertEqual(steps, expected)
+
+    def test_no_host_without_a_disk_votes_once_enough_hosts_with_one_have_joined(self):
+        """Then the disks that are left after the tolerated losses are a majority."""
+        for hosts in (1, 2, 3):
+            seeds, disks = "ABC", "abcdefg"[: 2 * hosts + 1]
+            steps = self.hand_over(seeds, disks, hosts=hosts, is_settled=False)
+            with self.subTest(hosts=hosts):
+                self.assertEqual(sorted(steps[-1]), sorted(disks))
+                sizes = [len(seeds), *map(len, steps)]
+                changes = {abs(new - old) for old, new in zip(sizes, sizes[1:])}
+                self.assertEqual(changes, {1})
+
+    def test_a_host_without_a_disk_replaces_itself_at_fixed_addresses(self):
+        """Otherwise each start takes one more vote from a group without any disk."""
+        voters = [Member("a", "a:1", "dc", True), Member("b", "b:1", "dc", True)]
+        again = Member("b2", "b:1", "dc", True)
+        addresses = ["a:1", "b:1"]
+        change = next_fixed_members(voters, [again], addresses)
+        self.assertEqual([item.member_id for item in change.members], ["a"])
+        change = next_fixed_members(voters[:1], [again], addresses)
+        self.assertEqual([item.member_id for item in change.members], ["a", "b2"])
+        durable = [Member("a", "a:1", "dc")]
+        self.assertIsNone(next_fixed_members(durable, [again], addresses))
+
     def test_a_successor_does_not_join_beside_a_voter_that_may_be_gone(self):
         """It would raise the quorum, and the gone voter cannot help to reach it."""
         (new,) = self.members("n")
--- a/testing/damaskvalve-standins/damaskvalve_standins/_membership_proofs.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/_membership_proofs.py
@@ -9,6 +9,7 @@
 
 _LOSSES = "damaskvalve_state.tests.test_losses.LossTests."
 _MEMBERSHIP = "damaskvalve_state.tests.test_open_group.MembershipTests."
+_OPEN_GROUP = "damaskvalve_state.tests.test_open_group.OpenGroupTests."
 _REPLACED = "damaskvalve_state.tests.test_replaced_hosts.ReplacedHostTests."
 # The time after which a silent voter was removed before the incident CONFIG.
 _LATE_S = 8.0
@@ -33,6 +34,23 @@
 
 
 MEMBERSHIP_PROOFS = (
+    Proof(
+        "hosts without a disk hand over their votes",
+        replace(_membership, "_without_memory_only", lambda *_: None),
+        f"{_OPEN_GROUP}test_a_change_survives_lost_power_where_the_seeds_had_no_disk",
+    ),
+    Proof(
+        "a restarted host votes again in a group without any disk",
+        replace(
+            _membership,
+            "may_vote",
+            lambda learners, voters: [
+                item for item in learners if not item.memory_only or not voters
+            ],
+        ),
+        f"{_OPEN_GROUP}"
+        "test_a_group_without_any_disk_outlives_the_restart_of_all_in_turn",
+    ),
     Proof(
         "a silent voter is replaced after an election timeout",
         replace(Consensus, "_silent_ids", _silent_late),
