LIMIT: an agent loads only what fits the memory of its engine

Cause: only the places for adapters were counted. The decoder of the configuration read neither the memory for weights nor the sizes of models and adapters, and no message had a field for them.

Change: hosts send the sizes with each request for a permit; the agent checks each load, of a model too, against the memory with what is held, on its way, or still possible from before a restart. What can never fit is rejected at once. An engine without places for adapters is not taken to have one. Order lines tell what counts as held.

Before: with the check disabled, seven of the eight tests of test_weight_memory.py fail, the first with a load of a fifth adapter where four fit; there are no sizes to test with on the code before. After: they pass, and the tests of the decoder, the host's call and the agent's.

--- a/idl/damaskvalve.thrift
+++ b/idl/damaskvalve.thrift
@@ -542,11 +542,16 @@
 
 // ---- admission by the agent beside a backend server ----
 
+// What a model, and each of its adapters, takes of an engine's memory for weights.
+struct ModelSize { 1: string model  2: double weights_mb  3: double adapter_mb }
 struct EngineLimits {
   1: i32 slots
   2: i32 adapter_slots
   3: i32 memory_tokens
   4: optional double model_load_s
+  // Memory for the weights of models and adapters together; absent if it is unknown.
+  5: optional double weights_mb
+  6: optional list<ModelSize> model_sizes
 }
 struct AdmitRequest {
   1: string request_id
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_admission.py
@@ -36,6 +36,9 @@
 
 # Fraction of the engine's memory that admitted requests may need in total.
 MAX_MEMORY_FRACTION = 0.95
+# The wait that is stated for a request whose model or adapter the engine cannot hold.
+# Only a change of the configuration or of the engines helps.
+UNSERVABLE_WAIT_S = 60.0
 # Streams whose times between events are asked for at a time.
 WATCHED_STREAMS = 3
 
@@ -166,7 +169,7 @@
             wait_s += self.engine.loads.store_load_s * (
                 ahead // self.engine.loads.max_store_loads()
             )
-        if not self.slots.has_free_slot() and self.slots.victim(wanted, 0.0) is None:
+        if not self.engine.has_room(name) and self.slots.victim(wanted, 0.0) is None:
             wait_s += (
                 self.model.mean_run_s
                 * (1 + ahead)
@@ -179,10 +182,13 @@
     def set_engine_capacity(self, engine_capacity: EngineCapacity) -> None:
         """Set the configured capacity of the engine."""
         self.engine_capacity = engine_capacity
-        self.slots.capacity = max(1, engine_capacity.adapter_slots)
+        self.slots.capacity = engine_capacity.adapter_slots
+        self.engine.weights = engine_capacity.weights
 
     def submit(self, request: AdmissionRequest, now_s: float) -> float:
         """Queue a request and return 0, or return the wait that is too long for it."""
+        if not self.engine.can_hold(request):
+            return UNSERVABLE_WAIT_S
         self.engine.require_version(request)
         wait_s = self.predicted_wait_s(request, now_s)
         short_run_s = self.model.short_run_s()
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine_state.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_engine_state.py
@@ -16,6 +16,7 @@
     EngineReport,
     Order,
 )
+from damaskvalve_agent._permits._weight_memory import UNBOUNDED
 from damaskvalve_agent._slots import Slots
 
 # Estimates of the time to load a base model that is not on the engine's own disk, and
@@ -43,6 +44,7 @@
         "slots",
         "loads",
         "versions",
+        "weights",
         "order_count",
         "has_report",
         "_newest_versions",
@@ -65,6 +67,8 @@
         self.slots = Slots(1)
         self.loads = LoadTracker(self.slots)
         self.versions: dict[str, int] = {}
+        # The memory for models and adapters.
+        self.weights = UNBOUNDED
         # The newest version of each adapter that any request has required.
         self._newest_versions: dict[str, int] = {}
         # When each unload was ordered that still waits for runs at the engine.
@@ -127,12 +131,52 @@
             self._model_load_s += MODEL_LOAD_WEIGHT * (took_s - self._model_load_s)
 
     def model_order(self) -> Order | None:
-        """Return the order to load a model that is still to be sent, or None."""
+        """Return the order to load a model that is still to be sent, or None.
+
+        A model is not ordered while there is no memory for it.
+        """
+        held = {
+            *self._models,
+            *(model for model, ordered_s in self._model_ordered_s.items() if ordered_s),
+        }
         for model, ordered_s in self._model_ordered_s.items():
-            if not ordered_s:
+            fits = self.weights.fits({*held, model}, self.slots.occupied())
+            if not ordered_s and fits:
                 return Order(LOAD_MODEL, model, "", 0)
         return None
 
+    def can_hold(self, request: AdmissionRequest) -> bool:
+        """Return whether the engine can hold what a request needs.
+
+        Other adapters may be unloaded for it, but models stay where they are.
+        """
+        adapters = {adapter_key(request)} if request.adapter else ()
+        if adapters and self.slots.capacity < 1:
+            return False
+        models = {request.model, *self._models, *self._model_ordered_s}
+        return self.weights.fits(models, adapters)
+
+    def used_mb(self) -> float:
+        """Return the memory that counts as used, as far as sizes are stated."""
+        models = {*self._models, *self._model_ordered_s}
+        return self.weights.used_mb(models, self.slots.occupied())
+
+    def has_room(self, name: str, reserved: int = 0) -> bool:
+        """Return whether one more adapter fits besides some that are reserved."""
+        if not self.slots.has_free_slot(reserved):
+            return False
+        models = {*self._models, *self._model_ordered_s}
+        adapters = {*self.slots.occupied(), name}
+        return self.weights.fits(models, adapters, reserved)
+
+    def _is_overfull(self) -> bool:
+        """Return whether more counts as held than the engine has room for.
+
+        Then an adapter that counts may hold no room at the engine, so that its load
+        would exceed it.
+        """
+        return self.slots.is_overfull() or self.used_mb() > self.weights.limit_mb()
+
     def load_count(self) -> int:
         """Return how many adapter loads are in transit."""
         return len(self.loads.in_transit())
@@ -161,7 +205,8 @@
 
     def request_model_load(self, request: AdmissionRequest) -> None:
         """Have the requested model loaded if the engine holds no model."""
-        if self.has_report and not self._models and not self._model_ordered_s:
+        is_empty = not self._models and not self._model_ordered_s
+        if self.has_report and is_empty and self.can_hold(request):
             self._model_ordered_s[request.model] = 0.0
 
     def _request_model_load_from_disk(self) -> None:
@@ -192,9 +237,7 @@
         name = adapter_key(request)
         if not request.adapter or self.is_ready(request):
             return None
-        # Beyond the places, the adapter itself may hold none of them at the engine.
-        may_load = not self.slots.is_overfull()
-        if may_load and self.loads.is_unanswered(name):
+        if self.loads.is_unanswered(name) and not self._is_overfull():
             return Order(
                 LOAD, request.model, request.adapter, self._newest_versions.get(name, 0)
             )
@@ -209,11 +252,13 @@
             # The engine accepts no other order while a replacement waits for runs.
             if self.slots.pins(name):
                 return None
-            if may_load:
+            if not self._is_overfull():
                 return Order(LOAD, request.model, request.adapter, newest)
         reserved = self._late_orders.count_valid(self.mark(), now_s)
-        if self.slots.has_free_slot(reserved):
+        if self.has_room(name, reserved):
             return Order(LOAD, request.model, request.adapter, newest)
+        if not self.can_hold(request):
+            return None
         excluded = {*wanted, *self._unload_ordered_s}
         victim = self.slots.victim(excluded, now_s)
         if victim is None:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_requests.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_requests.py
@@ -11,7 +11,10 @@
 # runs before it may be of another kind.
 MAX_RUN_SHARE = 0.5
 # Fields that a host may leave out, or that the agent does not use.
-_UNUSED_FIELDS = frozenset(("workspace", "pause_s", "aim_s", "model_load_s", "streams"))
+_UNUSED_FIELDS = frozenset(
+    ("workspace", "pause_s", "aim_s", "model_load_s", "streams")
+    + ("weights_mb", "model_sizes")
+)
 
 
 def missing_fields(message: AdmitRequest) -> list[str]:
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_run.py
@@ -29,6 +29,7 @@
     EngineCapacity,
     Order,
 )
+from damaskvalve_agent._permits._weight_memory import read_weight_memory
 from damaskvalve_core import (
     MAX_LEARNED_ADDRESSES,
     ChannelError,
@@ -123,7 +124,12 @@
         now_s = boot_clock_s()
         limits = message.limits
         self._admission.set_engine_capacity(
-            EngineCapacity(limits.slots, limits.adapter_slots, limits.memory_tokens)
+            EngineCapacity(
+                limits.slots,
+                limits.adapter_slots,
+                limits.memory_tokens,
+                read_weight_memory(limits),
+            )
         )
         if limits.model_load_s:
             self._admission.engine.set_model_load_s(limits.model_load_s)
@@ -390,6 +396,8 @@
             order_count=context.order_count,
             status=status,
             outcome=outcome,
+            held=len(self._admission.slots.occupied()),
+            used_mb=round(self._admission.engine.used_mb(), 1),
             running=self._admission.running_count(),
             waiting=len(self._admission.waiting()),
         )
--- a/packages/damaskvalve-agent/damaskvalve_agent/_permits/_types.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_permits/_types.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Collection, Mapping, Sequence
 
+from damaskvalve_agent._permits._weight_memory import UNBOUNDED, WeightMemory
+
 LOAD_MODEL = "load-model"
 LOAD = "load"
 UNLOAD = "unload"
@@ -136,11 +138,18 @@
 
 
 class EngineCapacity:
-    """How many requests, adapters and tokens an engine has room for."""
+    """How many requests, adapters, tokens and weights an engine has room for."""
 
-    __slots__ = ("slots", "adapter_slots", "memory_tokens")
+    __slots__ = ("slots", "adapter_slots", "memory_tokens", "weights")
 
-    def __init__(self, slots: int, adapter_slots: int, memory_tokens: int) -> None:
+    def __init__(
+        self,
+        slots: int,
+        adapter_slots: int,
+        memory_tokens: int,
+        weights: WeightMemory = UNBOUNDED,
+    ) -> None:
         self.slots = slots
         self.adapter_slots = adapter_slots
         self.memory_tokens = memory_tokens
+        self.weights = weights
--- a/packages/damaskvalve-agent/damaskvalve_agent/_slots.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/_slots.py
@@ -48,6 +48,10 @@
         """Return the state of an adapter: resident, loading, or None if absent."""
         return self._states.get(adapter)
 
+    def occupied(self) -> Collection[str]:
+        """Return the adapters that are resident or being loaded."""
+        return self._states.keys()
+
     def resident(self) -> Sequence[str]:
         """Return the adapters that can serve now."""
         return [name for name, state in self._states.items() if state == RESIDENT]
--- a/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permit_calls.py
+++ b/packages/damaskvalve-agent/damaskvalve_agent/tests/test_permit_calls.py
@@ -8,7 +8,13 @@
 from damaskvalve_agent._permits._run import PermitServer
 from damaskvalve_agent.permits import EngineReport, PermitSettings
 from damaskvalve_core import ChannelError
-from damaskvalve_core.messages import AdmitEnd, AdmitRequest, EngineLimits, Problem
+from damaskvalve_core.messages import (
+    AdmitEnd,
+    AdmitRequest,
+    EngineLimits,
+    ModelSize,
+    Problem,
+)
 
 SOUND = {
     "request_id": "r",
@@ -41,6 +47,20 @@
                 self.assertEqual([type(reply) for reply in replies], [Problem])
                 self.assertEqual(len(server._admission.waiting()), 0)
 
+    async def test_the_memory_that_a_host_states_bounds_the_orders(self):
+        """Guards against LIMIT, review case 12; the request is rejected at once."""
+        log = types.SimpleNamespace(line=lambda kind, **fields: None, dropped_total=0)
+        settings = PermitSettings("a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", [])
+        server = PermitServer(settings, None, None, log)
+        server._admission.apply_report(EngineReport(1, 0, {"m": {}}, (), 0, 0), 0.0)
+        sizes = [ModelSize("m", 600.0, 500.0)]
+        limits = EngineLimits(4, 4, 1_000, None, 1_000.0, sizes)
+        replies = []
+        call = types.SimpleNamespace(send=replies.append, peer="p")
+        await server.handle_call(AdmitRequest(**{**SOUND, "limits": limits}), call)
+        self.assertEqual([reply.reason for reply in replies], ["busy"])
+        self.assertIsNone(server._admission.next_order(0.0))
+
     async def test_every_reply_tells_the_state_of_the_engine(self):
         """Hosts that ask choose by it; the engine has sent no report yet."""
         log = types.SimpleNamespace(line=lambda kind, **fields: None, dropped_total=0)
--- a/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
+++ b/packages/damaskvalve-core/damaskvalve_core/_gen/ttypes.py
@@ -2616,6 +2616,28 @@
         self.clock_s = clock_s
 
 
+class ModelSize(TBase):
+    """
+    Attributes:
+     - model
+     - weights_mb
+     - adapter_mb
+
+    """
+
+    __slots__ = (
+        'model',
+        'weights_mb',
+        'adapter_mb',
+    )
+
+
+    def __init__(self, model=None, weights_mb=None, adapter_mb=None,):
+        self.model = model
+        self.weights_mb = weights_mb
+        self.adapter_mb = adapter_mb
+
+
 class EngineLimits(TBase):
     """
     Attributes:
@@ -2623,6 +2645,8 @@
      - adapter_slots
      - memory_tokens
      - model_load_s
+     - weights_mb
+     - model_sizes
 
     """
 
@@ -2631,14 +2655,18 @@
         'adapter_slots',
         'memory_tokens',
         'model_load_s',
+        'weights_mb',
+        'model_sizes',
     )
 
 
-    def __init__(self, slots=None, adapter_slots=None, memory_tokens=None, model_load_s=None,):
+    def __init__(self, slots=None, adapter_slots=None, memory_tokens=None, model_load_s=None, weights_mb=None, model_sizes=None,):
         self.slots = slots
         self.adapter_slots = adapter_slots
         self.memory_tokens = memory_tokens
         self.model_load_s = model_load_s
+        self.weights_mb = weights_mb
+        self.model_sizes = model_sizes
 
 
 class AdmitRequest(TBase):
@@ -3595,6 +3623,13 @@
     (2, TType.LIST, 'grants', (TType.STRUCT, [SendGrant, None], False), None, ),  # 2
     (3, TType.DOUBLE, 'clock_s', None, None, ),  # 3
 )
+all_structs.append(ModelSize)
+ModelSize.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'weights_mb', None, None, ),  # 2
+    (3, TType.DOUBLE, 'adapter_mb', None, None, ),  # 3
+)
 all_structs.append(EngineLimits)
 EngineLimits.thrift_spec = (
     None,  # 0
@@ -3602,6 +3637,8 @@
     (2, TType.I32, 'adapter_slots', None, None, ),  # 2
     (3, TType.I32, 'memory_tokens', None, None, ),  # 3
     (4, TType.DOUBLE, 'model_load_s', None, None, ),  # 4
+    (5, TType.DOUBLE, 'weights_mb', None, None, ),  # 5
+    (6, TType.LIST, 'model_sizes', (TType.STRUCT, [ModelSize, None], False), None, ),  # 6
 )
 all_structs.append(AdmitRequest)
 AdmitRequest.thrift_spec = (
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 
 from damaskvalve_core.http import ServerLimits
+from damaskvalve_core.messages import ModelSize
 from damaskvalve_gateway._announcement import Announcement
 from damaskvalve_gateway._cold import ColdRule
 
@@ -18,7 +19,14 @@
 class EngineSpec:
     """The capacity of the model engines of one service."""
 
-    __slots__ = ("slots", "adapter_slots", "memory_tokens", "model_load_s")
+    __slots__ = (
+        "slots",
+        "adapter_slots",
+        "memory_tokens",
+        "model_load_s",
+        "weights_mb",
+        "model_sizes",
+    )
 
     def __init__(
         self,
@@ -26,12 +34,17 @@
         adapter_slots: int,
         memory_tokens: int,
         model_load_s: Mapping[str, float] | None = None,
+        weights_mb: float | None = None,
+        model_sizes: Sequence[ModelSize] = (),
     ) -> None:
         self.slots = slots
         self.adapter_slots = adapter_slots
         self.memory_tokens = memory_tokens
         # Time to load each model from the store, as far as the configuration says it.
         self.model_load_s = model_load_s or {}
+        # Memory for the weights of models and adapters together; None if unknown.
+        self.weights_mb = weights_mb
+        self.model_sizes = list(model_sizes)
 
 
 class Service:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_permits/_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_permits/_client.py
@@ -257,6 +257,8 @@
                 engine.adapter_slots,
                 engine.memory_tokens,
                 engine.model_load_s.get(request.model),
+                engine.weights_mb,
+                engine.model_sizes,
             ),
             pause_s=exchange.route.pause_s or 0.0,
             aim_s=first_event_target_s(exchange, boot_clock_s()) - boot_clock_s(),
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_permit_client.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_permit_client.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from damaskvalve_core import RefusedError
-from damaskvalve_core.messages import AdmitReply
+from damaskvalve_core.messages import AdmitReply, ModelSize
 from damaskvalve_gateway._model import EngineSpec
 from damaskvalve_gateway._permits import PermitClient
 from damaskvalve_gateway.tests.attempt_fixtures import (
@@ -17,7 +17,8 @@
 )
 
 QUEUED = AdmitReply(False, 0, 0.0, "queued", 0.0)
-ENGINE = EngineSpec(8, 4, 100_000, {})
+SIZES = [ModelSize("m", 600.0, 100.0)]
+ENGINE = EngineSpec(8, 4, 100_000, {}, 1_000.0, SIZES)
 # When the backend server started, by its announcement.
 STARTED_AT_MS = 1
 
@@ -77,6 +78,13 @@
         self.assertEqual((agent.request.version, version), (1, 2))
         self.assertEqual([item.version for item in agent.notices], [2])
 
+    async def test_the_agent_is_told_the_memory_for_weights(self):
+        """Guards against LIMIT, review case 12: it knew the places only."""
+        agent = ScriptedAgent(granted(1))
+        await self.permitted_version(agent)
+        limits = agent.request.limits
+        self.assertEqual((limits.weights_mb, limits.model_sizes), (1_000.0, SIZES))
+
     async def test_an_engine_that_has_restarted_is_used_once_it_is_announced(self):
         """Guards against ORDER, review case 8: other software went on with a stream."""
         for replies in (
--- a/testing/damaskvalve-standins/damaskvalve_standins/prove.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/prove.py
@@ -18,6 +18,7 @@
 from damaskvalve_agent import Fence, Slots, _strict_http
 from damaskvalve_agent._permits._loads import LoadTracker
 from damaskvalve_agent._permits._pace import ReadingPacer
+from damaskvalve_agent._permits._weight_memory import WeightMemory
 from damaskvalve_agent.permits import AdmissionController
 from damaskvalve_core import RefusedError
 from damaskvalve_core.http import Responder, _client as http_client
@@ -413,6 +414,12 @@
         f"{GATEWAY}.test_part_blame.BlamedPartTests."
         "test_servers_that_fail_together_are_one_crash",
     ),
+    Proof(
+        "adapters are loaded only while they fit the memory",
+        replace(WeightMemory, "fits", lambda *_: True),
+        f"{AGENT}.test_weight_memory.WeightMemoryTests."
+        "test_an_agent_filled_its_engine_beyond_the_memory",
+    ),
     Proof(
         "a part that proved sound is not blamed",
         replace(CrashTracker, "note_sound", lambda *_: False),
