ROUTE: keys are needed also when the last workspace is removed

Cause: whether keys are needed was derived from the number of workspaces, and the decoder did not tell an empty list from a missing one.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -266,7 +266,7 @@
     def _authenticate(
         configuration: GatewayConfiguration, route: Route, request: CallerRequest
     ) -> Workspace | None:
-        if route.public or not configuration.needs_keys():
+        if route.public or not configuration.needs_keys:
             return None
         workspace = configuration.workspace_of(request.key) if request.key else None
         if workspace is None:
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_model.py
@@ -182,7 +182,15 @@
 class GatewayConfiguration:
     """A complete configuration, validated when it was read."""
 
-    __slots__ = ("version", "services", "limits", "workspaces", "_routes", "_keys")
+    __slots__ = (
+        "version",
+        "services",
+        "limits",
+        "workspaces",
+        "needs_keys",
+        "_routes",
+        "_keys",
+    )
 
     def __init__(
         self,
@@ -192,11 +200,16 @@
         limits: ServerLimits,
         workspaces: Mapping[str, Workspace],
         keys: Mapping[str, str],
+        *,
+        needs_keys: bool,
     ) -> None:
         self.version = version
         self.services = services
         self.limits = limits
         self.workspaces = workspaces
+        # Whether routes that are not public require an API key. It does not follow from
+        # the workspaces: after the last one is removed, no key is valid.
+        self.needs_keys = needs_keys
         self._keys = keys
         self._routes: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda item: -len(item.prefix)):
@@ -219,10 +232,6 @@
         name = self._keys.get(key)
         return None if name is None else self.workspaces[name]
 
-    def needs_keys(self) -> bool:
-        """Return whether routes that are not public require an API key."""
-        return bool(self.workspaces)
-
 
 class CallerRequest:
     """A decoded request of a caller."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/cut_reply_fixtures.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/cut_reply_fixtures.py
@@ -177,7 +177,13 @@
         view = ClusterView()
         view.leader_contact_s = boot_clock_s() + 3_600.0
         view.configuration = GatewayConfiguration(
-            1, ROUTES, {"s": Service("s", 10, None)}, LIMITS, {}, {}
+            1,
+            ROUTES,
+            {"s": Service("s", 10, None)},
+            LIMITS,
+            {},
+            {},
+            needs_keys=False,
         )
         view.base_versions = {"s": ""}
         view.host_count = 1
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_small_parts.py
@@ -104,7 +104,8 @@
 
 class RouteTests(unittest.TestCase):
     def configuration(self, *routes):
-        return GatewayConfiguration(1, routes, {}, ServerLimits(1, 1, 1.0, 1.0), {}, {})
+        limits = ServerLimits(1, 1, 1.0, 1.0)
+        return GatewayConfiguration(1, routes, {}, limits, {}, {}, needs_keys=False)
 
     def test_the_longest_prefix_wins(self):
         """The order of routes in the configuration does not matter."""
--- a/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stopping.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/tests/test_stopping.py
@@ -193,7 +193,9 @@
         )
         limits = ServerLimits(1_000, 1_000, 1.0, 1.0)
         services = {"s": Service("s", 10, None)}
-        view.configuration = GatewayConfiguration(1, [route], services, limits, {}, {})
+        view.configuration = GatewayConfiguration(
+            1, [route], services, limits, {}, {}, needs_keys=False
+        )
         log = mock.Mock()
         streams = StreamVersions(mock.Mock(), view, log)
         streams.begin = mock.Mock()
