RECOVER: requests for a model itself wait for no named weights

Cause: the version of the weights is found for a request without an adapter, but agents know versions of adapters only and grant version 0. The host asked again in a loop without a pause.

Change: such requests ask for no version, since no engine is ordered to replace weights. A host asks again only for a version that was named since it asked; otherwise it refuses the request.

--- a/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
+++ b/packages/damaskvalve-gateway/damaskvalve_gateway/_gateway.py
@@ -73,6 +73,9 @@
 MAX_NOT_RUN_ATTEMPTS = 3
 # Outcome of a permit that is given back, because its version was replaced.
 OUTDATED = "outdated"
+# When a request may come again whose agent has granted an older version than it had
+# been asked for.
+OUTDATED_RETRY_S = 0.5
 # Number of requests that one line of those unfinished at a stop names.
 UNFINISHED_PER_LINE = 50
 
@@ -534,9 +537,12 @@
         name = f"{request.model}/{request.adapter}"
 
         def newest_version() -> int:
-            return self._view.adapter_versions.get(name, 0)
+            # An engine has the newest weights of a model when it loads the model. None
+            # is ordered to replace them, so no request can wait for them.
+            return self._view.adapter_versions.get(name, 0) if request.adapter else 0
 
         while True:
+            asked_version = newest_version()
             permits = self._permits.permit(
                 exchange,
                 candidates,
@@ -547,13 +553,35 @@
             )
             async with permits as permit:
                 if permit.version < newest_version():
-                    # The version was named as the request was granted.
                     permit.release(OUTDATED)
+                    if permit.version < asked_version:
+                        # Asking again would get the same answer.
+                        raise self._outdated_refusal(exchange, permit, asked_version)
+                    # The version was named as the request was granted.
                     continue
                 attempt = await self._attempt(exchange, permit)
                 permit.release(attempt.outcome)
                 return attempt
 
+    def _outdated_refusal(
+        self, exchange: Exchange, permit: Permit, asked_version: int
+    ) -> RefusedError:
+        """Return the refusal of a request whose agent grants an older version only."""
+        self._log.line(
+            "outdated_grant",
+            request=exchange.request.request_id,
+            backend=permit.backend.announcement.instance_id,
+            adapter=exchange.request.adapter,
+            granted_version=permit.version,
+            asked_version=asked_version,
+        )
+        return RefusedError(
+            503,
+            "outdated_adapter",
+            f"no backend server has version {asked_version} of the adapter yet",
+            retry_after_s=OUTDATED_RETRY_S,
+        )
+
     def _check_waiting(self, exchange: Exchange, backend: Backend) -> None:
         """Raise :class:`RefusedError` if a request that waits there is refused now."""
         self._check_quarantine(exchange.fingerprint, exchange.request.prompt_parts)
