LOST: no change is accepted before the votes are with hosts that have a disk

Change: once a member with a disk is known, a leader takes no commands and does not serve as one until no vote is without a disk. In a new group with voters without a disk only, it waits until such a member is known, at most catch_up_s from its election.

Before: with the check disabled, three seeds without a disk acknowledge a change alone (test_a_change_was_acknowledged_by_hosts_without_a_disk_alone fails). After: it passes. Tried first: an assertion in the test of lost power, which passed without the check too.

The test of a group without any disk stopped the next host as soon as the last one saw itself among the voters, which may be before that list is committed: two of three hosts lost at once, more than is borne.

--- a/packages/damaskvalve-state/damaskvalve_state/_consensus.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus.py
@@ -135,6 +135,23 @@
             return False
         return self.lease_left_s(now_s) > 0
 
+    def awaits_disks(self, tolerance: LossTolerance, now_s: float) -> bool:
+        """Return whether votes are about to pass to members with a disk.
+
+        What is committed before would be lost with the power of the members without
+        one. A new group waits until every running host has had time to join, as one
+        with a disk may be among them.
+        """
+        if not any(voter.memory_only for voter in self.voters()):
+            return False
+        if any(not item.member.memory_only for item in self.progress.values()):
+            return True
+        return not self.holds_commands and not self._is_settled(tolerance, now_s)
+
+    def _is_settled(self, tolerance: LossTolerance, now_s: float) -> bool:
+        """Return whether each running host has had time to join under this leader."""
+        return now_s - self._became_leader_s >= tolerance.catch_up_s
+
     def has_applied_its_term(self, applied_index: int) -> bool:
         """Return whether a leader has applied the first entry of its term."""
         return applied_index >= self._term_start_index
@@ -191,7 +208,7 @@
                 if now_s < item.stopping_until_s
             },
             leader_id=self.member.member_id,
-            is_settled=now_s - self._became_leader_s >= tolerance.catch_up_s,
+            is_settled=self._is_settled(tolerance, now_s),
         )
         change = next_members(view, tolerance)
         if change is None:
--- a/packages/damaskvalve-state/damaskvalve_state/_consensus_state.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_consensus_state.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from damaskvalve_core.messages import (
+    EntryKind,
     HardState,
     JournalRecord,
     LogEntry,
@@ -62,6 +63,8 @@
         # Of the snapshot that a leader sends to this member.
         self._assembly = SnapshotAssembly()
         self._applied_index: int = log.snapshot.last_index
+        # Whether a command has been committed in this group, as far as is known.
+        self.holds_commands = log.snapshot.last_index > 0
         self._votes: set[str] = set()
         # Members whose data folders are known to be lost.
         self._lost_disk_ids: set[str] = set()
@@ -121,7 +124,9 @@
         self._output = Output()
         while self._applied_index < self.commit_index:
             self._applied_index += 1
-            output.committed.append(self.log.entry_at(self._applied_index))
+            entry = self.log.entry_at(self._applied_index)
+            self.holds_commands = self.holds_commands or entry.kind == EntryKind.COMMAND
+            output.committed.append(entry)
         return output
 
     def _voters_before_change(self) -> Sequence[Member]:
--- a/packages/damaskvalve-state/damaskvalve_state/_node.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_node.py
@@ -308,7 +308,12 @@
             _log.info("proposed as voters: {}, as {}", voters, change.reason)
 
     def propose(self, command: Command, callback: ResultCallback, now_s: float) -> bool:
-        """Propose a command from within the actor; return False if not the leader."""
+        """Propose a command from within the actor; return False if not the leader.
+
+        A leader whose group waits for members with a disk takes no commands yet.
+        """
+        if self.awaits_disks(now_s):
+            return False
         indexes = self.consensus.propose([encode_struct(command)], now_s)
         for index in indexes:
             self._callbacks[index] = (self.consensus.term, callback)
--- a/packages/damaskvalve-state/damaskvalve_state/_replication.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_replication.py
@@ -450,6 +450,7 @@
         self._newest_snapshot = snapshot
         self.commit_index = snapshot.last_index
         self._applied_index = snapshot.last_index
+        self.holds_commands = True
         # Entries that the snapshot replaces must not be written to the journal.
         hard_states = [
             item for item in self._output.records if item.hard_state is not None
--- a/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
+++ b/packages/damaskvalve-state/damaskvalve_state/_stored_member.py
@@ -312,12 +312,20 @@
             lambda: self.journal.install(snapshot, entries, hard_state)
         )
 
+    def awaits_disks(self, now_s: float) -> bool:
+        """Return whether commands wait until members with a disk have the votes."""
+        if not self.settings.open_group:
+            return False
+        return self.consensus.awaits_disks(self.settings.tolerance, now_s)
+
     def _publish(self, now_s: float) -> None:
         consensus = self.consensus
         # Until it has applied all entries of earlier terms, a leader would confirm an
         # older state as the newest.
-        is_leader = consensus.may_serve(now_s) and consensus.has_applied_its_term(
-            self.applied_index
+        is_leader = (
+            consensus.may_serve(now_s)
+            and consensus.has_applied_its_term(self.applied_index)
+            and not self.awaits_disks(now_s)
         )
         self._published.status = NodeStatus(
             f"{consensus.leader_id}/{consensus.term}" if consensus.leader_id else "",
--- a/packages/damaskvalve-state/damaskvalve_state/tests/test_open_group.py
+++ b/packages/damaskvalve-state/damaskvalve_state/tests/test_open_group.py
@@ -85,6 +85,22 @@
             fleet.await_version(number, 2)
         fleet.commit_document(3)
 
+    def test_a_change_was_acknowledged_by_hosts_without_a_disk_alone(self):
+        """Hosts with a disk start a moment later than the seeds, which have none."""
+        fleet = self.fleet
+        seeds = [3, 4, 5]
+        for number in seeds:
+            fleet.start(number, seeds, durable=False)
+        # An election, and most of the time in which hosts may still join.
+        with self.assertRaises(AssertionError):
+            fleet.commit_document(1, within_s=2.5)
+        for number in range(3):
+            fleet.start(number, seeds)
+        fleet.commit_document(1)
+        self.assertEqual(
+            fleet.voters(0), [f"127.0.0.1:{FIRST_PORT + number}" for number in range(3)]
+        )
+
     def test_a_group_without_any_disk_outlives_the_restart_of_all_in_turn(self):
         """A host without a disk has a new id after its start, and votes again."""
         fleet = self.fleet
@@ -94,9 +110,11 @@
         for number in range(3):
             fleet.stop(number)
             fleet.start(number, [0, 1, 2], durable=False, may_bootstrap=False)
-            fleet.await_version(number, 1)
             fleet.await_voter(number)
-        fleet.commit_document(2)
+            # A commit shows that the group has taken the host as a voter; until then
+            # no other one may be lost.
+            fleet.commit_document(number + 2)
+            fleet.await_version(number, number + 2)
 
     def test_a_founder_killed_between_its_snapshot_and_its_journal_founds_again(self):
         """Otherwise it counts as founded with an empty log, and the others wait."""
--- a/testing/damaskvalve-standins/damaskvalve_standins/_membership_proofs.py
+++ b/testing/damaskvalve-standins/damaskvalve_standins/_membership_proofs.py
@@ -39,6 +39,11 @@
         replace(_membership, "_without_memory_only", lambda *_: None),
         f"{_OPEN_GROUP}test_a_change_survives_lost_power_where_the_seeds_had_no_disk",
     ),
+    Proof(
+        "no command is accepted before the votes are with disks",
+        replace(Consensus, "awaits_disks", lambda *_: False),
+        f"{_OPEN_GROUP}test_a_change_was_acknowledged_by_hosts_without_a_disk_alone",
+    ),
     Proof(
         "a restarted host votes again in a group without any disk",
         replace(
